--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,222 @@
+// Package config owns the documents that describe services: their types, the
+// check that a document passes before it is accepted, and the set of documents
+// in force in one instance, whose versions never go back.
+package config
+
+import (
+	"fmt"
+	"time"
+)
+
+// Service is one document. Organisations and models are scoped by service:
+// the same name in two services is two organisations.
+type Service struct {
+	Service       string         `json:"service"`
+	Models        []Model        `json:"models"`
+	Upstreams     []Upstream     `json:"upstreams"`
+	Organisations []Organisation `json:"organisations"`
+	Routes        []Route        `json:"routes"`
+	Deadlines     Deadlines      `json:"deadlines"`
+	Loads         LoadLimits     `json:"loads"`
+}
+
+// Model is one model that the service's engines load.
+type Model struct {
+	Name            string    `json:"name"`
+	MemoryMB        int64     `json:"memory_mb"`
+	MinReplicas     int       `json:"min_replicas"`      // default 1
+	MaxReplicas     int       `json:"max_replicas"`      // 0: as many as fit
+	MaxOutputTokens int       `json:"max_output_tokens"` // default DefaultMaxOutputTokens
+	Open            bool      `json:"open"`              // served without a key
+	Adapters        []Adapter `json:"adapters"`
+}
+
+// Adapter is a small addition to a model, loaded beside it. Requests name it
+// as "model:adapter".
+type Adapter struct {
+	Name     string `json:"name"`
+	MemoryMB int64  `json:"memory_mb"`
+}
+
+// UpstreamKind tells model engines from plain services.
+type UpstreamKind string
+
+// The kinds of upstreams.
+const (
+	UpstreamEngine UpstreamKind = "engine"
+	UpstreamPlain  UpstreamKind = "plain"
+)
+
+// Upstream is one model engine on one accelerator, or one instance of a plain
+// service. Address is IP:port.
+type Upstream struct {
+	Name     string       `json:"name"`
+	Zone     string       `json:"zone"`
+	Kind     UpstreamKind `json:"kind"`
+	Address  string       `json:"address"`
+	MemoryMB int64        `json:"memory_mb"`
+	// Fencing says that the engine refuses orders with old fencing numbers.
+	Fencing bool `json:"fencing"`
+	// MaxOrderDelayS bounds how late a sent order can still take effect in an
+	// engine that ignores fencing numbers; default DefaultMaxOrderDelay.
+	MaxOrderDelayS int `json:"max_order_delay_s"`
+}
+
+// Organisation is a customer of the service. Its rate and burst hold across
+// all instances together.
+type Organisation struct {
+	Name            string `json:"name"`
+	RateTokensPerS  int64  `json:"rate_tokens_per_s"`
+	BurstTokens     int64  `json:"burst_tokens"`
+	Keys            []Key  `json:"keys"`
+	StaleKeys       Stale  `json:"stale_keys"`         // default StaleServe
+	StaleKeysAfterS int    `json:"stale_keys_after_s"` // age from which StaleRefuse refuses
+}
+
+// Stale is what happens to keyed requests in an instance that has been cut
+// off from every source of configuration.
+type Stale string
+
+// The choices for requests under stale knowledge.
+const (
+	StaleServe  Stale = "serve"
+	StaleRefuse Stale = "refuse"
+)
+
+// Key is the salted digest of a key, never the key. ID is part of the key and
+// finds the digest; Salt and Digest are hexadecimal.
+type Key struct {
+	ID     string `json:"id"`
+	Salt   string `json:"salt"`
+	Digest string `json:"digest"`
+}
+
+// Route is a path of a plain service, below /services/{service}. The longest
+// matching prefix wins.
+type Route struct {
+	Path       string   `json:"path"` // prefix, begins with /
+	Methods    []string `json:"methods"`
+	Idempotent bool     `json:"idempotent"`
+	Open       bool     `json:"open"` // served without a key
+	CostTokens int64    `json:"cost_tokens"`
+	DeadlineMS int64    `json:"deadline_ms"`
+}
+
+// Deadlines bound a request to a model.
+type Deadlines struct {
+	FirstTokenMS int64 `json:"first_token_ms"` // to the first token
+	BetweenMS    int64 `json:"between_ms"`     // between tokens
+	RequestMS    int64 `json:"request_ms"`     // to the last token
+	ProgressMS   int64 `json:"progress_ms"`    // silence after which a connection is abandoned
+}
+
+// LoadLimits bound loads across all zones together.
+type LoadLimits struct {
+	ModelsPerS       float64 `json:"models_per_s"`
+	ModelsInFlight   int     `json:"models_in_flight"`
+	AdaptersInFlight int     `json:"adapters_in_flight"`
+}
+
+// Defaults of fields that a document leaves out.
+const (
+	DefaultMaxOutputTokens  = 1024
+	DefaultMaxOrderDelay    = 30 * time.Second
+	DefaultFirstTokenMS     = 480
+	DefaultBetweenMS        = 66
+	DefaultRequestMS        = 120_000
+	DefaultProgressMS       = 5_000
+	DefaultRouteDeadlineMS  = 10_000
+	DefaultModelsPerS       = 2.0
+	DefaultModelsInFlight   = 8
+	DefaultAdaptersInFlight = 64
+	DefaultStaleKeysAfterS  = 60
+)
+
+// OrganisationID identifies an organisation across services.
+type OrganisationID struct {
+	Service      string
+	Organisation string
+}
+
+// String returns "service/organisation".
+func (id OrganisationID) String() string { return id.Service + "/" + id.Organisation }
+
+// OpenOrganisation is the name under which requests without a key are limited,
+// queued and recorded, on routes open to all.
+const OpenOrganisation = "open"
+
+// Model returns the model with a name.
+func (s *Service) Model(name string) (Model, bool) {
+	for _, m := range s.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Model{}, false
+}
+
+// Organisation returns the organisation with a name.
+func (s *Service) Organisation(name string) (Organisation, bool) {
+	for _, o := range s.Organisations {
+		if o.Name == name {
+			return o, true
+		}
+	}
+	return Organisation{}, false
+}
+
+// Adapter returns the adapter of a model.
+func (m Model) Adapter(name string) (Adapter, bool) {
+	for _, a := range m.Adapters {
+		if a.Name == name {
+			return a, true
+		}
+	}
+	return Adapter{}, false
+}
+
+// applyDefaults fills fields that the document leaves out.
+func (s *Service) applyDefaults() {
+	for i := range s.Models {
+		m := &s.Models[i]
+		setDefault(&m.MinReplicas, 1)
+		setDefault(&m.MaxOutputTokens, DefaultMaxOutputTokens)
+	}
+	for i := range s.Upstreams {
+		setDefault(&s.Upstreams[i].MaxOrderDelayS, int(DefaultMaxOrderDelay/time.Second))
+	}
+	for i := range s.Organisations {
+		setDefault(&s.Organisations[i].StaleKeys, StaleServe)
+		setDefault(&s.Organisations[i].StaleKeysAfterS, DefaultStaleKeysAfterS)
+	}
+	for i := range s.Routes {
+		setDefault(&s.Routes[i].CostTokens, 1)
+		setDefault(&s.Routes[i].DeadlineMS, DefaultRouteDeadlineMS)
+	}
+	setDefault(&s.Deadlines.FirstTokenMS, DefaultFirstTokenMS)
+	setDefault(&s.Deadlines.BetweenMS, DefaultBetweenMS)
+	setDefault(&s.Deadlines.RequestMS, DefaultRequestMS)
+	setDefault(&s.Deadlines.ProgressMS, DefaultProgressMS)
+	setDefault(&s.Loads.ModelsPerS, DefaultModelsPerS)
+	setDefault(&s.Loads.ModelsInFlight, DefaultModelsInFlight)
+	setDefault(&s.Loads.AdaptersInFlight, DefaultAdaptersInFlight)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// path builds the slash path of a field for an error.
+func path(parts ...any) string {
+	var p string
+	for i, part := range parts {
+		if i > 0 {
+			p += "/"
+		}
+		p += fmt.Sprint(part)
+	}
+	return p
+}
--- /dev/null
+++ b/internal/settings/source.go
@@ -0,0 +1,144 @@
+// Package settings reads HuJSON (JSON with comments and trailing commas)
+// strictly: unknown and repeated fields are refused, and every error names the
+// file, the line, the field and what was expected.
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// FieldError says what is wrong with one field of a file.
+type FieldError struct {
+	File   string `json:"file"`
+	Line   int    `json:"line"`   // from 1
+	Column int    `json:"column"` // from 1
+	Field  string `json:"field"`  // such as models/2/memory_mb; empty for the whole
+	Want   string `json:"want"`
+}
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	at := fmt.Sprintf("%s:%d:%d", e.File, e.Line, e.Column)
+	if e.Field == "" {
+		return fmt.Sprintf("%s: %s", at, e.Want)
+	}
+	return fmt.Sprintf("%s: field %s: %s", at, e.Field, e.Want)
+}
+
+// Source is a parsed file that still knows where each field stands.
+type Source struct {
+	file string
+	src  []byte
+	root hujson.Value
+}
+
+// Parse reads HuJSON. It fails with a *FieldError.
+func Parse(file string, src []byte) (*Source, error) {
+	root, err := hujson.Parse(slices.Clone(src))
+	if err != nil {
+		return nil, syntaxError(file, src, err)
+	}
+	return &Source{file: file, src: src, root: root}, nil
+}
+
+// syntaxError turns the parser's "line L, column C" into a FieldError.
+func syntaxError(file string, src []byte, err error) error {
+	e := &FieldError{File: file, Line: 1, Column: 1, Want: err.Error()}
+	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &e.Line, &e.Column); scanErr != nil {
+		e.Line, e.Column = position(src, len(src))
+	}
+	return e
+}
+
+// Decode stores the source in dst, a pointer to a struct.
+func (s *Source) Decode(dst any) error {
+	if err := s.checkFields(dst); err != nil {
+		return err
+	}
+	std := s.JSON()
+	err := json.Unmarshal(std, dst)
+	var typeErr *json.UnmarshalTypeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &typeErr):
+		return s.Errorf(strings.ReplaceAll(typeErr.Field, ".", "/"), "want %s, got %s", typeErr.Type, typeErr.Value)
+	default:
+		return s.Errorf("", "%v", err)
+	}
+}
+
+// JSON returns the source as plain JSON.
+func (s *Source) JSON() []byte {
+	v := s.root.Clone()
+	v.Standardize()
+	return v.Pack()
+}
+
+// Errorf returns a *FieldError for a field, given as its path with slashes.
+// Where the field is absent the nearest enclosing one gives the line.
+func (s *Source) Errorf(field, format string, args ...any) error {
+	e := &FieldError{File: s.file, Field: field, Want: fmt.Sprintf(format, args...)}
+	e.Line, e.Column = position(s.src, s.offset(field))
+	return e
+}
+
+func (s *Source) offset(field string) int {
+	for path := field; path != ""; {
+		if v := s.root.Find("/" + path); v != nil {
+			return v.StartOffset
+		}
+		cut := strings.LastIndexByte(path, '/')
+		if cut < 0 {
+			break
+		}
+		path = path[:cut]
+	}
+	return s.root.StartOffset
+}
+
+// position returns the line and column of a byte offset, both from 1.
+func position(src []byte, offset int) (line, column int) {
+	before := string(src[:min(offset, len(src))])
+	line = 1 + strings.Count(before, "\n")
+	column = offset - strings.LastIndexByte(before, '\n')
+	return line, column
+}
+
+// Decode parses src and stores it in dst.
+func Decode(file string, src []byte, dst any) error {
+	s, err := Parse(file, src)
+	if err != nil {
+		return err
+	}
+	return s.Decode(dst)
+}
+
+// Checker is a settings value that checks itself once decoded.
+type Checker interface {
+	// Check returns a *FieldError made by src for the first bad field.
+	Check(src *Source) error
+}
+
+// Load reads a file, decodes it over the defaults in dst and checks it.
+func Load(file string, dst Checker) error {
+	src, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(file, src)
+	if err != nil {
+		return err
+	}
+	if err := s.Decode(dst); err != nil {
+		return err
+	}
+	return dst.Check(s)
+}
