Add the peer transport and the view of instances

Cause: instances must find each other from a list that lags, and must not keep a connection that went silent.

The view first remembered 'gone' like 'leaving': an instance that called before the list showed it was then shut out for good (TestNewcomerBeforeTheListShowsIt); now only 'leaving' is final for an incarnation.

--- /dev/null
+++ b/internal/member/view_test.go
@@ -0,0 +1,86 @@
+package member
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func entry(name, incarnation string, state platform.InstanceState) platform.Instance {
+	return platform.Instance{Name: name, Incarnation: incarnation, Zone: "north", Role: platform.RoleEntry, State: state}
+}
+
+func TestListThatLagsDoesNotReviveLeaving(t *testing.T) {
+	v := NewView("self")
+	v.ObserveList(1, 1, []platform.Instance{entry("a", "1", platform.InstanceLive)})
+	v.ObserveSelf(2, entry("a", "1", platform.InstanceLeaving))
+	v.ObserveList(3, 3, []platform.Instance{entry("a", "1", platform.InstanceLive)})
+	must.Len(t, 0, v.Peers())
+	v.ObserveList(4, 4, nil)
+	v.ObserveList(5, 5, []platform.Instance{entry("a", "1", platform.InstanceLive)})
+	must.Len(t, 0, v.Peers())
+	v.ObserveList(6, 6, []platform.Instance{entry("a", "2", platform.InstanceLive)})
+	must.Len(t, 1, v.Peers())
+}
+
+// TestNewcomerBeforeTheListShowsIt: a newcomer is heard of from itself while
+// the list lags behind, and must not be shut out once the list shows it.
+func TestNewcomerBeforeTheListShowsIt(t *testing.T) {
+	v := NewView("self")
+	v.ObserveSelf(1, entry("a", "1", platform.InstanceLive))
+	v.ObserveList(2, 2, nil)
+	v.ObserveList(3, 3, nil)
+	v.ObserveList(4, 4, []platform.Instance{entry("a", "1", platform.InstanceLive)})
+	must.Len(t, 1, v.Peers())
+}
+
+func TestUpstreamsOwnWordAndSample(t *testing.T) {
+	v := NewView("self")
+	up := platform.Instance{Name: "u", Role: platform.RoleUpstream, Address: "127.0.0.1:1", State: platform.InstanceLive}
+	v.ObserveList(1, 1, []platform.Instance{up, entry("a", "1", platform.InstanceLive), entry("b", "1", platform.InstanceLive)})
+	v.ObserveUpstreamLeaving(2, "127.0.0.1:1")
+	must.True(t, v.LeavingUpstreams()["127.0.0.1:1"])
+	v.ObserveCall(3, "a", false)
+	any := func(platform.Instance) bool { return true }
+	sample := v.Sample(rand.New(rand.NewSource(1)), 1, any)
+	must.Eq(t, "b", sample[0].Name)
+	must.Len(t, 2, v.Sample(rand.New(rand.NewSource(1)), 5, any))
+}
+
+// TestLeavingIsFinalForAnIncarnation applies random reads, some late, and
+// random answers: from the first word that an incarnation leaves it is never
+// offered as a peer again.
+func TestLeavingIsFinalForAnIncarnation(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		v := NewView("self")
+		left := map[string]bool{}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Second
+			inc := rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "incarnation")
+			state := rapid.SampledFrom([]platform.InstanceState{platform.InstanceLive, platform.InstanceLeaving}).Draw(t, "state")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				readAt := now - time.Duration(rapid.IntRange(0, 5).Draw(t, "lag"))*time.Second
+				fresh := readAt > v.listedAt || !v.listed
+				v.ObserveList(now, readAt, []platform.Instance{entry("a", inc, state)})
+				left[inc] = left[inc] || (fresh && state == platform.InstanceLeaving)
+			case 1:
+				v.ObserveSelf(now, entry("a", inc, state))
+				left[inc] = left[inc] || state == platform.InstanceLeaving
+			case 2:
+				v.ObserveCall(now, "a", rapid.Bool().Draw(t, "ok"))
+			case 3:
+				v.ObserveList(now, now, nil)
+			}
+			for _, p := range v.Peers() {
+				must.False(t, left[p.Incarnation])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,128 @@
+// Package peer carries calls between entry instances over drpc. It owns the
+// pool of connections, the deadline on every call and the listener; what the
+// calls mean belongs to the packages that register their services with it.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+)
+
+// Defaults of ClientOptions.
+const (
+	DefaultCallTimeout = time.Second
+	idleExpiration     = 30 * time.Second
+	connsPerPeer       = 4
+)
+
+// ErrUnreachable means that a call got no whole answer within its deadline.
+// The call may have run.
+var ErrUnreachable = errors.New("peer: unreachable")
+
+// DialFunc opens a connection to a peer's address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// ClientOptions configure a Client; zero fields take defaults.
+type ClientOptions struct {
+	CallTimeout time.Duration
+	TLS         func() *tls.Config // nil for plain connections
+	Dial        DialFunc
+}
+
+// Client calls peers by address. It is safe for concurrent use.
+type Client struct {
+	opts  ClientOptions
+	pool  *drpcpool.Pool[string, drpcpool.Conn]
+	bytes Traffic
+}
+
+// Traffic counts the bytes of all peer connections of one side.
+type Traffic struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
+}
+
+// NewClient returns a client without open connections.
+func NewClient(opts ClientOptions) *Client {
+	if opts.CallTimeout == 0 {
+		opts.CallTimeout = DefaultCallTimeout
+	}
+	if opts.Dial == nil {
+		opts.Dial = dialTCP
+	}
+	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleExpiration, KeyCapacity: connsPerPeer})
+	return &Client{opts: opts, pool: pool}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, "tcp", address)
+}
+
+// Traffic returns the counters of bytes sent and received.
+func (c *Client) Traffic() *Traffic { return &c.bytes }
+
+// Close closes the idle connections.
+func (c *Client) Close() error { return c.pool.Close() }
+
+// Call runs one call on a pooled connection under the call timeout. A
+// connection whose call timed out is closed by drpc and not used again. It
+// fails with ErrUnreachable.
+func (c *Client) Call(ctx context.Context, address string, call func(context.Context, drpc.Conn) error) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	conn := c.pool.Get(ctx, address, c.dial)
+	defer conn.Close()
+	if err := call(ctx, conn); err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
+	}
+	return nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	raw, err := c.opts.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	raw = &countedConn{Conn: raw, traffic: &c.bytes}
+	if c.opts.TLS != nil {
+		raw = tls.Client(raw, c.opts.TLS())
+	}
+	return drpcconn.New(raw), nil
+}
+
+// Exchange compares documents and instances with a peer.
+func (c *Client) Exchange(ctx context.Context, address string, req *peerpb.ExchangeRequest) (reply *peerpb.ExchangeReply, err error) {
+	err = c.Call(ctx, address, func(ctx context.Context, conn drpc.Conn) (err error) {
+		reply, err = peerpb.NewDRPCSyncClient(conn).Exchange(ctx, req)
+		return err
+	})
+	return reply, err
+}
+
+// countedConn counts the bytes of one connection.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Received.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.Sent.Add(int64(n))
+	return n, err
+}
