Add the replica of documents and instances

Cause: one reachable source must be enough to learn a withdrawn key, and an instance must know how old its knowledge is to refuse under stale keys.

Ruled out: taking over the age in a peer's request. A request that was held back for any time then makes old knowledge look fresh; with it switched on TestKnowledgeIsAsCompleteAndAsFreshAsItSays fails ('state says age' below an edit that it lacks). Only the age in a reply counts, from the time the request was sent. The revision up to which all documents are known is taken over only once all that the peer accepted is in the set.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(GO) test -json -count=1 -timeout 300s ./... | $(BIN)/knownred --list KNOWN-RED.txt
 
 generate:
-	protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative $$(git ls-files '*.proto')
+	PATH="$$($(GO) env GOPATH)/bin:$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative $$(git ls-files '*.proto')
 
 clean:
 	rm -rf $(BIN) out
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/eelgrassbay/eelgrassbay/internal/chart"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 )
@@ -49,8 +50,15 @@
 	self     string
 	members  map[string]*member
 	departed map[departure]time.Duration // leaving, and when first seen
-	listedAt time.Duration
-	listed   bool
+	list     List
+}
+
+// List is one read of the platform's list of instances.
+type List struct {
+	Instances []platform.Instance
+	ReadAt    time.Duration // on the local clock
+	Hash      uint64        // equal for equal lists
+	Known     bool          // false before the first read
 }
 
 // departure names one run of an instance. Upstreams are known by address.
@@ -71,10 +79,10 @@
 // ObserveList takes the platform's list as it was read at readAt on the local
 // clock. An older read than the last one is ignored.
 func (v *View) ObserveList(now, readAt time.Duration, list []platform.Instance) {
-	if v.listed && readAt <= v.listedAt {
+	if v.list.Known && readAt <= v.list.ReadAt {
 		return
 	}
-	v.listed, v.listedAt = true, readAt
+	v.list = List{Instances: list, ReadAt: readAt, Hash: hashList(list), Known: true}
 	seen := map[string]bool{}
 	for _, inst := range list {
 		seen[inst.Name] = true
@@ -88,6 +96,27 @@
 	v.forget(now)
 }
 
+// ObserveSameList takes a read, made elsewhere, that equals the last one.
+func (v *View) ObserveSameList(now, readAt time.Duration) {
+	v.ObserveList(now, readAt, v.list.Instances)
+}
+
+// List returns the last read of the platform's list.
+func (v *View) List() List { return v.list }
+
+func hashList(list []platform.Instance) uint64 {
+	var sum uint64
+	for _, inst := range list {
+		d := xxhash.New()
+		for _, part := range []string{inst.Name, inst.Incarnation, inst.Zone, string(inst.Role), inst.Address, inst.PeerAddress, string(inst.State)} {
+			_, _ = d.WriteString(part)
+			_, _ = d.Write([]byte{0})
+		}
+		sum ^= d.Sum64()
+	}
+	return sum
+}
+
 // ObserveSelf takes what an instance says of itself, in a call or an answer.
 func (v *View) ObserveSelf(now time.Duration, inst platform.Instance) {
 	v.observe(now, inst)
@@ -192,26 +221,6 @@
 	return leaving
 }
 
-// Instances returns all instances as last seen, by name, for relaying.
-func (v *View) Instances() []platform.Instance {
-	all := make([]platform.Instance, 0, len(v.members))
-	for _, m := range v.members {
-		inst := m.inst
-		if m.machine.State() == stateLeaving {
-			inst.State = platform.InstanceLeaving
-		}
-		all = append(all, inst)
-	}
-	slices.SortFunc(all, func(a, b platform.Instance) int { return strings.Compare(a.Name, b.Name) })
-	return all
-}
-
-// ListAge returns how old the last read of the platform's list is, and false
-// if there was none.
-func (v *View) ListAge(now time.Duration) (time.Duration, bool) {
-	return now - v.listedAt, v.listed
-}
-
 // Sample returns up to n peers for which keep is true, at random, those that
 // are not suspect first.
 func (v *View) Sample(rng *rand.Rand, n int, keep func(platform.Instance) bool) []platform.Instance {
--- a/internal/member/view_test.go
+++ b/internal/member/view_test.go
@@ -67,7 +67,7 @@
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
 			case 0:
 				readAt := now - time.Duration(rapid.IntRange(0, 5).Draw(t, "lag"))*time.Second
-				fresh := readAt > v.listedAt || !v.listed
+				fresh := readAt > v.list.ReadAt || !v.list.Known
 				v.ObserveList(now, readAt, []platform.Instance{entry("a", inc, state)})
 				left[inc] = left[inc] || (fresh && state == platform.InstanceLeaving)
 			case 1:
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -16,7 +16,11 @@
 }
 
 func (echo) Exchange(_ context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
-	return &peerpb.ExchangeReply{Hash: req.Hash}, nil
+	return &peerpb.ExchangeReply{Knowledge: req.Knowledge}, nil
+}
+
+func request(hash uint64) *peerpb.ExchangeRequest {
+	return &peerpb.ExchangeRequest{Knowledge: &peerpb.Knowledge{Hash: hash}}
 }
 
 func serve(t *testing.T) *Server {
@@ -60,14 +64,14 @@
 	}})
 	defer c.Close()
 	ctx := context.Background()
-	_, err := c.Exchange(ctx, s.Address(), &peerpb.ExchangeRequest{Hash: 1})
+	_, err := c.Exchange(ctx, s.Address(), request(1))
 	must.NoError(t, err)
 	silent.Store(true)
-	_, err = c.Exchange(ctx, s.Address(), &peerpb.ExchangeRequest{Hash: 2})
+	_, err = c.Exchange(ctx, s.Address(), request(2))
 	must.ErrorIs(t, err, ErrUnreachable)
-	reply, err := c.Exchange(ctx, s.Address(), &peerpb.ExchangeRequest{Hash: 3})
+	reply, err := c.Exchange(ctx, s.Address(), request(3))
 	must.NoError(t, err)
-	must.Eq(t, 3, reply.Hash)
+	must.Eq(t, 3, reply.Knowledge.Hash)
 	must.Eq(t, 2, dials.Load())
 	must.Positive(t, c.Traffic().Sent.Load())
 }
--- /dev/null
+++ b/internal/replica/platform.go
@@ -0,0 +1,91 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+)
+
+// watchDocuments reads the object API while this instance reads for its zone,
+// and otherwise when its knowledge has become old.
+func (d *Duty) watchDocuments(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !d.mayRead() {
+			sleep(ctx, retryPeriod)
+			continue
+		}
+		if err := d.watchOnce(ctx); err != nil {
+			d.opts.Log.Debug("watch documents", "error", err)
+			sleep(ctx, d.retryDelay())
+		}
+	}
+	return nil
+}
+
+func (d *Duty) mayRead() bool { return d.opts.Reads() || d.Age() > fallbackAge }
+
+// retryDelay is short for the zone's reader and long and jittered for others,
+// so that an outage of the platform does not draw the whole zone's calls.
+func (d *Duty) retryDelay() time.Duration {
+	if d.opts.Reads() {
+		return retryPeriod
+	}
+	return jitter(fallbackPeriod)
+}
+
+func (d *Duty) watchOnce(ctx context.Context) error {
+	var since uint64
+	if err := d.step(ctx, func() { since = d.state.Complete() }); err != nil {
+		return err
+	}
+	sentAt := d.opts.Now()
+	list, err := d.opts.Store.Watch(ctx, platform.KindService, since)
+	if err != nil {
+		return err
+	}
+	var c Change
+	err = d.step(ctx, func() {
+		c = d.state.PlatformRead(sentAt, list)
+		d.apply(c)
+	})
+	if len(c.Accepted) > 0 {
+		d.push(ctx, c.Accepted)
+	}
+	return err
+}
+
+// readInstances reads the platform's list like watchDocuments.
+func (d *Duty) readInstances(ctx context.Context) error {
+	var lastOwn time.Duration
+	for ctx.Err() == nil {
+		due := d.opts.Reads() || lastOwn == 0 || d.opts.Now()-lastOwn > fallbackPeriod && d.listAge(ctx) > fallbackAge
+		if due {
+			lastOwn = d.opts.Now()
+			d.readInstancesOnce(ctx)
+		}
+		sleep(ctx, jitter(listPeriod))
+	}
+	return nil
+}
+
+func (d *Duty) listAge(ctx context.Context) (age time.Duration) {
+	_ = d.step(ctx, func() {
+		list := d.state.view.List()
+		age = d.opts.Now() - list.ReadAt
+		if !list.Known {
+			age = fallbackAge + 1
+		}
+	})
+	return age
+}
+
+func (d *Duty) readInstancesOnce(ctx context.Context) {
+	sentAt := d.opts.Now()
+	list, err := d.opts.Instances.Instances(ctx)
+	if err != nil {
+		d.opts.Log.Debug("read instance list", "error", err)
+		return
+	}
+	_ = d.step(ctx, func() { d.apply(d.state.InstancesRead(d.opts.Now(), sentAt, list)) })
+}
--- /dev/null
+++ b/internal/replica/state_test.go
@@ -0,0 +1,137 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+const document = `{"service": %q, "organisations": [{"name": "o", "rate_tokens_per_s": %d, "burst_tokens": 1}]}`
+
+// fleet is a few states over one object API, with a true clock.
+type fleet struct {
+	now     time.Duration
+	store   *platform.Memory
+	states  []*State
+	written map[string]map[uint64]time.Duration // service, version: when
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{store: platform.NewMemory(0), written: map[string]map[uint64]time.Duration{}}
+	for i := range n {
+		f.states = append(f.states, NewState(platform.Instance{Name: fmt.Sprint(i), Role: platform.RoleEntry, State: platform.InstanceLive}))
+	}
+	return f
+}
+
+func (f *fleet) write(t must.T, service string, remove bool) {
+	ctx := context.Background()
+	old, _ := f.store.Get(ctx, platform.KindService, service)
+	next := platform.Object{Kind: platform.KindService, Name: service, Version: old.Version}
+	next.Value = fmt.Appendf(nil, document, service, f.now/time.Second+1)
+	obj, err := f.store.Put(ctx, next)
+	if remove {
+		obj, err = f.store.Delete(ctx, platform.KindService, service, obj.Version)
+	}
+	must.NoError(t, err)
+	if f.written[service] == nil {
+		f.written[service] = map[uint64]time.Duration{}
+	}
+	f.written[service][obj.Version] = f.now
+}
+
+// exchange runs one exchange; a reply may be held back until later.
+func (f *fleet) exchange(from, to *State, replyDelay time.Duration) {
+	req := from.Request(f.now)
+	for round := 0; req != nil && round < maxRounds; round++ {
+		sentAt := f.now
+		reply, _ := to.Answer(f.now, req)
+		f.now += replyDelay
+		req, _ = from.Absorb(f.now, sentAt, req, reply)
+	}
+}
+
+// check holds every state to what it says of its own knowledge.
+func (f *fleet) check(t must.T, before []map[string]uint64) {
+	for i, s := range f.states {
+		versions := s.set.Versions()
+		for service, v := range before[i] {
+			must.GreaterEq(t, v, versions[service], must.Sprint("version went back"))
+		}
+		age, known := s.Age(f.now)
+		for service, writes := range f.written {
+			for v, at := range writes {
+				if known && at < f.now-age {
+					must.GreaterEq(t, v, versions[service], must.Sprintf("state %d says age %v", i, age))
+				}
+				if v <= s.Complete() {
+					must.GreaterEq(t, v, versions[service], must.Sprintf("state %d says complete", i))
+				}
+			}
+		}
+	}
+}
+
+// TestKnowledgeIsAsCompleteAndAsFreshAsItSays edits documents while instances
+// read the platform or exchange in any order, with replies held back and
+// requests delayed. No version goes back, and every edit older than what an
+// instance says of its knowledge is in force in it.
+func TestKnowledgeIsAsCompleteAndAsFreshAsItSays(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		f := newFleet(4)
+		var delayed []*peerpb.ExchangeRequest
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			f.now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
+			s := rapid.SampledFrom(f.states).Draw(t, "state")
+			before := make([]map[string]uint64, len(f.states))
+			for i := range f.states {
+				before[i] = f.states[i].set.Versions()
+			}
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				f.write(t, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"), rapid.IntRange(0, 4).Draw(t, "remove") == 0)
+			case 1:
+				list, err := f.store.Watch(context.Background(), platform.KindService, s.Complete())
+				must.NoError(t, err)
+				s.PlatformRead(f.now, list)
+			case 2:
+				delayed = append(delayed, s.Push(f.now, s.set.Accepted()))
+			case 3:
+				for _, req := range delayed {
+					s.Answer(f.now, req)
+				}
+			default:
+				to := rapid.SampledFrom(f.states).Draw(t, "peer")
+				f.exchange(s, to, time.Duration(rapid.IntRange(0, 2000).Draw(t, "reply delay"))*time.Millisecond)
+			}
+			f.check(t, before)
+		}
+	})
+}
+
+// TestNewcomerTakesAllFromOnePeer starts an instance while the platform is
+// away: one reachable peer is enough, and nothing older replaces it.
+func TestNewcomerTakesAllFromOnePeer(t *testing.T) {
+	f := newFleet(2)
+	f.write(t, "a", false)
+	f.write(t, "b", false)
+	f.write(t, "b", true)
+	list, err := f.store.List(context.Background(), platform.KindService)
+	must.NoError(t, err)
+	f.states[0].PlatformRead(0, list)
+	f.states[0].InstancesRead(0, 0, []platform.Instance{{Name: "9", Role: platform.RoleEntry, State: platform.InstanceLive}})
+	f.now = 5 * time.Second
+	f.exchange(f.states[1], f.states[0], 0)
+	must.Eq(t, map[string]uint64{"a": 1, "b": 4}, f.states[1].set.Versions())
+	age, known := f.states[1].Age(f.now)
+	must.True(t, known)
+	must.Eq(t, 5*time.Second, age)
+	must.Len(t, 2, f.states[1].view.Peers()) // the peer itself, and 9 from its list
+}
