Add the client of upstreams

Cause: a non-idempotent request that carries an Idempotency-Key is sent twice by net/http when a pooled connection closes under it: the test counts 2 runs on a pooled connection and 1 on a connection of its own. Such attempts therefore never use the pool; its cost is one dial.

--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,110 @@
+// Package upstream sends attempts to upstreams over HTTP. It owns the
+// connections to them, tells whether a request may have reached one, and keeps
+// callers' credentials away from them.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+// Settings of connections.
+const (
+	dialTimeout      = time.Second
+	idleTimeout      = 30 * time.Second
+	idleConnsPerHost = 64
+	maxHeaderBytes   = 64 << 10
+)
+
+// ErrFailed means that an attempt got no answer; Attempt.Sent says whether
+// the upstream may have seen it.
+var ErrFailed = errors.New("upstream: no answer")
+
+// Attempt is one request to one upstream.
+type Attempt struct {
+	ID      string
+	Method  string
+	Address string // IP:port
+	Path    string // with query
+	Header  http.Header
+	Body    []byte
+	// Fresh asks for a connection of its own. A pooled connection may have
+	// gone silent, and net/http sends a request again on a new connection if
+	// a pooled one was closed, which a non-idempotent request must never be.
+	Fresh bool
+	// Sent is set once any byte may have reached a connection.
+	Sent atomic.Bool
+}
+
+// Client holds the connections to upstreams. It is safe for concurrent use.
+type Client struct {
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+// NewClient returns a client without open connections.
+func NewClient() *Client {
+	fresh := newTransport()
+	fresh.DisableKeepAlives = true
+	return &Client{pooled: newTransport(), fresh: fresh}
+}
+
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    idleConnsPerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+// Do sends an attempt and returns the answer with its body unread. When ctx
+// ends before the body is read, the connection is closed, not used again. It
+// fails with ErrFailed.
+func (c *Client) Do(ctx context.Context, a *Attempt) (*http.Response, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { a.Sent.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, a.Method, "http://"+a.Address+a.Path, bytes.NewReader(a.Body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrFailed, a.Address, err)
+	}
+	req.Header = a.Header
+	transport := c.pooled
+	if a.Fresh {
+		transport = c.fresh
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrFailed, a.Address, err)
+	}
+	return resp, nil
+}
+
+// CloseIdle closes pooled connections that no request uses.
+func (c *Client) CloseIdle() { c.pooled.CloseIdleConnections() }
+
+// ErrTooLarge means that an answer exceeded the bound of ReadAll.
+var ErrTooLarge = errors.New("upstream: answer too large")
+
+// ReadAll reads a whole body of at most limit bytes.
+func ReadAll(body io.Reader, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(b)) > limit {
+		return nil, ErrTooLarge
+	}
+	return b, nil
+}
