route: choose an upstream by expected time to first token

Cause: a request must get the upstream where its first token comes soonest, while reports of load lag, cache events come late with gaps and many instances decide on the same late report.

Change: a Table per instance with an index from model to candidates; filters (resident, leaving, suspect) and scores (queue, prefill, adapter, distance); policies ExpectedFirstToken, RoundRobin, LeastLoaded and Random. Reports are corrected by own events that they cannot contain; passive ejection probes with one request at a time; prefix affinity by rendezvous hashing with bounded load.

Ruled out: the cheapest candidate alone (herds), polling before each decision (the control budget), relaying all cache events (tens of thousands a second).

--- /dev/null
+++ b/internal/route/bench_test.go
@@ -0,0 +1,59 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// plannedTable holds 2,200 upstreams and 510 models, of which "m0" has the
+// given number of homes.
+func plannedTable(homes int) *Table {
+	t := New(Options{AdapterLoad: 6 * time.Millisecond})
+	for i := range 2200 {
+		name := fmt.Sprintf("u%04d", i)
+		t.SetUpstream(Upstream{Name: name, Zone: "z", PrefillRate: 10_000, MaxRunning: 32})
+		resident := []Resident{
+			{Model: fmt.Sprintf("m%d", 1+i%509), Ready: true},
+			{Model: fmt.Sprintf("m%d", 1+(i*7+3)%509), Ready: true},
+		}
+		if i < homes {
+			resident = append(resident, Resident{Model: "m0", Adapters: []string{"a"}, Ready: true})
+		}
+		t.SetResident(name, resident)
+		t.Report(0, name, Load{Running: i % 20, FreeKV: 1 << 20, Age: time.Second})
+	}
+	return t
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, homes := range []int{1, 4, 16, 64, 256} {
+		b.Run(fmt.Sprintf("homes=%d", homes), func(b *testing.B) {
+			t := plannedTable(homes)
+			random := rand.New(rand.NewPCG(1, 1))
+			r := Request{Model: "m0", Adapter: "a", PrefixTokens: 512, PromptTokens: 900, MaxTokens: 300, Deadline: time.Hour}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r.Prefix = uint64(i%5000) + 1
+				if _, err := t.Pick(time.Second, r, random); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func TestPickAllocatesNothing(t *testing.T) {
+	table := plannedTable(64)
+	random := rand.New(rand.NewPCG(1, 1))
+	r := Request{Model: "m0", Adapter: "a", Prefix: 7, PrefixTokens: 512, PromptTokens: 900}
+	n := testing.AllocsPerRun(100, func() {
+		c, _ := table.Pick(time.Second, r, random)
+		table.Started(time.Second, Started{Upstream: c.Upstream, Prefill: 900, Prefix: 7, PrefixTokens: 512})
+		table.Finished(time.Second, Finished{Upstream: c.Upstream, Ran: time.Second})
+	})
+	must.Eq(t, 0.0, n)
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,236 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
+)
+
+func table(upstreams int, opts Options) *Table {
+	t := New(opts)
+	for i := range upstreams {
+		name := fmt.Sprintf("u%d", i)
+		t.SetUpstream(Upstream{Name: name, PrefillRate: 10_000, MaxRunning: 32})
+		t.SetResident(name, []Resident{{Model: "m", Ready: true}})
+	}
+	return t
+}
+
+func random(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+// TestLoadCorrectsLag compares the estimate with the true number of sequences
+// while the only reports are late ones.
+func TestLoadCorrectsLag(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		tab := table(1, Options{})
+		truth := []int{0} // sequences at each millisecond
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now := time.Duration(len(truth)) * time.Millisecond
+			running := truth[len(truth)-1]
+			switch op := rapid.IntRange(0, 2).Draw(t, "op"); {
+			case op == 0:
+				tab.Started(now, Started{Upstream: "u0", Prefill: 10})
+				running++
+			case op == 1 && running > 0:
+				tab.Finished(now, Finished{Upstream: "u0", Ran: time.Millisecond})
+				running--
+			case op == 2:
+				age := rapid.IntRange(1, min(len(truth), recentEvents/2)).Draw(t, "age")
+				seen := truth[len(truth)-age]
+				tab.Report(now, "u0", Load{Running: seen, Age: time.Duration(age) * time.Millisecond})
+			}
+			truth = append(truth, running)
+			must.Eq(t, running, tab.upstreams["u0"].load.running())
+		}
+	})
+}
+
+// TestPickObeysStates draws any states of the upstreams and checks the choice
+// and the error against them.
+func TestPickObeysStates(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 5).Draw(t, "upstreams")
+		tab := table(n, Options{})
+		type fate struct{ leaving, ready, draining, dead bool }
+		fates := map[string]fate{}
+		usable, keep, leaving, dead := 0, 0, 0, 0
+		for i := range n {
+			name := fmt.Sprintf("u%d", i)
+			draw := func(label string) bool { return rapid.Bool().Draw(t, label) }
+			f := fate{leaving: draw("leaving"), ready: draw("ready"), draining: draw("draining"), dead: draw("dead")}
+			fates[name] = f
+			u := Upstream{Name: name, PrefillRate: 10_000, MaxRunning: 32}
+			if f.leaving {
+				u.State = StateLeaving
+			}
+			tab.SetUpstream(u)
+			tab.SetResident(name, []Resident{{Model: "m", Ready: f.ready, Draining: f.draining}})
+			if f.dead {
+				tab.Failed(0, Failed{Upstream: name, Unreachable: true})
+			}
+			switch {
+			case !f.ready:
+			case f.leaving:
+				leaving++
+			case f.dead:
+				dead++
+			default:
+				usable++
+				if !f.draining {
+					keep++
+				}
+			}
+		}
+		c, err := tab.Pick(time.Millisecond, Request{Model: "m"}, random(1))
+		var overloaded *OverloadedError
+		switch {
+		case usable > 0:
+			must.NoError(t, err)
+			f := fates[c.Upstream]
+			must.True(t, f.ready && !f.leaving && !f.dead)
+			must.True(t, keep == 0 || !f.draining)
+		case dead > 0:
+			must.True(t, errors.As(err, &overloaded) && overloaded.Suspect)
+			must.Positive(t, overloaded.RetryAfter)
+		case leaving > 0:
+			must.ErrorIs(t, err, ErrAllLeaving)
+		default:
+			must.ErrorIs(t, err, ErrNoHome)
+		}
+	})
+}
+
+// TestPickKeepsDeadline: a choice is expected in time, a refusal is not.
+func TestPickKeepsDeadline(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		tab := table(3, Options{})
+		best := time.Hour
+		for i := range 3 {
+			queued := rapid.Int64Range(0, 20_000).Draw(t, "queued")
+			tab.Report(0, fmt.Sprintf("u%d", i), Load{QueuedPrefill: queued})
+			best = min(best, time.Duration(queued+1000)*100*time.Microsecond)
+		}
+		deadline := rapid.Int64Range(1, 2000).Draw(t, "deadline_ms")
+		r := Request{Model: "m", PromptTokens: 1000, Deadline: time.Duration(deadline) * time.Millisecond}
+		c, err := tab.Pick(0, r, random(1))
+		var overloaded *OverloadedError
+		if errors.As(err, &overloaded) {
+			must.Greater(t, r.Deadline, best)
+			must.Eq(t, best-r.Deadline, overloaded.RetryAfter)
+			return
+		}
+		must.NoError(t, err)
+		must.LessEq(t, r.Deadline, c.Expected)
+	})
+}
+
+// TestNoHerd lets 400 instances that share one late report send at once.
+func TestNoHerd(t *testing.T) {
+	counts := map[string]int{}
+	for instance := range 400 {
+		tab := table(10, Options{})
+		for i := range 10 {
+			tab.Report(time.Second, fmt.Sprintf("u%d", i), Load{Running: 5, QueuedPrefill: int64(8 * i), Age: 0})
+		}
+		c, err := tab.Pick(time.Second, Request{Model: "m", PromptTokens: 200}, random(uint64(instance)))
+		must.NoError(t, err)
+		counts[c.Upstream]++
+	}
+	most := 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	must.LessEq(t, 100, most) // the mean is 40
+}
+
+// TestKilledUpstream counts the attempts that a dead upstream gets.
+func TestKilledUpstream(t *testing.T) {
+	tab := table(4, Options{})
+	rnd := random(3)
+	failed := 0
+	for ms := range 60_000 {
+		now := time.Duration(ms) * time.Millisecond
+		c, err := tab.Pick(now, Request{Model: "m", PromptTokens: 10}, rnd)
+		must.NoError(t, err)
+		tab.Started(now, Started{Upstream: c.Upstream, Prefill: 10})
+		if c.Upstream == "u0" {
+			failed++
+			tab.Failed(now, Failed{Upstream: "u0", Unreachable: true})
+			continue
+		}
+		tab.Finished(now, Finished{Upstream: c.Upstream, Ran: time.Millisecond})
+	}
+	must.Between(t, 2, failed, 10) // one, then probes after 0.5, 1, 2, … s
+	now := 2 * time.Minute
+	c, err := tab.Pick(now, Request{Model: "m"}, rnd)
+	must.NoError(t, err)
+	must.True(t, c.Probe)
+	tab.Started(now, Started{Upstream: "u0"})
+	c, _ = tab.Pick(now, Request{Model: "m"}, rnd)
+	must.NotEq(t, "u0", c.Upstream) // one probe at a time
+	tab.Finished(now, Finished{Upstream: "u0"})
+	must.Eq(t, healthy, tab.upstreams["u0"].health.verdict(now))
+}
+
+// TestPrefixAffinity: instances that never spoke agree on a prefix's home, and
+// a loaded home loses the prefix.
+func TestPrefixAffinity(t *testing.T) {
+	homes := map[string]bool{}
+	r := Request{Model: "m", Prefix: 99, PrefixTokens: 800, PromptTokens: 1000}
+	for seed := range uint64(10) {
+		c, err := table(8, Options{}).Pick(0, r, random(seed))
+		must.NoError(t, err)
+		homes[c.Upstream] = true
+	}
+	must.Eq(t, 1, len(homes))
+	tab := table(8, Options{})
+	for home := range homes {
+		tab.Report(0, home, Load{Running: 20})
+	}
+	c, err := tab.Pick(0, r, random(1))
+	must.NoError(t, err)
+	must.False(t, homes[c.Upstream])
+}
+
+// TestHintsDecay: hints lose weight with age and gaps, and go with evictions.
+func TestHintsDecay(t *testing.T) {
+	tab := table(1, Options{})
+	u := tab.upstreams["u0"]
+	tab.Cached(0, "u0", 5, 800, false)
+	must.Eq(t, 800, tab.hints.expected(0, u, 5))
+	last := 800
+	for at := time.Second; at < time.Hour; at += 7 * time.Second {
+		now := tab.hints.expected(at, u, 5)
+		must.LessEq(t, last, now)
+		last = now
+	}
+	must.Eq(t, 0, last)
+	tab.CacheGap(time.Second, "u0")
+	must.Between(t, 390, tab.hints.expected(time.Second, u, 5), 400)
+	tab.Cached(0, "u0", 5, 0, true)
+	must.Eq(t, 0, tab.hints.expected(0, u, 5))
+}
+
+// TestBaselines: each selectable policy picks a feasible candidate.
+func TestBaselines(t *testing.T) {
+	for _, p := range []Policy{Random{}, &RoundRobin{}, LeastLoaded{}} {
+		tab := table(3, Options{Policy: p})
+		tab.Report(0, "u0", Load{Running: 9})
+		var got []string
+		for range 30 {
+			c, err := tab.Pick(0, Request{Model: "m"}, random(uint64(len(got))))
+			must.NoError(t, err)
+			got = append(got, c.Upstream)
+		}
+		_, least := p.(LeastLoaded)
+		must.Eq(t, !least, slices.Contains(got, "u0"))
+	}
+}
