--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -39,26 +39,17 @@
 		return nil, err
 	}
 	doc.applyDefaults()
-	c := checker{src: parsed, doc: doc}
+	c := checker{Checks: settings.NewChecks(parsed), doc: doc}
 	c.check()
-	if c.err != nil {
-		return nil, c.err
+	if err := c.Err(); err != nil {
+		return nil, err
 	}
 	return doc, nil
 }
 
-// checker keeps the first error found.
 type checker struct {
-	src *settings.Source
+	*settings.Checks
 	doc *Service
-	err error
-}
-
-// want records an error for field unless ok.
-func (c *checker) want(ok bool, field, format string, args ...any) {
-	if !ok && c.err == nil {
-		c.err = c.src.Errorf(field, format, args...)
-	}
 }
 
 func (c *checker) check() {
@@ -73,12 +64,12 @@
 }
 
 func (c *checker) name(field, name string) {
-	c.want(namePattern.MatchString(name), field, nameWant)
+	c.Want(namePattern.MatchString(name), field, nameWant)
 }
 
 // unique refuses a name that stands twice in one list.
 func (c *checker) unique(seen map[string]bool, field, name string) {
-	c.want(!seen[name], field, "%q stands twice", name)
+	c.Want(!seen[name], field, "%q stands twice", name)
 	seen[name] = true
 }
 
@@ -88,10 +79,10 @@
 		at := func(f string) string { return path("models", i, f) }
 		c.name(at("name"), m.Name)
 		c.unique(seen, at("name"), m.Name)
-		c.want(m.MemoryMB > 0, at("memory_mb"), "want more than 0 MB")
-		c.want(m.MinReplicas >= 1, at("min_replicas"), "want at least 1: every model keeps a home")
-		c.want(m.MaxReplicas == 0 || m.MaxReplicas >= m.MinReplicas, at("max_replicas"), "want at least min_replicas (%d)", m.MinReplicas)
-		c.want(m.MaxOutputTokens >= 1, at("max_output_tokens"), "want at least 1 token")
+		c.Want(m.MemoryMB > 0, at("memory_mb"), "want more than 0 MB")
+		c.Want(m.MinReplicas >= 1, at("min_replicas"), "want at least 1: every model keeps a home")
+		c.Want(m.MaxReplicas == 0 || m.MaxReplicas >= m.MinReplicas, at("max_replicas"), "want at least min_replicas (%d)", m.MinReplicas)
+		c.Want(m.MaxOutputTokens >= 1, at("max_output_tokens"), "want at least 1 token")
 		c.adapters(i, m)
 	}
 }
@@ -102,7 +93,7 @@
 		at := func(f string) string { return path("models", i, "adapters", j, f) }
 		c.name(at("name"), a.Name)
 		c.unique(seen, at("name"), a.Name)
-		c.want(a.MemoryMB > 0, at("memory_mb"), "want more than 0 MB")
+		c.Want(a.MemoryMB > 0, at("memory_mb"), "want more than 0 MB")
 	}
 }
 
@@ -114,15 +105,15 @@
 		c.unique(seen, at("name"), u.Name)
 		c.name(at("zone"), u.Zone)
 		_, err := netip.ParseAddrPort(u.Address)
-		c.want(err == nil, at("address"), "want IP:port, got %q", u.Address)
-		c.want(u.MaxOrderDelayS > 0, at("max_order_delay_s"), "want more than 0 seconds")
+		c.Want(err == nil, at("address"), "want IP:port, got %q", u.Address)
+		c.Want(u.MaxOrderDelayS > 0, at("max_order_delay_s"), "want more than 0 seconds")
 		switch u.Kind {
 		case UpstreamEngine:
-			c.want(u.MemoryMB > 0, at("memory_mb"), "want more than 0 MB for an engine")
+			c.Want(u.MemoryMB > 0, at("memory_mb"), "want more than 0 MB for an engine")
 		case UpstreamPlain:
-			c.want(u.MemoryMB == 0, at("memory_mb"), "want none for a plain service")
+			c.Want(u.MemoryMB == 0, at("memory_mb"), "want none for a plain service")
 		default:
-			c.want(false, at("kind"), "want %q or %q, got %q", UpstreamEngine, UpstreamPlain, u.Kind)
+			c.Want(false, at("kind"), "want %q or %q, got %q", UpstreamEngine, UpstreamPlain, u.Kind)
 		}
 	}
 }
@@ -133,11 +124,11 @@
 		at := func(f string) string { return path("organisations", i, f) }
 		c.name(at("name"), o.Name)
 		c.unique(seen, at("name"), o.Name)
-		c.want(o.RateTokensPerS > 0, at("rate_tokens_per_s"), "want more than 0 tokens a second")
-		c.want(o.BurstTokens > 0, at("burst_tokens"), "want more than 0 tokens")
-		c.want(o.StaleKeys == StaleServe || o.StaleKeys == StaleRefuse, at("stale_keys"), "want %q or %q", StaleServe, StaleRefuse)
-		c.want(o.StaleKeysAfterS > 0, at("stale_keys_after_s"), "want more than 0 seconds")
-		c.want(o.Name != OpenOrganisation || len(o.Keys) == 0, at("keys"), "want none: %q limits the routes open to all", OpenOrganisation)
+		c.Want(o.RateTokensPerS > 0, at("rate_tokens_per_s"), "want more than 0 tokens a second")
+		c.Want(o.BurstTokens > 0, at("burst_tokens"), "want more than 0 tokens")
+		c.Want(o.StaleKeys == StaleServe || o.StaleKeys == StaleRefuse, at("stale_keys"), "want %q or %q", StaleServe, StaleRefuse)
+		c.Want(o.StaleKeysAfterS > 0, at("stale_keys_after_s"), "want more than 0 seconds")
+		c.Want(o.Name != OpenOrganisation || len(o.Keys) == 0, at("keys"), "want none: %q limits the routes open to all", OpenOrganisation)
 		for j, k := range o.Keys {
 			c.key(path("organisations", i, "keys", j), k)
 			c.unique(ids, path("organisations", i, "keys", j, "id"), k.ID)
@@ -149,17 +140,17 @@
 // openLimits asks for limits where something is served without a key.
 func (c *checker) openLimits(organisations map[string]bool) {
 	for i, r := range c.doc.Routes {
-		c.want(!r.Open || organisations[OpenOrganisation], path("routes", i, "open"), "want an organisation %q with the rate and burst of open routes", OpenOrganisation)
+		c.Want(!r.Open || organisations[OpenOrganisation], path("routes", i, "open"), "want an organisation %q with the rate and burst of open routes", OpenOrganisation)
 	}
 	for i, m := range c.doc.Models {
-		c.want(!m.Open || organisations[OpenOrganisation], path("models", i, "open"), "want an organisation %q with the rate and burst of open models", OpenOrganisation)
+		c.Want(!m.Open || organisations[OpenOrganisation], path("models", i, "open"), "want an organisation %q with the rate and burst of open models", OpenOrganisation)
 	}
 }
 
 func (c *checker) key(field string, k Key) {
-	c.want(hexBytes(k.ID) >= 4, field+"/id", "want at least 8 hexadecimal digits")
-	c.want(hexBytes(k.Salt) >= minSaltBytes, field+"/salt", "want at least %d hexadecimal digits", 2*minSaltBytes)
-	c.want(hexBytes(k.Digest) == digestBytes, field+"/digest", "want %d hexadecimal digits", 2*digestBytes)
+	c.Want(hexBytes(k.ID) >= 4, field+"/id", "want at least 8 hexadecimal digits")
+	c.Want(hexBytes(k.Salt) >= minSaltBytes, field+"/salt", "want at least %d hexadecimal digits", 2*minSaltBytes)
+	c.Want(hexBytes(k.Digest) == digestBytes, field+"/digest", "want %d hexadecimal digits", 2*digestBytes)
 }
 
 // hexBytes returns the length of a hexadecimal string in bytes, or -1.
@@ -175,14 +166,14 @@
 	seen := map[string]bool{}
 	for i, r := range c.doc.Routes {
 		at := func(f string) string { return path("routes", i, f) }
-		c.want(strings.HasPrefix(r.Path, "/"), at("path"), "want a path that begins with /")
-		c.want(len(r.Methods) > 0, at("methods"), "want at least one method")
+		c.Want(strings.HasPrefix(r.Path, "/"), at("path"), "want a path that begins with /")
+		c.Want(len(r.Methods) > 0, at("methods"), "want at least one method")
 		for j, m := range r.Methods {
-			c.want(slices.Contains(routeMethods, m), path("routes", i, "methods", j), "want one of %s", strings.Join(routeMethods, ", "))
+			c.Want(slices.Contains(routeMethods, m), path("routes", i, "methods", j), "want one of %s", strings.Join(routeMethods, ", "))
 			c.unique(seen, at("path"), m+" "+r.Path)
 		}
-		c.want(r.CostTokens >= 0, at("cost_tokens"), "want 0 tokens or more")
-		c.want(r.DeadlineMS > 0, at("deadline_ms"), "want more than 0 ms")
+		c.Want(r.CostTokens >= 0, at("cost_tokens"), "want 0 tokens or more")
+		c.Want(r.DeadlineMS > 0, at("deadline_ms"), "want more than 0 ms")
 	}
 }
 
@@ -195,16 +186,16 @@
 		{"first_token_ms", d.FirstTokenMS}, {"between_ms", d.BetweenMS},
 		{"request_ms", d.RequestMS}, {"progress_ms", d.ProgressMS},
 	} {
-		c.want(f.ms > 0, path("deadlines", f.name), "want more than 0 ms")
+		c.Want(f.ms > 0, path("deadlines", f.name), "want more than 0 ms")
 	}
-	c.want(d.ProgressMS <= d.RequestMS, "deadlines/progress_ms", "want at most request_ms (%d)", d.RequestMS)
+	c.Want(d.ProgressMS <= d.RequestMS, "deadlines/progress_ms", "want at most request_ms (%d)", d.RequestMS)
 }
 
 func (c *checker) loads() {
 	l := c.doc.Loads
-	c.want(l.ModelsPerS > 0, "loads/models_per_s", "want more than 0 a second")
-	c.want(l.ModelsInFlight > 0, "loads/models_in_flight", "want more than 0")
-	c.want(l.AdaptersInFlight > 0, "loads/adapters_in_flight", "want more than 0")
+	c.Want(l.ModelsPerS > 0, "loads/models_per_s", "want more than 0 a second")
+	c.Want(l.ModelsInFlight > 0, "loads/models_in_flight", "want more than 0")
+	c.Want(l.AdaptersInFlight > 0, "loads/adapters_in_flight", "want more than 0")
 }
 
 // memory refuses a document whose models cannot all have a home at once.
@@ -215,8 +206,8 @@
 		largest = max(largest, u.MemoryMB)
 	}
 	for i, m := range c.doc.Models {
-		c.want(m.MemoryMB <= largest, path("models", i, "memory_mb"), "want at most %d MB, the largest upstream's memory", largest)
+		c.Want(m.MemoryMB <= largest, path("models", i, "memory_mb"), "want at most %d MB, the largest upstream's memory", largest)
 		needed += m.MemoryMB
 	}
-	c.want(needed <= total, "models", "want at most %d MB together, the memory of all upstreams, got %d", total, needed)
+	c.Want(needed <= total, "models", "want at most %d MB together, the memory of all upstreams, got %d", total, needed)
 }
--- /dev/null
+++ b/internal/entry/errors.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers of answers to callers.
+const (
+	headerRequestID  = "X-Request-Id"
+	headerRan        = "X-Request-Ran"
+	headerRetryAfter = "Retry-After"
+)
+
+// Ran says whether a refused or failed request ran.
+type Ran string
+
+// The values of Ran. RanUnknown is said whenever RanNo is not certain.
+const (
+	RanNo      Ran = "not_run"
+	RanUnknown Ran = "unknown"
+)
+
+// Code names an error to programs.
+type Code string
+
+// The codes of errors.
+const (
+	CodeBadRequest       Code = "bad_request"
+	CodeTooLarge         Code = "too_large"
+	CodeUnauthorized     Code = "unauthorized"
+	CodeKeyStale         Code = "key_knowledge_stale"
+	CodeNotFound         Code = "not_found"
+	CodeMethod           Code = "method_not_allowed"
+	CodeRateLimited      Code = "rate_limited"
+	CodeOverloaded       Code = "overloaded"
+	CodeNoUpstream       Code = "no_upstream"
+	CodeStopping         Code = "stopping"
+	CodeNotReady         Code = "not_ready"
+	CodeUpstreamFailed   Code = "upstream_failed"
+	CodeDeadline         Code = "deadline_exceeded"
+	CodeCut              Code = "stream_cut"
+	CodeInProgress       Code = "in_progress"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeKeyReused        Code = "idempotency_key_reused"
+	CodeKeyTooOld        Code = "idempotency_key_too_old"
+	CodeClaimUnavailable Code = "claim_unavailable"
+)
+
+// Error is a final answer to a caller that is not an upstream's own.
+type Error struct {
+	Status     int
+	Code       Code
+	Message    string
+	Ran        Ran
+	RetryAfter time.Duration // 0 for none
+}
+
+// Error implements error.
+func (e *Error) Error() string { return string(e.Code) + ": " + e.Message }
+
+func refuse(status int, code Code, message string) *Error {
+	return &Error{Status: status, Code: code, Message: message, Ran: RanNo}
+}
+
+func refuseFor(status int, code Code, message string, retryAfter time.Duration) *Error {
+	e := refuse(status, code, message)
+	e.RetryAfter = max(retryAfter, time.Millisecond)
+	return e
+}
+
+// errorBody is the JSON form of an Error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code         Code   `json:"code"`
+	Type         Code   `json:"type"` // clients of model APIs read this field
+	Message      string `json:"message"`
+	Ran          Ran    `json:"ran"`
+	RequestID    string `json:"request_id"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+func (e *Error) body(requestID string) []byte {
+	b, err := json.Marshal(errorBody{Error: errorDetail{
+		Code: e.Code, Type: e.Code, Message: e.Message, Ran: e.Ran, RequestID: requestID,
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+	}})
+	if err != nil {
+		panic(err) // strings and numbers always marshal
+	}
+	return b
+}
+
+// write answers a caller with the error.
+func (e *Error) write(w http.ResponseWriter, requestID string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerRan, string(e.Ran))
+	if e.RetryAfter > 0 {
+		h.Set(headerRetryAfter, strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(e.Status)
+	_, _ = w.Write(e.body(requestID))
+}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -119,3 +119,12 @@
 	}
 	return Owner{}, ErrUnknown
 }
+
+// Secret returns the part of a key that must not leave the instance, or "".
+func Secret(key string) string {
+	parts := strings.Split(key, "-")
+	if len(parts) != 3 {
+		return ""
+	}
+	return parts[2]
+}
