fair: queue by virtual token counters per organisation

Cause: while the upstreams of a model are saturated, an organisation that sends several times its rate must not delay the others, and overnight work must give way to live work without starving.

Change: a bounded queue per model; weighted service counted in prompt and output tokens; counters lifted on return from idleness; a least share for the batch class; refusal on arrival of what cannot be dispatched by its deadline, and at the deadline of what was not; a full queue displaces the newest request of the organisation that holds the most. FirstComeFirstServed is the baseline.

Ruled out: requests counted instead of tokens (long prompts win), deficit round robin (needs a quantum as large as the largest request), strict priority (starves overnight work).

--- /dev/null
+++ b/internal/fair/fair_test.go
@@ -0,0 +1,217 @@
+package fair
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
+)
+
+const (
+	maxTokens = 100
+	maxCost   = maxTokens * (1 + DefaultDecodeWeight)
+)
+
+func tokens(t *rapid.T) int { return rapid.IntRange(1, maxTokens).Draw(t, "tokens") }
+
+// TestBoundedUnfairness keeps two organisations waiting while a third comes and
+// goes: in no interval do the services of the two differ by more than a
+// constant, which holds for weights too.
+func TestBoundedUnfairness(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		q := New(Options{})
+		weight := float64(rapid.IntRange(1, 4).Draw(t, "weight"))
+		q.SetWeight("a", weight)
+		served := map[string]float64{}
+		least, most := 0.0, 0.0
+		for range rapid.IntRange(1, 80).Draw(t, "dispatches") {
+			for _, org := range []string{"a", "b"} {
+				for q.flow(org).length() < 2 {
+					must.NoError(t, q.Enqueue(0, Request{Organisation: org, Prefill: tokens(t), Decode: tokens(t)}))
+				}
+			}
+			if rapid.Bool().Draw(t, "third") {
+				must.NoError(t, q.Enqueue(0, Request{Organisation: "c", Prefill: tokens(t), Decode: tokens(t)}))
+			}
+			r, ok := q.Next(0)
+			must.True(t, ok)
+			served[r.Organisation] += q.cost(&r)
+			diff := served["a"]/weight - served["b"]
+			least, most = min(least, diff), max(most, diff)
+		}
+		must.LessEq(t, 2*maxCost, most-least)
+	})
+}
+
+// TestNoBankedCredit: an organisation that was idle gets no more than one that
+// stayed, from its return on.
+func TestNoBankedCredit(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		q := New(Options{})
+		fill := func(org string) {
+			for q.flow(org).length() < 2 {
+				must.NoError(t, q.Enqueue(0, Request{Organisation: org, Prefill: tokens(t)}))
+			}
+		}
+		for range rapid.IntRange(0, 50).Draw(t, "idle") {
+			fill("a")
+			q.Next(0)
+		}
+		diff := 0
+		for range rapid.IntRange(1, 50).Draw(t, "together") {
+			fill("a")
+			fill("b")
+			r, _ := q.Next(0)
+			if r.Organisation == "b" {
+				diff += r.Prefill
+			} else {
+				diff -= r.Prefill
+			}
+			must.LessEq(t, 2*maxTokens, diff)
+		}
+	})
+}
+
+// TestBatchShare: with both classes waiting, batch requests get their share,
+// and no more than it.
+func TestBatchShare(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		percent := rapid.IntRange(1, 50).Draw(t, "percent")
+		q := New(Options{BatchPercent: percent})
+		total, batch := 0.0, 0.0
+		for range rapid.IntRange(1, 100).Draw(t, "dispatches") {
+			for _, c := range []Class{Live, Batch} {
+				for range 3 - len(q.flow("a").waiting[c]) {
+					must.NoError(t, q.Enqueue(0, Request{Organisation: "a", Class: c, Prefill: tokens(t)}))
+				}
+			}
+			r, _ := q.Next(0)
+			total += q.cost(&r)
+			if r.Class == Batch {
+				batch += q.cost(&r)
+			}
+			want := total * float64(percent) / 100
+			must.Between(t, want-2*maxTokens, batch, want+2*maxTokens)
+		}
+	})
+}
+
+// TestEachRequestEndsOnce drives a queue at random: each request is dispatched
+// before its deadline or refused, exactly once, the capacity holds, and the
+// queue serves whenever it can.
+func TestEachRequestEndsOnce(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		policy := rapid.SampledFrom([]Policy{TokenCounters, FirstComeFirstServed}).Draw(t, "policy")
+		q := New(Options{Policy: policy, Capacity: 8})
+		waiting := map[uint64]Request{}
+		now := time.Duration(0)
+		refuse := func() {
+			for _, r := range q.Expire(now) {
+				_, ok := waiting[r.Request.ID]
+				must.True(t, ok)
+				must.Positive(t, r.Err.RetryAfter)
+				if r.Err.Reason == ReasonLate {
+					must.LessEq(t, now, r.Request.Deadline)
+				}
+				delete(waiting, r.Request.ID)
+			}
+			for _, r := range waiting {
+				must.True(t, r.Deadline == 0 || r.Deadline > now)
+			}
+		}
+		for id := range uint64(rapid.IntRange(1, 80).Draw(t, "steps")) {
+			now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond
+			if rapid.Bool().Draw(t, "enqueue") {
+				r := Request{
+					ID:           id,
+					Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
+					Class:        Class(rapid.IntRange(0, 1).Draw(t, "class")),
+					Prefill:      tokens(t),
+				}
+				if rapid.Bool().Draw(t, "due") {
+					r.Deadline = now + time.Duration(rapid.IntRange(1, 200).Draw(t, "within_ms"))*time.Millisecond
+				}
+				err := q.Enqueue(now, r)
+				var refused *RefusedError
+				if errors.As(err, &refused) {
+					must.Positive(t, refused.RetryAfter)
+				} else {
+					waiting[id] = r
+				}
+				refuse()
+				must.LessEq(t, 8, q.Len())
+				must.Eq(t, len(waiting), q.Len())
+				continue
+			}
+			peeked, _ := q.Peek(now)
+			r, ok := q.Next(now)
+			must.Eq(t, peeked.ID, r.ID)
+			refuse()
+			if !ok {
+				must.MapEmpty(t, waiting)
+				continue
+			}
+			must.True(t, r.Deadline == 0 || r.Deadline > now)
+			_, known := waiting[r.ID]
+			must.True(t, known)
+			delete(waiting, r.ID)
+		}
+	})
+}
+
+// TestNoStarvation: whatever a flooding organisation and live requests do, a
+// waiting request is served within a bounded amount of others' service.
+func TestNoStarvation(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		q := New(Options{Capacity: 64})
+		class := Class(rapid.IntRange(0, 1).Draw(t, "class"))
+		flood := func() {
+			for range rapid.IntRange(1, 5).Draw(t, "flood") {
+				c := Class(rapid.IntRange(0, 1).Draw(t, "flood_class"))
+				_ = q.Enqueue(0, Request{Organisation: "flooder", Class: c, Prefill: tokens(t)})
+			}
+		}
+		for range rapid.IntRange(0, 30).Draw(t, "before") {
+			flood()
+		}
+		must.NoError(t, q.Enqueue(0, Request{ID: 1, Organisation: "light", Class: class, Prefill: 1}))
+		for served := 0; ; {
+			flood()
+			r, ok := q.Next(0)
+			must.True(t, ok)
+			if r.ID == 1 {
+				return
+			}
+			served += r.Prefill
+			must.LessEq(t, 100/DefaultBatchPercent*3*maxTokens, served)
+		}
+	})
+}
+
+// TestEarlyRefusal: once the pace is known, a request whose turn would come
+// after its deadline is refused at once, and another organisation's is not.
+func TestEarlyRefusal(t *testing.T) {
+	q := New(Options{})
+	for range 50 {
+		must.NoError(t, q.Enqueue(0, Request{Organisation: "a", Prefill: 100}))
+	}
+	now := time.Duration(0)
+	for range 10 { // 100 tokens each 10 ms
+		now += 10 * time.Millisecond
+		_, ok := q.Next(now)
+		must.True(t, ok)
+	}
+	due := now + 200*time.Millisecond
+	err := q.Enqueue(now, Request{Organisation: "a", Prefill: 100, Deadline: due})
+	var refused *RefusedError
+	must.True(t, errors.As(err, &refused))
+	must.Eq(t, 200*time.Millisecond, refused.RetryAfter.Round(time.Millisecond))
+	must.NoError(t, q.Enqueue(now, Request{Organisation: "b", Prefill: 100, Deadline: due}))
+	first, _ := q.Next(now)
+	second, _ := q.Next(now)
+	must.SliceContainsAll(t, []string{"a", "b"}, []string{first.Organisation, second.Organisation})
+}
--- /dev/null
+++ b/internal/fair/types.go
@@ -0,0 +1,63 @@
+package fair
+
+import (
+	"fmt"
+	"time"
+)
+
+// Class is the scheduling class of a request.
+type Class uint8
+
+// The classes of requests. Live requests go ahead of batch requests.
+const (
+	Live Class = iota
+	Batch
+	classes
+)
+
+// Request is a queued request.
+type Request struct {
+	ID           uint64
+	Organisation string
+	Class        Class
+	// Prefill and Decode are the prompt tokens and the expected output tokens.
+	Prefill int
+	Decode  int
+	// Deadline is the latest time of dispatch on the instance's monotonic
+	// clock, 0 for none.
+	Deadline time.Duration
+
+	seq uint64 // order of arrival
+}
+
+// Reason is why a request was refused.
+type Reason uint8
+
+// The reasons of refusals.
+const (
+	// ReasonLate says that the deadline passed or cannot be met.
+	ReasonLate Reason = iota
+	// ReasonFull says that the queue is full.
+	ReasonFull
+)
+
+// RefusedError is the final refusal of a request, which has not run.
+type RefusedError struct {
+	Reason Reason
+	// RetryAfter is when a retry may succeed.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	if e.Reason == ReasonFull {
+		return fmt.Sprintf("fair: queue full, retry after %v", e.RetryAfter)
+	}
+	return fmt.Sprintf("fair: deadline cannot be met, retry after %v", e.RetryAfter)
+}
+
+// Refusal is a request that was refused after it had been queued.
+type Refusal struct {
+	Request Request
+	Err     *RefusedError
+}
