--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -247,7 +247,7 @@
 // drop takes the head off a queue without a charge.
 func (d *Duty) drop(now time.Duration, q *fair.Queue, head fair.Request) {
 	q.Next(now)
-	q.Done(head, -head.Prefill)
+	q.Undo(head)
 	delete(d.waiting, head.ID)
 }
 
--- a/internal/fair/queue.go
+++ b/internal/fair/queue.go
@@ -213,6 +213,13 @@
 	f.counter[r.Class] += float64(q.opts.DecodeWeight*(decoded-r.Decode)) / f.weight
 }
 
+// Undo takes back the whole charge of a request that Next returned and that
+// was not dispatched.
+func (q *Queue) Undo(r Request) {
+	f := q.flow(r.Organisation)
+	f.counter[r.Class] -= q.cost(&r) / f.weight
+}
+
 // Expire returns the requests refused after they were queued: those whose
 // deadline has passed, and those displaced.
 func (q *Queue) Expire(now time.Duration) []Refusal {
