Add the stand-ins and the client of the platform

Nothing could run end to end: there was no platform, engine or plain service to talk to, and no client of the object API.

Change: - platform.Client speaks to the object API and the instance list over HTTP. A write counts as outcome unknown from the moment it had a connection until a whole answer was read; before that, and for reads, the API is unavailable. Telling a sent request from an unsent one by the error's text was ruled out: it differs between versions of the transport. - eelgrass-standin runs the object API with the instance list, the weight store, model engines and plain services in any mix.

Proof: with the outcome-unknown branch of the client switched off, TestClientLostReply got "object API unavailable: PUT /objects/lease/l: EOF" for a write that took effect, and TestClientBrokenAnswers failed for cut, malformed and silent answers.

--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,241 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// HeaderIfMatch carries the version that a write expects.
+const HeaderIfMatch = "If-Match"
+
+const (
+	defaultTimeout      = 2 * time.Second
+	defaultWatchTimeout = 30 * time.Second
+	maxAnswerBytes      = 256 << 20
+	idleConnsPerHost    = 32
+)
+
+// ClientOptions are the settings of a Client. Zero durations take defaults.
+type ClientOptions struct {
+	BaseURL      string        // scheme and IP:port of the platform
+	Timeout      time.Duration // bound of one call
+	WatchTimeout time.Duration // bound of one watch; longer than the server's wait
+	HTTPClient   *http.Client  // nil for one of the client's own
+}
+
+// Client is the object API and the instance list over HTTP. It implements
+// Store and InstanceList and is safe for concurrent use.
+type Client struct {
+	base         string
+	timeout      time.Duration
+	watchTimeout time.Duration
+	http         *http.Client
+}
+
+var (
+	_ Store        = (*Client)(nil)
+	_ InstanceList = (*Client)(nil)
+)
+
+// NewClient returns a client of the platform at opts.BaseURL.
+func NewClient(opts ClientOptions) *Client {
+	c := &Client{
+		base:         strings.TrimRight(opts.BaseURL, "/"),
+		timeout:      opts.Timeout,
+		watchTimeout: opts.WatchTimeout,
+		http:         opts.HTTPClient,
+	}
+	if c.timeout <= 0 {
+		c.timeout = defaultTimeout
+	}
+	if c.watchTimeout <= 0 {
+		c.watchTimeout = defaultWatchTimeout
+	}
+	if c.http == nil {
+		c.http = &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: idleConnsPerHost,
+			IdleConnTimeout:     time.Minute,
+		}}
+	}
+	return c
+}
+
+// Close closes the client's idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// call is one request to the platform.
+type call struct {
+	method  string
+	path    string
+	version *uint64 // sent in If-Match
+	body    []byte
+	timeout time.Duration
+}
+
+// write reports whether the call may change the platform's state.
+func (k call) write() bool { return k.method != http.MethodGet }
+
+// do performs a call and decodes its whole answer into out, if not nil.
+func (c *Client) do(ctx context.Context, k call, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, k.timeout)
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path, bytes.NewReader(k.body))
+	if err != nil {
+		return fmt.Errorf("platform: %s %s: %w", k.method, k.path, err)
+	}
+	if k.version != nil {
+		req.Header.Set(HeaderIfMatch, strconv.FormatUint(*k.version, 10))
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return k.broken(sent.Load(), err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err != nil {
+		return k.broken(true, err)
+	}
+	if err := k.statusError(res.StatusCode, body); err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return k.broken(true, err)
+	}
+	return nil
+}
+
+// broken turns a call without a whole answer into the error of the layer.
+// Once a connection was there, a write may have been sent.
+func (k call) broken(sent bool, cause error) error {
+	if k.write() && sent {
+		return fmt.Errorf("%w: %s %s: %w", ErrOutcomeUnknown, k.method, k.path, cause)
+	}
+	return fmt.Errorf("%w: %s %s: %w", ErrUnavailable, k.method, k.path, cause)
+}
+
+func (k call) statusError(status int, body []byte) error {
+	kind := error(nil)
+	switch {
+	case status >= 200 && status < 300:
+		return nil
+	case status == http.StatusConflict:
+		kind = ErrConflict
+	case status == http.StatusNotFound:
+		kind = ErrNotFound
+	case status == http.StatusRequestEntityTooLarge:
+		kind = ErrTooLarge
+	case status == http.StatusServiceUnavailable:
+		kind = ErrUnavailable
+	case status >= 500 && k.write():
+		kind = ErrOutcomeUnknown
+	case status >= 500:
+		kind = ErrUnavailable
+	default:
+		return fmt.Errorf("platform: %s %s: status %d: %s", k.method, k.path, status, excerpt(body))
+	}
+	return fmt.Errorf("%w: %s %s: status %d", kind, k.method, k.path, status)
+}
+
+func excerpt(body []byte) string {
+	const limit = 200
+	return strings.TrimSpace(string(body[:min(len(body), limit)]))
+}
+
+func objectPath(kind Kind, name string) string {
+	return "/objects/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, kind Kind, name string) (Object, error) {
+	var obj Object
+	err := c.do(ctx, call{method: http.MethodGet, path: objectPath(kind, name), timeout: c.timeout}, &obj)
+	return obj, err
+}
+
+// Put implements Store.
+func (c *Client) Put(ctx context.Context, obj Object) (Object, error) {
+	if len(obj.Value) > MaxValueBytes {
+		return Object{}, fmt.Errorf("%w: %s/%s: %d bytes", ErrTooLarge, obj.Kind, obj.Name, len(obj.Value))
+	}
+	return c.writeObject(ctx, call{
+		method:  http.MethodPut,
+		path:    objectPath(obj.Kind, obj.Name),
+		version: &obj.Version,
+		body:    obj.Value,
+		timeout: c.timeout,
+	})
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, kind Kind, name string, version uint64) (Object, error) {
+	return c.writeObject(ctx, call{
+		method:  http.MethodDelete,
+		path:    objectPath(kind, name),
+		version: &version,
+		timeout: c.timeout,
+	})
+}
+
+func (c *Client) writeObject(ctx context.Context, k call) (Object, error) {
+	var stored Object
+	if err := c.do(ctx, k, &stored); err != nil {
+		return Object{}, err
+	}
+	return stored, nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, kind Kind) (List, error) {
+	path := "/objects/" + url.PathEscape(string(kind))
+	var list List
+	err := c.do(ctx, call{method: http.MethodGet, path: path, timeout: c.timeout}, &list)
+	return list, err
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, kind Kind, since uint64) (List, error) {
+	path := "/watch/" + url.PathEscape(string(kind)) + "?since=" + strconv.FormatUint(since, 10)
+	var list List
+	err := c.do(ctx, call{method: http.MethodGet, path: path, timeout: c.watchTimeout}, &list)
+	return list, err
+}
+
+// Instances implements InstanceList.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	var list []Instance
+	err := c.do(ctx, call{method: http.MethodGet, path: "/instances", timeout: c.timeout}, &list)
+	return list, err
+}
+
+// Register implements InstanceList.
+func (c *Client) Register(ctx context.Context, inst Instance) error {
+	body, err := json.Marshal(inst)
+	if err != nil {
+		return fmt.Errorf("platform: instance %s: %w", inst.Name, err)
+	}
+	path := "/instances/" + url.PathEscape(inst.Name)
+	return c.do(ctx, call{method: http.MethodPut, path: path, body: body, timeout: c.timeout}, nil)
+}
+
+// Deregister implements InstanceList.
+func (c *Client) Deregister(ctx context.Context, name string) error {
+	path := "/instances/" + url.PathEscape(name)
+	return c.do(ctx, call{method: http.MethodDelete, path: path, timeout: c.timeout}, nil)
+}
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,152 @@
+package platform_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/eelgrassbay/eelgrassbay/internal/standin/fault"
+	"github.com/eelgrassbay/eelgrassbay/internal/standin/objectapi"
+)
+
+func newPlatform(t *testing.T, wait time.Duration) (*objectapi.Server, *platform.Client) {
+	t.Helper()
+	s := objectapi.New(objectapi.Options{WatchWait: wait})
+	return s, newClient(t, s.Handler())
+}
+
+func newClient(t *testing.T, h http.Handler) *platform.Client {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	c := platform.NewClient(platform.ClientOptions{BaseURL: srv.URL})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func object(name, value string, version uint64) platform.Object {
+	return platform.Object{Kind: platform.KindLease, Name: name, Version: version, Value: []byte(value)}
+}
+
+func TestClientObjects(t *testing.T) {
+	ctx := context.Background()
+	_, c := newPlatform(t, time.Millisecond)
+	const name = "zones/north 1?"
+
+	_, err := c.Get(ctx, platform.KindLease, name)
+	must.ErrorIs(t, err, platform.ErrNotFound)
+	stored, err := c.Put(ctx, object(name, `{"holder": "a<b"}`, 0))
+	must.NoError(t, err)
+	must.Eq(t, `{"holder":"a<b"}`, string(stored.Value))
+	_, err = c.Put(ctx, object(name, `2`, 0))
+	must.ErrorIs(t, err, platform.ErrConflict)
+	got, err := c.Get(ctx, platform.KindLease, name)
+	must.NoError(t, err)
+	must.Eq(t, stored, got)
+
+	gone, err := c.Delete(ctx, platform.KindLease, name, stored.Version)
+	must.NoError(t, err)
+	must.True(t, gone.Deleted)
+	list, err := c.List(ctx, platform.KindLease)
+	must.NoError(t, err)
+	must.Eq(t, []platform.Object{gone}, list.Objects)
+}
+
+func TestClientWatch(t *testing.T) {
+	ctx := context.Background()
+	s, c := newPlatform(t, 50*time.Millisecond)
+	empty, err := c.Watch(ctx, platform.KindLease, 0)
+	must.NoError(t, err)
+	must.Len(t, 0, empty.Objects)
+	_, err = s.Memory.Put(ctx, object("l", `1`, 0))
+	must.NoError(t, err)
+	list, err := c.Watch(ctx, platform.KindLease, empty.Revision)
+	must.NoError(t, err)
+	must.Len(t, 1, list.Objects)
+}
+
+func TestClientTooLarge(t *testing.T) {
+	_, c := newPlatform(t, time.Second)
+	value := `"` + string(make([]byte, platform.MaxValueBytes)) + `"`
+	_, err := c.Put(context.Background(), object("l", value, 0))
+	must.ErrorIs(t, err, platform.ErrTooLarge)
+}
+
+func TestClientOutage(t *testing.T) {
+	ctx := context.Background()
+	s, c := newPlatform(t, time.Second)
+	s.Faults().Update(func(f *fault.Faults) { f.Outage = true })
+	_, err := c.Put(ctx, object("l", `1`, 0))
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = c.List(ctx, platform.KindLease)
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+func TestClientLostReply(t *testing.T) {
+	ctx := context.Background()
+	s, c := newPlatform(t, time.Second)
+	s.Faults().Update(func(f *fault.Faults) { f.LoseReplies = 1 })
+	_, err := c.Put(ctx, object("l", `1`, 0))
+	must.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	got, err := c.Get(ctx, platform.KindLease, "l")
+	must.NoError(t, err)
+	must.Eq(t, `1`, string(got.Value))
+}
+
+func TestClientRefusedConnect(t *testing.T) {
+	srv := httptest.NewServer(http.NotFoundHandler())
+	c := platform.NewClient(platform.ClientOptions{BaseURL: srv.URL})
+	srv.Close()
+	_, err := c.Put(context.Background(), object("l", `1`, 0))
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+// Answers that break off or make no sense leave the outcome of a write open.
+func TestClientBrokenAnswers(t *testing.T) {
+	broken := map[string]http.HandlerFunc{
+		"cut": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, `{"kind":`)
+		},
+		"not JSON": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{`) },
+		"gateway":  func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) },
+		"silent":   func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+	}
+	for name, h := range broken {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(h)
+			defer srv.Close()
+			c := platform.NewClient(platform.ClientOptions{BaseURL: srv.URL, Timeout: 100 * time.Millisecond})
+			_, err := c.Delete(context.Background(), platform.KindLease, "l", 1)
+			must.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+			_, err = c.Get(context.Background(), platform.KindLease, "l")
+			must.ErrorIs(t, err, platform.ErrUnavailable)
+		})
+	}
+}
+
+func TestClientInstancesLag(t *testing.T) {
+	ctx := context.Background()
+	s, c := newPlatform(t, time.Second)
+	inst := platform.Instance{Name: "e/1", Zone: "north", Role: platform.RoleEntry, Address: "127.0.0.1:1", State: platform.InstanceLive}
+	must.NoError(t, c.Register(ctx, inst))
+	list, err := c.Instances(ctx)
+	must.NoError(t, err)
+	must.Eq(t, []platform.Instance{inst}, list)
+
+	s.Faults().Update(func(f *fault.Faults) { f.InstanceLagMS = time.Hour.Milliseconds() })
+	must.NoError(t, c.Deregister(ctx, "e/1"))
+	list, err = c.Instances(ctx)
+	must.NoError(t, err)
+	must.Len(t, 0, list)
+	s.Faults().Update(func(f *fault.Faults) { f.InstanceLagMS = 0 })
+	list, err = c.Instances(ctx)
+	must.NoError(t, err)
+	must.Len(t, 0, list)
+}
--- /dev/null
+++ b/internal/standin/config.go
@@ -0,0 +1,283 @@
+// Package standin runs small stand-ins of what surrounds the system: the
+// platform's object API and instance list, the weight store, model engines and
+// plain services, in any mix, each on its own address.
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/standin/emulator"
+	"github.com/eelgrassbay/eelgrassbay/internal/standin/modelengine"
+	"github.com/eelgrassbay/eelgrassbay/internal/standin/objectapi"
+	"github.com/eelgrassbay/eelgrassbay/internal/standin/plain"
+	"github.com/eelgrassbay/eelgrassbay/internal/standin/weights"
+)
+
+// Config says which stand-ins one process runs. Addresses are IP:port.
+type Config struct {
+	StopTimeoutMS int64          `json:"stop_timeout_ms"` // bound of the graceful shutdown
+	InstanceList  string         `json:"instance_list"`   // base URL of the list to register with
+	ObjectAPI     *ObjectAPI     `json:"object_api"`
+	WeightStore   *WeightStore   `json:"weight_store"`
+	EngineTiming  Timing         `json:"engine_timing"` // of engines that have none of their own
+	Engines       []Engine       `json:"engines"`
+	PlainServices []PlainService `json:"plain_services"`
+}
+
+// ObjectAPI is the object API and the instance list.
+type ObjectAPI struct {
+	Address       string `json:"address"`
+	WatchWaitMS   int64  `json:"watch_wait_ms"`
+	InstanceLagMS int64  `json:"instance_lag_ms"`
+}
+
+// WeightStore is the weight store.
+type WeightStore struct {
+	Address         string  `json:"address"`
+	LoadsPerSecond  float64 `json:"loads_per_second"`
+	InFlight        int     `json:"in_flight"`
+	LoadMS          float64 `json:"load_ms"`
+	AdapterInFlight int     `json:"adapter_in_flight"`
+	AdapterMinMS    float64 `json:"adapter_min_ms"`
+	AdapterMaxMS    float64 `json:"adapter_max_ms"`
+}
+
+// Engine is one model engine.
+type Engine struct {
+	Name               string     `json:"name"`
+	Zone               string     `json:"zone"`
+	Address            string     `json:"address"`
+	MemoryMB           int64      `json:"memory_mb"`
+	Fencing            bool       `json:"fencing"`
+	RefuseOvercommit   bool       `json:"refuse_overcommit"`
+	WeightStore        string     `json:"weight_store"` // base URL; empty for none
+	CancelOnDisconnect bool       `json:"cancel_on_disconnect"`
+	RetainAttempts     int        `json:"retain_attempts"`
+	Timing             *Timing    `json:"timing"`
+	Resident           []Resident `json:"resident"`
+}
+
+// Resident is a model that is resident from the start.
+type Resident struct {
+	Model    string `json:"model"`
+	Version  string `json:"version"`
+	MemoryMB int64  `json:"memory_mb"`
+}
+
+// Timing holds the sizes and times of an engine. Zeros take defaults.
+type Timing struct {
+	MaxBatch           int     `json:"max_batch"`
+	MaxQueue           int     `json:"max_queue"`
+	KVTokens           int64   `json:"kv_tokens"`
+	CacheTokens        int     `json:"cache_tokens"`
+	PrefillChunkTokens int     `json:"prefill_chunk_tokens"`
+	PrefillTokenMS     float64 `json:"prefill_token_ms"`
+	CachedTokenMS      float64 `json:"cached_token_ms"`
+	DecodeMS           float64 `json:"decode_ms"`
+	DecodePerRequestMS float64 `json:"decode_per_request_ms"`
+	LoadMS             float64 `json:"load_ms"`
+	UnloadMS           float64 `json:"unload_ms"`
+	AdapterMS          float64 `json:"adapter_ms"`
+	OutputTokens       int     `json:"output_tokens"` // mean answer length; 0 for max_tokens always
+	ReportLagMS        float64 `json:"report_lag_ms"`
+	CacheEventDelayMS  float64 `json:"cache_event_delay_ms"`
+	CacheEventGap      int     `json:"cache_event_gap"`
+}
+
+// PlainService is one plain service.
+type PlainService struct {
+	Name    string  `json:"name"`
+	Zone    string  `json:"zone"`
+	Address string  `json:"address"`
+	WorkMS  float64 `json:"work_ms"`
+}
+
+// Defaults of the settings.
+const (
+	defaultStopTimeout        = 5 * time.Second
+	defaultMaxBatch           = 16
+	defaultMaxQueue           = 64
+	defaultKVTokens           = 65536
+	defaultCacheTokens        = 16384
+	defaultPrefillChunkTokens = 512
+	defaultPrefillTokenMS     = 0.1
+	defaultCachedTokenMS      = 0.002
+	defaultDecodeMS           = 5
+	defaultDecodePerRequestMS = 0.3
+)
+
+// ErrConfig is the kind of all errors of a settings file.
+var ErrConfig = errors.New("standin: settings")
+
+// LoadConfig reads and checks a settings file.
+func LoadConfig(file string) (Config, error) {
+	src, err := os.ReadFile(file)
+	if err != nil {
+		return Config{}, fmt.Errorf("%w: %w", ErrConfig, err)
+	}
+	var c Config
+	if err := decode(file, src, &c); err != nil {
+		return Config{}, fmt.Errorf("%w: %w", ErrConfig, err)
+	}
+	if err := c.check(); err != nil {
+		return Config{}, fmt.Errorf("%w: %s: %w", ErrConfig, file, err)
+	}
+	return c, nil
+}
+
+// decode reads one HuJSON value without unknown fields.
+func decode(file string, src []byte, dst any) error {
+	std, err := hujson.Standardize(slices.Clone(src))
+	if err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	dec := json.NewDecoder(bytes.NewReader(std))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(dst); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
+}
+
+// check finds what cannot be run.
+func (c Config) check() error {
+	var faults []error
+	used := map[string]string{}
+	address := func(field, addr string) {
+		ip, _, err := net.SplitHostPort(addr)
+		if err != nil || net.ParseIP(ip) == nil {
+			faults = append(faults, fmt.Errorf("%s: %q is not IP:port", field, addr))
+			return
+		}
+		if other, ok := used[addr]; ok && !anyPort(addr) {
+			faults = append(faults, fmt.Errorf("%s: %s is taken by %s", field, addr, other))
+		}
+		used[addr] = field
+	}
+	if c.ObjectAPI != nil {
+		address("object_api.address", c.ObjectAPI.Address)
+	}
+	if c.WeightStore != nil {
+		address("weight_store.address", c.WeightStore.Address)
+	}
+	for i, e := range c.Engines {
+		field := fmt.Sprintf("engines[%d]", i)
+		address(field+".address", e.Address)
+		if e.Name == "" {
+			faults = append(faults, fmt.Errorf("%s.name: is empty", field))
+		}
+		if e.MemoryMB <= 0 {
+			faults = append(faults, fmt.Errorf("%s.memory_mb: %d is not positive", field, e.MemoryMB))
+		}
+	}
+	for i, p := range c.PlainServices {
+		field := fmt.Sprintf("plain_services[%d]", i)
+		address(field+".address", p.Address)
+		if p.Name == "" {
+			faults = append(faults, fmt.Errorf("%s.name: is empty", field))
+		}
+	}
+	if len(used) == 0 && len(faults) == 0 {
+		faults = append(faults, errors.New("no stand-in is set"))
+	}
+	return errors.Join(faults...)
+}
+
+// anyPort reports whether the system picks the port of an address.
+func anyPort(addr string) bool {
+	_, port, err := net.SplitHostPort(addr)
+	return err == nil && port == "0"
+}
+
+func millis(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// or returns v, or the default if v is zero.
+func or[T int | int64 | float64](v, def T) T {
+	if v == 0 {
+		return def
+	}
+	return v
+}
+
+func (c Config) stopTimeout() time.Duration {
+	if c.StopTimeoutMS <= 0 {
+		return defaultStopTimeout
+	}
+	return time.Duration(c.StopTimeoutMS) * time.Millisecond
+}
+
+func (o ObjectAPI) options() objectapi.Options {
+	return objectapi.Options{
+		WatchWait:   time.Duration(o.WatchWaitMS) * time.Millisecond,
+		InstanceLag: time.Duration(o.InstanceLagMS) * time.Millisecond,
+	}
+}
+
+func (w WeightStore) options() weights.Options {
+	return weights.Options{
+		LoadsPerSecond:  w.LoadsPerSecond,
+		InFlight:        w.InFlight,
+		LoadTime:        millis(w.LoadMS),
+		AdapterInFlight: w.AdapterInFlight,
+		AdapterMin:      millis(w.AdapterMinMS),
+		AdapterMax:      millis(w.AdapterMaxMS),
+	}
+}
+
+func (e Engine) options(common Timing) modelengine.Options {
+	t := common
+	if e.Timing != nil {
+		t = *e.Timing
+	}
+	opts := modelengine.Options{
+		Name:               e.Name,
+		Zone:               e.Zone,
+		Emulator:           t.emulator(),
+		WeightsURL:         e.WeightStore,
+		LoadTime:           millis(t.LoadMS),
+		AdapterTime:        millis(t.AdapterMS),
+		ReportLag:          millis(t.ReportLagMS),
+		CacheEventDelay:    millis(t.CacheEventDelayMS),
+		CacheEventGap:      t.CacheEventGap,
+		CancelOnDisconnect: e.CancelOnDisconnect,
+		RetainAttempts:     e.RetainAttempts,
+	}
+	opts.Emulator.MemoryMB = e.MemoryMB
+	opts.Emulator.Fencing = e.Fencing
+	opts.Emulator.RefuseOvercommit = e.RefuseOvercommit
+	for _, r := range e.Resident {
+		opts.Resident = append(opts.Resident, modelengine.Initial(r))
+	}
+	return opts
+}
+
+func (t Timing) emulator() emulator.Settings {
+	return emulator.Settings{
+		KVTokens:         or(t.KVTokens, defaultKVTokens),
+		CacheTokens:      or(t.CacheTokens, defaultCacheTokens),
+		MaxBatch:         or(t.MaxBatch, defaultMaxBatch),
+		MaxQueue:         or(t.MaxQueue, defaultMaxQueue),
+		PrefillChunk:     or(t.PrefillChunkTokens, defaultPrefillChunkTokens),
+		PrefillPerToken:  millis(or(t.PrefillTokenMS, defaultPrefillTokenMS)),
+		CachedPerToken:   millis(or(t.CachedTokenMS, defaultCachedTokenMS)),
+		DecodeBase:       millis(or(t.DecodeMS, defaultDecodeMS)),
+		DecodePerRequest: millis(or(t.DecodePerRequestMS, defaultDecodePerRequestMS)),
+		UnloadTime:       millis(t.UnloadMS),
+		OutputTokens:     t.OutputTokens,
+	}
+}
+
+func (p PlainService) options() plain.Options {
+	return plain.Options{Name: p.Name, Zone: p.Zone, WorkTime: millis(p.WorkMS)}
+}
--- /dev/null
+++ b/internal/standin/emulator/emulator_test.go
@@ -0,0 +1,217 @@
+package emulator
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/engine"
+)
+
+func settings() Settings {
+	return Settings{
+		MemoryMB:         100,
+		KVTokens:         1000,
+		CacheTokens:      320,
+		MaxBatch:         2,
+		MaxQueue:         2,
+		PrefillChunk:     64,
+		PrefillPerToken:  time.Millisecond,
+		DecodeBase:       10 * time.Millisecond,
+		DecodePerRequest: 5 * time.Millisecond,
+		UnloadTime:       time.Second,
+	}
+}
+
+func load(id string, fence uint64, model string, mb int64) OrderArrived {
+	return OrderArrived{Order: engine.Order{ID: id, Fence: fence, Op: engine.OpLoad, Model: model, MemoryMB: mb}}
+}
+
+func unload(id, model string) OrderArrived {
+	return OrderArrived{Order: engine.Order{ID: id, Op: engine.OpUnload, Model: model}}
+}
+
+// ready returns an engine with model "m" ready.
+func ready(t *testing.T, set Settings) *Engine {
+	t.Helper()
+	e := New(set)
+	actions := e.Step(0, load("l1", 0, "m", 60))
+	must.SliceContains(t, actions, Action(Fetch{Load: 1, Model: "m"}))
+	e.Step(0, Fetched{Load: 1, OK: true})
+	return e
+}
+
+func submit(attempt string, promptTokens, maxTokens int, batch bool) Submit {
+	prompt := slices.Repeat([]string{"w"}, promptTokens)
+	return Submit{Attempt: attempt, Model: "m", Prompt: prompt, MaxTokens: maxTokens, Batch: batch}
+}
+
+// drain steps an engine to its end and returns when each attempt finished.
+func drain(e *Engine) map[string]time.Duration {
+	ends := map[string]time.Duration{}
+	for {
+		next, ok := e.Next()
+		if !ok {
+			return ends
+		}
+		for _, a := range e.Step(next, Tick{}) {
+			if f, ok := a.(Finished); ok && !f.Cut {
+				ends[f.Attempt] = next
+			}
+		}
+	}
+}
+
+func TestBatchTiming(t *testing.T) {
+	cases := []struct {
+		name    string
+		submits []Submit
+		want    map[string]time.Duration
+	}{
+		{"one request: prefill, then a step a token", []Submit{submit("a", 4, 3, false)},
+			map[string]time.Duration{"a": 34 * time.Millisecond}},
+		{"steps grow with the batch", []Submit{submit("a", 1, 2, false), submit("b", 1, 2, false)},
+			// The second comes while the first step runs.
+			map[string]time.Duration{"a": 27 * time.Millisecond, "b": 37 * time.Millisecond}},
+		{"live goes before batch", []Submit{
+			submit("a", 1, 1, false), submit("b", 1, 1, false), submit("night", 1, 1, true), submit("c", 1, 1, false),
+		}, map[string]time.Duration{
+			"a": 11 * time.Millisecond, "b": 28 * time.Millisecond, "c": 28 * time.Millisecond, "night": 39 * time.Millisecond,
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			set := settings()
+			set.MaxQueue = 4
+			e := ready(t, set)
+			for _, s := range tc.submits {
+				e.Step(0, s)
+			}
+			must.Eq(t, tc.want, drain(e))
+		})
+	}
+}
+
+func TestCachedPrefixIsCheaper(t *testing.T) {
+	e := ready(t, settings())
+	e.Step(0, submit("a", 40, 1, false))
+	must.Eq(t, 50*time.Millisecond, drain(e)["a"])
+	e.Step(50*time.Millisecond, submit("b", 40, 1, false))
+	must.Eq(t, 68*time.Millisecond, drain(e)["b"])
+	must.Eq(t, 32, e.Counters().CachedTokens)
+}
+
+func TestRefusalsRunNothing(t *testing.T) {
+	e := ready(t, settings())
+	reason := func(actions []Action) Refusal {
+		must.Len(t, 1, actions)
+		return actions[0].(Refused).Reason
+	}
+	must.Eq(t, RefusalTooLong, reason(e.Step(0, submit("long", 999, 2, false))))
+	other := submit("other", 1, 1, false)
+	other.Adapter = "x"
+	must.Eq(t, RefusalNotResident, reason(e.Step(0, other)))
+	for _, id := range []string{"a", "b", "c"} {
+		must.Len(t, 0, e.Step(0, submit(id, 1, 1, false)))
+	}
+	must.Eq(t, RefusalQueueFull, reason(e.Step(0, submit("d", 1, 1, false))))
+	must.Eq(t, RefusalKnown, reason(e.Step(0, submit("a", 1, 1, false))))
+	must.MapLen(t, 3, drain(e))
+}
+
+func TestCancelFreesTheBatch(t *testing.T) {
+	e := ready(t, settings())
+	e.Step(0, submit("a", 1, 500, false))
+	e.Step(0, submit("b", 1, 1, false))
+	actions := e.Step(time.Millisecond, Cancel{Attempt: "a"})
+	must.Eq(t, []Action{Finished{Attempt: "a", Cut: true}}, actions)
+	must.MapContainsKey(t, drain(e), "b")
+	must.Eq(t, 1000, e.Load().FreeKVTokens)
+}
+
+func TestOrders(t *testing.T) {
+	reply := func(actions []Action) engine.OrderReply {
+		for _, a := range actions {
+			if r, ok := a.(Replied); ok {
+				return r.Reply
+			}
+		}
+		t.Fatal("no reply")
+		return engine.OrderReply{}
+	}
+	t.Run("overcommit is taken and counted", func(t *testing.T) {
+		e := ready(t, settings())
+		must.True(t, reply(e.Step(0, load("l2", 0, "n", 60))).Accepted)
+		must.Eq(t, 1, e.Counters().Overcommit)
+	})
+	t.Run("overcommit is refused if set so", func(t *testing.T) {
+		set := settings()
+		set.RefuseOvercommit = true
+		e := ready(t, set)
+		must.Eq(t, ReasonNoMemory, reply(e.Step(0, load("l2", 0, "n", 60))).Reason)
+		must.Eq(t, 0, e.Counters().Overcommit)
+	})
+	t.Run("old fence", func(t *testing.T) {
+		set := settings()
+		set.Fencing = true
+		e := ready(t, set)
+		must.True(t, reply(e.Step(0, load("l2", 7, "n", 10))).Accepted)
+		must.Eq(t, engine.OrderReply{Reason: ReasonOldFence, Fence: 7}, reply(e.Step(0, load("l3", 6, "o", 10))))
+	})
+	t.Run("a duplicate of a load runs again after the unload", func(t *testing.T) {
+		e := ready(t, settings())
+		must.Eq(t, ReasonThere, reply(e.Step(0, load("l1", 0, "m", 60))).Reason)
+		e.Step(0, unload("u1", "m"))
+		e.Step(time.Second, Tick{})
+		must.Len(t, 0, e.Residency().Resident)
+		e.Step(time.Second, load("l1", 0, "m", 60))
+		must.Eq(t, "l1", e.Residency().Resident[0].OrderID)
+		want := []engine.Settled{{OrderID: "l1", Applied: true}, {OrderID: "u1", Applied: true}}
+		must.Eq(t, want, e.Residency().Settled)
+	})
+	t.Run("an unload waits for what runs and takes adapters along", func(t *testing.T) {
+		e := ready(t, settings())
+		e.Step(0, OrderArrived{Order: engine.Order{ID: "a1", Op: engine.OpLoadAdapter, Model: "m", Adapter: "x", MemoryMB: 1}})
+		e.Step(0, Fetched{Load: 2, OK: true})
+		e.Step(0, submit("a", 1, 1, false))
+		e.Step(0, unload("u1", "m"))
+		must.Eq(t, 61, used(e))
+		e.Step(1010*time.Millisecond, Tick{})
+		must.Eq(t, 60, used(e)) // no request used the adapter
+		e.Step(1011*time.Millisecond, Tick{})
+		must.Eq(t, 0, used(e))
+	})
+	t.Run("a load that fails leaves nothing", func(t *testing.T) {
+		e := New(settings())
+		e.Step(0, load("l1", 0, "m", 60))
+		e.Step(0, Fetched{Load: 1})
+		must.Len(t, 0, e.Residency().Resident)
+		must.Eq(t, []engine.Settled{{OrderID: "l1"}}, e.Residency().Settled)
+	})
+}
+
+func used(e *Engine) int64 {
+	sum := int64(0)
+	for _, r := range e.Residency().Resident {
+		sum += r.MemoryMB
+	}
+	return sum
+}
+
+func TestUnloadRefusesWhatWaits(t *testing.T) {
+	e := ready(t, settings())
+	for _, id := range strings.Fields("a b c") {
+		e.Step(0, submit(id, 1, 1, false))
+	}
+	e.Step(0, unload("u1", "m"))
+	refused := 0
+	for _, a := range e.Step(11*time.Millisecond, Tick{}) {
+		if _, ok := a.(Refused); ok {
+			refused++
+		}
+	}
+	must.Eq(t, 2, refused)
+}
--- /dev/null
+++ b/internal/standin/modelengine/modelengine_test.go
@@ -0,0 +1,250 @@
+package modelengine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/engine"
+	"github.com/eelgrassbay/eelgrassbay/internal/standin/emulator"
+	"github.com/eelgrassbay/eelgrassbay/internal/standin/fault"
+)
+
+// rig is one engine that serves, with model "m" resident.
+type rig struct {
+	t      *testing.T
+	engine *Server
+	url    string
+}
+
+func newRig(t *testing.T, decode time.Duration) rig {
+	t.Helper()
+	s := New(Options{
+		Name: "e",
+		Emulator: emulator.Settings{
+			MemoryMB: 100, KVTokens: 100000, CacheTokens: 160, MaxBatch: 4, MaxQueue: 4,
+			PrefillChunk: 64, DecodeBase: decode,
+		},
+		Resident: []Initial{{Model: "m", MemoryMB: 60}},
+	})
+	srv := httptest.NewServer(s.Handler())
+	t.Cleanup(srv.Close)
+	go s.Run(t.Context())
+	return rig{t: t, engine: s, url: srv.URL}
+}
+
+type header map[string]string
+
+func (r rig) post(path, body string, h header) *http.Response {
+	r.t.Helper()
+	req, err := http.NewRequestWithContext(r.t.Context(), http.MethodPost, r.url+path, strings.NewReader(body))
+	must.NoError(r.t, err)
+	for k, v := range h {
+		req.Header.Set(k, v)
+	}
+	res, err := http.DefaultClient.Do(req)
+	must.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = res.Body.Close() })
+	return res
+}
+
+// stream reads the chunks of a streamed answer, and whether it was whole.
+func (r rig) stream(res *http.Response) ([]Chunk, bool) {
+	r.t.Helper()
+	var chunks []Chunk
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			return chunks, true
+		}
+		var c Chunk
+		must.NoError(r.t, json.Unmarshal(data, &c))
+		chunks = append(chunks, c)
+	}
+	return chunks, false
+}
+
+func textFrom(chunks []Chunk) string {
+	var b strings.Builder
+	for _, c := range chunks {
+		if t := c.Choices[0].Text; t != nil {
+			b.WriteString(*t)
+		}
+		if d := c.Choices[0].Delta; d != nil {
+			b.WriteString(d.Content)
+		}
+	}
+	return b.String()
+}
+
+const completion = `{"model":"m","prompt":"one two","max_tokens":5,"stream":true}`
+
+func TestStreamAndWholeAnswerAgree(t *testing.T) {
+	r := newRig(t, 0)
+	want := Answer("m", []string{"one", "two"}, 5)
+	res := r.post("/v1/completions", completion, header{engine.HeaderAttempt: "a1"})
+	must.Eq(t, "a1", res.Header.Get(engine.HeaderAttempt))
+	chunks, whole := r.stream(res)
+	must.True(t, whole)
+	must.Eq(t, want, textFrom(chunks))
+	for i, c := range chunks {
+		must.Eq(t, i, c.Offset)
+		must.Eq(t, "a1", c.Attempt)
+	}
+	must.Eq(t, &Usage{PromptTokens: 2, CompletionTokens: 5, TotalTokens: 7}, chunks[5].Usage)
+
+	res = r.post("/v1/completions", strings.Replace(completion, "true", "false", 1), nil)
+	var c Chunk
+	must.NoError(t, json.NewDecoder(res.Body).Decode(&c))
+	must.Eq(t, want, *c.Choices[0].Text)
+	must.Eq(t, "length", *c.Choices[0].FinishReason)
+}
+
+func TestChat(t *testing.T) {
+	r := newRig(t, 0)
+	res := r.post("/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"hi"}]}],"max_completion_tokens":2,"stream":true}`, nil)
+	chunks, whole := r.stream(res)
+	must.True(t, whole)
+	must.Eq(t, "assistant", chunks[0].Choices[0].Delta.Role)
+	must.Eq(t, Answer("m", []string{"user", "hi"}, 2), textFrom(chunks))
+}
+
+func TestCutStreamResumesAtOffset(t *testing.T) {
+	r := newRig(t, 0)
+	r.engine.Faults().Update(func(f *fault.Faults) { f.CutStreamAfterTokens = 2 })
+	first, whole := r.stream(r.post("/v1/completions", completion, header{engine.HeaderAttempt: "a1"}))
+	must.False(t, whole)
+	must.Len(t, 2, first)
+	r.engine.Faults().Update(func(f *fault.Faults) { f.CutStreamAfterTokens = 0 })
+	rest, whole := r.stream(r.post("/v1/completions", completion, header{
+		engine.HeaderAttempt: "a1", engine.HeaderOffset: strconv.Itoa(len(first)),
+	}))
+	must.True(t, whole)
+	must.Eq(t, Answer("m", []string{"one", "two"}, 5), textFrom(first)+textFrom(rest))
+
+	res := r.post("/v1/completions", completion, header{engine.HeaderAttempt: "a2", engine.HeaderOffset: "1"})
+	must.Eq(t, http.StatusConflict, res.StatusCode)
+	must.Eq(t, engine.RanNo, res.Header.Get(engine.HeaderRan))
+	must.Eq(t, 1, r.engine.Counters().Accepted)
+}
+
+func TestCrossedAnswersCarryTheOtherAttempt(t *testing.T) {
+	r := newRig(t, 0)
+	r.engine.Faults().Update(func(f *fault.Faults) { f.CrossAnswers = 1 })
+	got := make(chan string, 2)
+	for _, id := range []string{"a1", "a2"} {
+		go func() {
+			got <- id + " " + r.post("/v1/completions", completion, header{engine.HeaderAttempt: id}).Header.Get(engine.HeaderAttempt)
+		}()
+	}
+	must.SliceContainsAll(t, []string{"a1 a2", "a2 a1"}, []string{<-got, <-got})
+	must.Eq(t, 0, r.engine.Faults().Get().CrossAnswers)
+}
+
+func TestCancelBreaksTheStream(t *testing.T) {
+	r := newRig(t, time.Millisecond)
+	res := r.post("/v1/completions", `{"model":"m","prompt":"x","max_tokens":90000,"stream":true}`, header{engine.HeaderAttempt: "a1"})
+	must.Eq(t, http.StatusOK, r.post(engine.PathCancel+"a1", "", nil).StatusCode)
+	_, whole := r.stream(res)
+	must.False(t, whole)
+	must.Eq(t, http.StatusNotFound, r.post(engine.PathCancel+"a9", "", nil).StatusCode)
+}
+
+func TestRefusals(t *testing.T) {
+	r := newRig(t, 0)
+	cases := map[string]int{
+		`{`:                             http.StatusBadRequest,
+		`{"model":"m","prompt":""}`:     http.StatusBadRequest,
+		`{"model":"none","prompt":"x"}`: http.StatusNotFound,
+		`{"model":"m:none","prompt":"x","stream":true}`:        http.StatusNotFound,
+		`{"model":"m","prompt":"x","max_tokens":100000}`:       http.StatusBadRequest,
+		`{"model":"m","prompt":"x","max_tokens":0}`:            http.StatusBadRequest,
+		`{"model":"m","prompt":{"a":1},"max_tokens":1}`:        http.StatusBadRequest,
+		`{"model":"m","messages":[{"role":"u","content":"x"}]`: http.StatusBadRequest,
+	}
+	for body, status := range cases {
+		res := r.post("/v1/completions", body, nil)
+		must.Eq(t, status, res.StatusCode, must.Sprint(body))
+		must.Eq(t, engine.RanNo, res.Header.Get(engine.HeaderRan))
+	}
+	must.Eq(t, 0, r.engine.Counters().Accepted)
+}
+
+func (r rig) order(o engine.Order) (engine.OrderReply, error) {
+	body, err := json.Marshal(o)
+	must.NoError(r.t, err)
+	res, err := http.Post(r.url+engine.PathOrders, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return engine.OrderReply{}, err
+	}
+	defer res.Body.Close()
+	var reply engine.OrderReply
+	return reply, json.NewDecoder(res.Body).Decode(&reply)
+}
+
+func TestOrderFaults(t *testing.T) {
+	r := newRig(t, 0)
+	o := engine.Order{ID: "l2", Op: engine.OpLoad, Model: "n", MemoryMB: 30}
+	r.engine.Faults().Update(func(f *fault.Faults) { f.Orders = fault.Orders{LoseNext: 1} })
+	_, err := r.order(o)
+	must.Error(t, err)
+	must.Len(t, 1, r.engine.Report().Resident)
+
+	r.engine.Faults().Update(func(f *fault.Faults) { f.Orders = fault.Orders{LoseReplies: 1} })
+	_, err = r.order(o)
+	must.Error(t, err)
+	must.Len(t, 2, r.engine.Report().Resident)
+
+	r.engine.Faults().Update(func(f *fault.Faults) { f.Orders = fault.Orders{DuplicateNext: 1} })
+	reply, err := r.order(o)
+	must.NoError(t, err)
+	must.True(t, reply.Accepted)
+	must.Eq(t, fault.Orders{}, r.engine.Faults().Get().Orders)
+}
+
+func TestCredentialsAreCounted(t *testing.T) {
+	r := newRig(t, 0)
+	r.post("/v1/completions", completion, nil)
+	r.post("/v1/completions", completion, header{"Authorization": "Bearer k"})
+	res, err := http.Get(r.url + "/seen-credentials")
+	must.NoError(t, err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	must.NoError(t, err)
+	must.Eq(t, "{\"count\":1}\n", string(body))
+}
+
+func TestReportLags(t *testing.T) {
+	h := loadHistory{lag: time.Second}
+	for i := range 4 {
+		now := time.Duration(i) * time.Second
+		h.add(now, emulator.Load{Running: i})
+		load, age := h.at(now + time.Second/2)
+		must.Eq(t, max(i-1, 0), load.Running)
+		must.Eq(t, min(now+time.Second/2, time.Second), age)
+	}
+	load, _ := h.at(4 * time.Second)
+	must.Eq(t, 3, load.Running)
+}
+
+func TestCacheEventsComeLateAndWithGaps(t *testing.T) {
+	l := eventLog{delay: time.Second, gap: 2}
+	for seq := range uint64(5) {
+		l.add(time.Duration(seq)*time.Second, engine.CacheEvent{Seq: seq + 1})
+	}
+	got := l.since(3*time.Second, 0)
+	must.Eq(t, engine.CacheEvents{Next: 3, Events: []engine.CacheEvent{{Seq: 1}, {Seq: 3}}}, got)
+}
