Add the inventory of upstreams: who reads which report, and its relay

Cause: every instance polling its zone's engines costs nearly the whole control budget at the planned size, and a single reader per zone exceeds it: 116 reports of about 300 bytes a second are 35 KB/s.

Change: each engine's report is read by one instance of its zone, chosen by rendezvous hashing over the members, and relayed to the others as changes; other zones get residency only. A report that stays silent for 3 s is read by whoever misses it. Ruled out: a single reader under the zone's lease, which is a hot spot and stops with the platform.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -107,6 +107,8 @@
 		_, err := netip.ParseAddrPort(u.Address)
 		c.Want(err == nil, at("address"), "want IP:port, got %q", u.Address)
 		c.Want(u.MaxOrderDelayS > 0, at("max_order_delay_s"), "want more than 0 seconds")
+		c.Want(u.PrefillTokensPerS > 0, at("prefill_tokens_per_s"), "want more than 0 tokens a second")
+		c.Want(u.MaxRunning > 0, at("max_running"), "want more than 0 requests")
 		switch u.Kind {
 		case UpstreamEngine:
 			c.Want(u.MemoryMB > 0, at("memory_mb"), "want more than 0 MB for an engine")
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -60,6 +60,12 @@
 	// MaxOrderDelayS bounds how late a sent order can still take effect in an
 	// engine that ignores fencing numbers; default DefaultMaxOrderDelay.
 	MaxOrderDelayS int `json:"max_order_delay_s"`
+	// PrefillTokensPerS is how fast the engine computes prompts; default
+	// DefaultPrefillTokensPerS.
+	PrefillTokensPerS int64 `json:"prefill_tokens_per_s"`
+	// MaxRunning is the number of requests that it decodes together within
+	// the deadline between tokens; default DefaultMaxRunning.
+	MaxRunning int `json:"max_running"`
 }
 
 // Organisation is a customer of the service. Its rate and burst hold across
@@ -130,6 +136,9 @@
 	DefaultModelsInFlight   = 8
 	DefaultAdaptersInFlight = 64
 	DefaultStaleKeysAfterS  = 60
+
+	DefaultPrefillTokensPerS = 10_000
+	DefaultMaxRunning        = 16
 )
 
 // OrganisationID identifies an organisation across services.
@@ -183,7 +192,10 @@
 		setDefault(&m.MaxOutputTokens, DefaultMaxOutputTokens)
 	}
 	for i := range s.Upstreams {
-		setDefault(&s.Upstreams[i].MaxOrderDelayS, int(DefaultMaxOrderDelay/time.Second))
+		u := &s.Upstreams[i]
+		setDefault(&u.MaxOrderDelayS, int(DefaultMaxOrderDelay/time.Second))
+		setDefault(&u.PrefillTokensPerS, DefaultPrefillTokensPerS)
+		setDefault(&u.MaxRunning, DefaultMaxRunning)
 	}
 	for i := range s.Organisations {
 		setDefault(&s.Organisations[i].StaleKeys, StaleServe)
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fair"
+	"github.com/eelgrassbay/eelgrassbay/internal/route"
+	"github.com/shoenig/test/must"
+)
+
+// start runs a duty with one upstream that holds model m and takes slots
+// requests at once.
+func start(t *testing.T, slots int) *Duty {
+	began := time.Now()
+	d := New(Options{Now: func() time.Duration { return time.Since(began) }, Seed: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		must.NoError(t, <-done)
+	})
+	must.NoError(t, d.Update(func(_ time.Duration, table *route.Table) {
+		table.SetUpstream(route.Upstream{Name: "u", PrefillRate: 1e6, MaxRunning: slots})
+		table.SetResident("u", []route.Resident{{Model: "m", Ready: true}})
+	}))
+	return d
+}
+
+func request(deadline time.Duration) Request {
+	return Request{Organisation: "o", Route: route.Request{Model: "m", PromptTokens: 10, MaxTokens: 10, Deadline: deadline}}
+}
+
+func TestWaitsForASlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, 1)
+		ctx := context.Background()
+		first, err := d.Acquire(ctx, request(0))
+		must.NoError(t, err)
+		go func() {
+			time.Sleep(time.Second)
+			first.Finished(5)
+		}()
+		began := time.Now()
+		second, err := d.Acquire(ctx, request(0))
+		must.NoError(t, err)
+		must.GreaterEq(t, time.Second, time.Since(began))
+		second.Failed(false, false)
+	})
+}
+
+func TestRefusesOnceTheDeadlineCannotBeMet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, 1)
+		ctx := context.Background()
+		_, err := d.Acquire(ctx, request(0))
+		must.NoError(t, err)
+		began := time.Now()
+		_, err = d.Acquire(ctx, request(time.Since(began)+200*time.Millisecond))
+		var refused *fair.RefusedError
+		var overloaded *route.OverloadedError
+		must.True(t, errors.As(err, &refused) || errors.As(err, &overloaded))
+		must.LessEq(t, 200*time.Millisecond+pumpPeriod, time.Since(began))
+	})
+}
+
+func TestCallerThatLeavesTakesNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, 1)
+		first, err := d.Acquire(context.Background(), request(0))
+		must.NoError(t, err)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err = d.Acquire(ctx, request(0))
+		must.ErrorIs(t, err, context.DeadlineExceeded)
+		first.Finished(1)
+		next, err := d.Acquire(context.Background(), request(0))
+		must.NoError(t, err)
+		next.Finished(1)
+	})
+}
+
+func TestModelWithoutHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, 1)
+		req := request(0)
+		req.Route.Model = "other"
+		_, err := d.Acquire(context.Background(), req)
+		must.ErrorIs(t, err, route.ErrNoHome)
+	})
+}
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,90 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// ErrUnreachable means that an engine gave no usable answer. An order may have
+// reached it.
+var ErrUnreachable = errors.New("engine: unreachable")
+
+const (
+	maxReportBytes  = 1 << 20
+	controlTimeout  = time.Second
+	idleControlConn = 2
+)
+
+// Client reads engines' reports and sends them orders. It is safe for
+// concurrent use.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client whose calls take at most a second each.
+func NewClient() *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleControlConn, IdleConnTimeout: time.Minute}
+	return &Client{http: &http.Client{Transport: transport, Timeout: controlTimeout}}
+}
+
+// Report reads the report of the engine at address (IP:port).
+func (c *Client) Report(ctx context.Context, address string) (Report, error) {
+	var r Report
+	return r, c.call(ctx, http.MethodGet, address, PathReport, nil, &r)
+}
+
+// CacheEvents reads the cache events of an engine from a sequence number on.
+func (c *Client) CacheEvents(ctx context.Context, address string, since uint64) (CacheEvents, error) {
+	var e CacheEvents
+	path := PathCacheEvents + "?since=" + strconv.FormatUint(since, 10)
+	return e, c.call(ctx, http.MethodGet, address, path, nil, &e)
+}
+
+// Order sends an order. After an error the order may take effect at any time.
+func (c *Client) Order(ctx context.Context, address string, o Order) (OrderReply, error) {
+	var reply OrderReply
+	return reply, c.call(ctx, http.MethodPost, address, PathOrders, o, &reply)
+}
+
+// Cancel stops an attempt that nobody waits for.
+func (c *Client) Cancel(ctx context.Context, address, attempt string) error {
+	return c.call(ctx, http.MethodPost, address, PathCancel+attempt, nil, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, address, path string, in, out any) error {
+	var body bytes.Buffer
+	if in != nil {
+		if err := json.NewEncoder(&body).Encode(in); err != nil {
+			return fmt.Errorf("engine: encode: %w", err)
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, &body)
+	if err != nil {
+		return fmt.Errorf("%w: %s%s: %w", ErrUnreachable, address, path, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %s%s: %w", ErrUnreachable, address, path, err)
+	}
+	defer resp.Body.Close()
+	return decode(resp, out)
+}
+
+func decode(resp *http.Response, out any) error {
+	where := resp.Request.URL.Host + resp.Request.URL.Path
+	if resp.StatusCode >= http.StatusMultipleChoices && resp.StatusCode != http.StatusConflict {
+		return fmt.Errorf("%w: %s: %s", ErrUnreachable, where, resp.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	body := http.MaxBytesReader(nil, resp.Body, maxReportBytes)
+	if err := json.NewDecoder(body).Decode(out); err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrUnreachable, where, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/inventory/duty.go
@@ -0,0 +1,312 @@
+package inventory
+
+import (
+	"context"
+	"log/slog"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/config"
+	"github.com/eelgrassbay/eelgrassbay/internal/engine"
+	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/eelgrassbay/eelgrassbay/internal/replica"
+	"storj.io/drpc"
+)
+
+// Periods of the duty.
+const (
+	// basePeriod is the time between two reads of a report in a zone of up to
+	// upstreamsPerPeriod engines; it grows with their number, so that the
+	// cost of an instance does not.
+	basePeriod         = 250 * time.Millisecond
+	upstreamsPerPeriod = 32
+	pullPeriod         = 10 * time.Second
+	// staleAge is the age of a report from which an instance reads it itself,
+	// whoever should have.
+	staleAge = 3 * time.Second
+)
+
+// Target is one upstream as the documents describe it.
+type Target struct {
+	Name     string // service/upstream
+	Upstream config.Upstream
+}
+
+// Caller calls peers; peer.Client implements it.
+type Caller interface {
+	Call(ctx context.Context, address string, call func(context.Context, drpc.Conn) error) error
+}
+
+// Engines reads reports; engine.Client implements it.
+type Engines interface {
+	Report(ctx context.Context, address string) (engine.Report, error)
+}
+
+// Options configure a Duty.
+type Options struct {
+	Self    platform.Instance
+	Replica *replica.Duty
+	Engines Engines
+	Peers   Caller
+	// Apply takes every entry that brought news, in order.
+	Apply func(Entry, News)
+	Now   func() time.Duration
+	Log   *slog.Logger
+}
+
+// Duty reads and relays reports. A mutex guards the state: steps are short and
+// come from the loop and from peers' calls.
+type Duty struct {
+	opts  Options
+	mu    sync.Mutex
+	state *State
+}
+
+// NewDuty returns a duty without reports.
+func NewDuty(opts Options) *Duty { return &Duty{opts: opts, state: NewState()} }
+
+// Entries returns all reports known now.
+func (d *Duty) Entries() []Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Entries()
+}
+
+// Run reads the reports that fall to this instance until ctx ends.
+func (d *Duty) Run(ctx context.Context) error {
+	lastPull := -pullPeriod
+	for ctx.Err() == nil {
+		known := d.opts.Replica.Snapshot()
+		targets := Targets(known)
+		d.retain(targets)
+		mine, period := d.due(known, targets)
+		d.readAll(ctx, known, mine)
+		if now := d.opts.Now(); now-lastPull >= pullPeriod {
+			lastPull = now
+			d.pull(ctx, known)
+		}
+		sleep(ctx, period*3/4+time.Duration(rand.Int63n(int64(period/2))))
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, period time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(period):
+	}
+}
+
+// Targets returns the upstreams of all documents in force.
+func Targets(known *replica.Snapshot) []Target {
+	var targets []Target
+	for _, doc := range known.Services {
+		for _, u := range doc.Upstreams {
+			targets = append(targets, Target{Name: doc.Service + "/" + u.Name, Upstream: u})
+		}
+	}
+	return targets
+}
+
+func (d *Duty) retain(targets []Target) {
+	names := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		names[t.Name] = true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.Retain(names)
+}
+
+// due returns the engines of this zone that this instance reads now, and the
+// time until the next read.
+func (d *Duty) due(known *replica.Snapshot, targets []Target) ([]Target, time.Duration) {
+	members := append(zonePeers(known, d.opts.Self.Zone), d.opts.Self)
+	var mine []Target
+	engines := 0
+	now := d.opts.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range targets {
+		if t.Upstream.Kind != config.UpstreamEngine || t.Upstream.Zone != d.opts.Self.Zone {
+			continue
+		}
+		engines++
+		e, ok := d.state.Entry(t.Name)
+		if Reader(t.Name, members) == d.opts.Self.Name || !ok || now-e.ReadAt > staleAge {
+			mine = append(mine, t)
+		}
+	}
+	return mine, basePeriod * time.Duration(1+engines/upstreamsPerPeriod)
+}
+
+func zonePeers(known *replica.Snapshot, zone string) []platform.Instance {
+	var peers []platform.Instance
+	for _, p := range known.Peers {
+		if p.Zone == zone {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
+
+// readAll reads reports at once and relays what is new.
+func (d *Duty) readAll(ctx context.Context, known *replica.Snapshot, targets []Target) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var load, residency []Entry
+	for _, t := range targets {
+		wg.Go(func() {
+			e, ok := d.read(ctx, t)
+			if !ok {
+				return
+			}
+			news := d.observe(e)
+			mu.Lock()
+			defer mu.Unlock()
+			if news.Load {
+				load = append(load, e)
+			}
+			if news.Residency {
+				residency = append(residency, e)
+			}
+		})
+	}
+	wg.Wait()
+	d.relay(ctx, zonePeers(known, d.opts.Self.Zone), load)
+	d.relay(ctx, onePerZone(known, d.opts.Self.Zone), residency)
+}
+
+func (d *Duty) read(ctx context.Context, t Target) (Entry, bool) {
+	readAt := d.opts.Now()
+	report, err := d.opts.Engines.Report(ctx, t.Upstream.Address)
+	if err != nil {
+		d.opts.Log.Debug("read report", "upstream", t.Name, "error", err)
+		return Entry{}, false
+	}
+	if report.Leaving {
+		_ = d.opts.Replica.UpstreamLeaving(ctx, t.Upstream.Address)
+	}
+	return Entry{Upstream: t.Name, Report: report, ReadAt: readAt}, true
+}
+
+// observe steps the state and passes news on, in the order of the steps.
+func (d *Duty) observe(e Entry) News {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	news := d.state.Observe(e)
+	if news.Load {
+		d.opts.Apply(e, news)
+	}
+	return news
+}
+
+// onePerZone returns one random instance of each other zone.
+func onePerZone(known *replica.Snapshot, own string) []platform.Instance {
+	byZone := map[string][]platform.Instance{}
+	for _, p := range known.Peers {
+		if p.Zone != own {
+			byZone[p.Zone] = append(byZone[p.Zone], p)
+		}
+	}
+	var chosen []platform.Instance
+	for _, peers := range byZone {
+		chosen = append(chosen, peers[rand.Intn(len(peers))])
+	}
+	return chosen
+}
+
+func (d *Duty) relay(ctx context.Context, to []platform.Instance, entries []Entry) {
+	if len(entries) == 0 || len(to) == 0 {
+		return
+	}
+	msg := d.message(entries)
+	var wg sync.WaitGroup
+	for _, p := range to {
+		wg.Go(func() {
+			err := d.opts.Peers.Call(ctx, p.PeerAddress, func(ctx context.Context, conn drpc.Conn) error {
+				_, err := peerpb.NewDRPCInventoryClient(conn).Relay(ctx, msg)
+				return err
+			})
+			if err != nil {
+				d.opts.Log.Debug("relay reports", "peer", p.Name, "error", err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (d *Duty) message(entries []Entry) *peerpb.Reports {
+	msg := &peerpb.Reports{Zone: d.opts.Self.Zone}
+	now := d.opts.Now()
+	for _, e := range entries {
+		msg.Reports = append(msg.Reports, toWire(now, e))
+	}
+	return msg
+}
+
+// pull compares residency with one peer of the zone, or of any zone if there
+// is none, and takes what differs.
+func (d *Duty) pull(ctx context.Context, known *replica.Snapshot) {
+	peers := zonePeers(known, d.opts.Self.Zone)
+	if len(peers) == 0 {
+		peers = known.Peers
+	}
+	if len(peers) == 0 {
+		return
+	}
+	p := peers[rand.Intn(len(peers))]
+	d.mu.Lock()
+	hash := d.state.Hash()
+	d.mu.Unlock()
+	var reply *peerpb.Reports
+	err := d.opts.Peers.Call(ctx, p.PeerAddress, func(ctx context.Context, conn drpc.Conn) (err error) {
+		reply, err = peerpb.NewDRPCInventoryClient(conn).Pull(ctx, &peerpb.PullRequest{Hash: hash})
+		return err
+	})
+	if err != nil {
+		d.opts.Log.Debug("pull reports", "peer", p.Name, "error", err)
+		return
+	}
+	for _, w := range reply.Reports {
+		d.observe(fromWire(d.opts.Now(), w))
+	}
+}
+
+// passOnTimeout bounds what a peer's call causes.
+const passOnTimeout = 2 * time.Second
+
+// Relay implements peerpb.DRPCInventoryServer. Residency from another zone is
+// passed on within this one.
+func (d *Duty) Relay(_ context.Context, msg *peerpb.Reports) (*peerpb.RelayReply, error) {
+	now := d.opts.Now()
+	var residency []Entry
+	for _, w := range msg.Reports {
+		e := fromWire(now, w)
+		if d.observe(e).Residency {
+			residency = append(residency, e)
+		}
+	}
+	if msg.Zone != d.opts.Self.Zone && len(residency) > 0 {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), passOnTimeout)
+			defer cancel()
+			d.relay(ctx, zonePeers(d.opts.Replica.Snapshot(), d.opts.Self.Zone), residency)
+		}()
+	}
+	return &peerpb.RelayReply{}, nil
+}
+
+// Pull implements peerpb.DRPCInventoryServer.
+func (d *Duty) Pull(_ context.Context, req *peerpb.PullRequest) (*peerpb.Reports, error) {
+	d.mu.Lock()
+	same := d.state.Hash() == req.Hash
+	entries := d.state.Entries()
+	d.mu.Unlock()
+	if same {
+		return &peerpb.Reports{Zone: d.opts.Self.Zone}, nil
+	}
+	return d.message(entries), nil
+}
--- /dev/null
+++ b/internal/inventory/state.go
@@ -0,0 +1,147 @@
+// Package inventory keeps what one instance knows of upstreams: which models
+// they hold and how loaded they are. Each engine's report is read by one
+// instance of its zone, chosen by rendezvous hashing, which relays what changed
+// to the zone's other instances; other zones are told of residency only.
+//
+// State is the decision, a plain value; Duty drives it with I/O.
+package inventory
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/eelgrassbay/eelgrassbay/internal/engine"
+	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+)
+
+// Entry is the latest report of one upstream, read at ReadAt on the local
+// clock, here or by the instance that relayed it.
+type Entry struct {
+	Upstream string // service/upstream
+	Report   engine.Report
+	ReadAt   time.Duration
+}
+
+// State is not safe for concurrent use.
+type State struct {
+	entries map[string]Entry
+}
+
+// NewState returns a state without reports.
+func NewState() *State { return &State{entries: map[string]Entry{}} }
+
+// News says what an observed entry changed.
+type News struct {
+	Load      bool // anything at all
+	Residency bool // resident models, a restart or leaving
+}
+
+// Observe takes an entry. One that was read before the known one, or that is
+// older by the engine's own count, is ignored.
+func (s *State) Observe(e Entry) News {
+	old, known := s.entries[e.Upstream]
+	sameBoot := known && old.Report.Boot == e.Report.Boot
+	if known && e.ReadAt < old.ReadAt || sameBoot && e.Report.Seq < old.Report.Seq {
+		return News{}
+	}
+	s.entries[e.Upstream] = e
+	return News{
+		Load:      !known || loadDiffers(old.Report, e.Report) || !sameBoot || e.Report.Seq != old.Report.Seq,
+		Residency: !sameBoot || e.Report.Seq != old.Report.Seq || e.Report.Leaving != old.Report.Leaving,
+	}
+}
+
+func loadDiffers(a, b engine.Report) bool {
+	return a.Running != b.Running || a.Queued != b.Queued || a.QueuedPrefill != b.QueuedPrefill ||
+		a.FreeKVTokens != b.FreeKVTokens || a.Leaving != b.Leaving
+}
+
+// Retain forgets upstreams that no document names any more.
+func (s *State) Retain(names map[string]bool) {
+	maps.DeleteFunc(s.entries, func(name string, _ Entry) bool { return !names[name] })
+}
+
+// Entry returns the latest report of an upstream.
+func (s *State) Entry(upstream string) (Entry, bool) {
+	e, ok := s.entries[upstream]
+	return e, ok
+}
+
+// Entries returns all reports, by name.
+func (s *State) Entries() []Entry {
+	all := make([]Entry, 0, len(s.entries))
+	for _, name := range slices.Sorted(maps.Keys(s.entries)) {
+		all = append(all, s.entries[name])
+	}
+	return all
+}
+
+// Hash is equal in two states that know the same residency.
+func (s *State) Hash() uint64 {
+	var sum uint64
+	for name, e := range s.entries {
+		d := xxhash.NewWithSeed(e.Report.Seq)
+		_, _ = d.WriteString(name)
+		_, _ = d.WriteString(e.Report.Boot)
+		if e.Report.Leaving {
+			_, _ = d.WriteString("leaving")
+		}
+		sum ^= d.Sum64()
+	}
+	return sum
+}
+
+// Reader returns the instance of a zone that reads an upstream's report: the
+// one with the highest hash of both names. All instances that see the same
+// members agree, and a member that goes moves only its own upstreams.
+func Reader(upstream string, members []platform.Instance) string {
+	var best uint64
+	var reader string
+	for _, m := range members {
+		h := xxhash.Sum64String(m.Name + "\x00" + upstream)
+		if reader == "" || h > best || h == best && m.Name < reader {
+			best, reader = h, m.Name
+		}
+	}
+	return reader
+}
+
+// toWire returns an entry as it is relayed at now.
+func toWire(now time.Duration, e Entry) *peerpb.UpstreamReport {
+	r := e.Report
+	w := &peerpb.UpstreamReport{
+		Upstream: e.Upstream, Boot: r.Boot, Seq: r.Seq, Running: int64(r.Running), Queued: int64(r.Queued),
+		QueuedPrefillTokens: r.QueuedPrefill, FreeKvTokens: r.FreeKVTokens, Leaving: r.Leaving,
+		LoadAgeMs: r.AgeMS, ReadAgeMs: (now - e.ReadAt).Milliseconds(),
+	}
+	for _, res := range r.Resident {
+		w.Resident = append(w.Resident, &peerpb.Resident{Model: res.Model, Adapter: res.Adapter, Ready: res.State == engine.ResidencyReady})
+	}
+	return w
+}
+
+// fromWire returns a relayed entry that arrived at now.
+func fromWire(now time.Duration, w *peerpb.UpstreamReport) Entry {
+	r := engine.Report{
+		Boot: w.Boot, Seq: w.Seq, Running: int(w.Running), Queued: int(w.Queued),
+		QueuedPrefill: w.QueuedPrefillTokens, FreeKVTokens: w.FreeKvTokens, Leaving: w.Leaving, AgeMS: w.LoadAgeMs,
+	}
+	for _, res := range w.Resident {
+		state := engine.ResidencyLoading
+		if res.Ready {
+			state = engine.ResidencyReady
+		}
+		r.Resident = append(r.Resident, engine.Resident{Model: res.Model, Adapter: res.Adapter, State: state})
+	}
+	return Entry{Upstream: w.Upstream, Report: r, ReadAt: now - time.Duration(w.ReadAgeMs)*time.Millisecond}
+}
+
+// SplitName splits service/upstream.
+func SplitName(name string) (service, upstream string) {
+	service, upstream, _ = strings.Cut(name, "/")
+	return service, upstream
+}
--- /dev/null
+++ b/internal/inventory/state_test.go
@@ -0,0 +1,69 @@
+package inventory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/engine"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func entry(readAt time.Duration, boot string, seq uint64) Entry {
+	return Entry{Upstream: "s/u", ReadAt: readAt, Report: engine.Report{Boot: boot, Seq: seq}}
+}
+
+func TestObserve(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		next Entry
+		want News
+	}{
+		{"older read", entry(1, "a", 9), News{}},
+		{"older count", entry(9, "a", 3), News{}},
+		{"same", entry(9, "a", 5), News{}},
+		{"moved on", entry(9, "a", 6), News{Load: true, Residency: true}},
+		{"restarted", entry(9, "b", 1), News{Load: true, Residency: true}},
+	} {
+		s := NewState()
+		must.Eq(t, News{Load: true, Residency: true}, s.Observe(entry(5, "a", 5)))
+		must.Eq(t, tc.want, s.Observe(tc.next), must.Sprint(tc.name))
+	}
+}
+
+// TestRelaysInAnyOrderKeepTheNewest relays the reports of one run of an engine
+// late, twice and out of order: the state ends with the newest.
+func TestRelaysInAnyOrderKeepTheNewest(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "reports")
+		s := NewState()
+		seqs := rapid.SliceOfN(rapid.IntRange(1, n), 0, 60).Draw(t, "arrivals")
+		highest := uint64(0)
+		for _, seq := range append(seqs, n) {
+			highest = max(highest, uint64(seq))
+			sent := toWire(100, entry(time.Duration(seq)*time.Millisecond, "a", uint64(seq)))
+			s.Observe(fromWire(time.Second, sent))
+			e, _ := s.Entry("s/u")
+			must.Eq(t, highest, e.Report.Seq)
+		}
+	})
+}
+
+func TestReaderMovesOnlyTheUpstreamsOfAMemberThatGoes(t *testing.T) {
+	members := []platform.Instance{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	count := map[string]int{}
+	for i := range 300 {
+		name := fmt.Sprint("s/u", i)
+		before := Reader(name, members)
+		count[before]++
+		if before != "c" {
+			must.Eq(t, before, Reader(name, members[:2]))
+		}
+	}
+	for _, m := range members {
+		must.Between(t, 60, count[m.Name], 140)
+	}
+}
