Add the thin path: entry instance, eelgrassctl, make demo

Cause: a request must go from a caller through an entry instance to an upstream and back, as separate processes, before anything is built on it.

Change: kratos serves callers, with its timeout off because it would cut every stream after a second. A model's answer is always streamed from the engine, also for callers that want it whole: progress then shows, and a broken answer is resumed at the token after the last one.

Not done yet: limits, claims, placement, the service record and status are not wired; models are resident in the stand-ins from the start.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,8 @@
 SHELL := /bin/bash
 GO ?= go
 BIN := bin
-BINARIES := eelgrass-entry eelgrassctl eelgrass-standin eelgrass-load
 
-.PHONY: build test format vet lint unit generate clean
+.PHONY: demo build test format vet lint unit generate clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -23,6 +22,10 @@
 unit:
 	$(GO) test -json -count=1 -timeout 300s ./... | $(BIN)/knownred --list KNOWN-RED.txt
 
+# demo starts everything as separate processes on loopback and checks it.
+demo: build
+	scripts/demo.sh
+
 generate:
 	PATH="$$($(GO) env GOPATH)/bin:$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative $$(git ls-files '*.proto')
 
--- /dev/null
+++ b/cmd/eelgrass-entry/main.go
@@ -0,0 +1,57 @@
+// Command eelgrass-entry runs one entry instance.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/cli"
+	"github.com/eelgrassbay/eelgrassbay/internal/entry"
+	"github.com/eelgrassbay/eelgrassbay/internal/settings"
+)
+
+type options struct {
+	Config      string `long:"config" value-name:"FILE" description:"settings file (HuJSON)"`
+	CheckConfig bool   `long:"check-config" description:"check the settings and exit"`
+	Version     bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var opts options
+	if done, code := cli.ParseArgs(&opts, args); done {
+		return code
+	}
+	if opts.Version {
+		fmt.Println("eelgrass-entry", cli.Version())
+		return cli.ExitOK
+	}
+	if opts.Config == "" {
+		return cli.Fail(cli.ExitUsage, errors.New("eelgrass-entry: --config FILE is required"))
+	}
+	s := entry.DefaultSettings()
+	if err := settings.Load(opts.Config, s); err != nil {
+		return cli.Fail(cli.ExitUsage, err)
+	}
+	if opts.CheckConfig {
+		return cli.ExitOK
+	}
+	return serve(s)
+}
+
+func serve(s *entry.Settings) int {
+	log, err := entry.NewLogger(os.Stderr, s.Log)
+	if err != nil {
+		return cli.Fail(cli.ExitUsage, err)
+	}
+	node, err := entry.NewNode(s, log)
+	if err != nil {
+		return cli.Fail(cli.ExitFailure, err)
+	}
+	if err := node.Run(); err != nil {
+		return cli.Fail(cli.ExitFailure, err)
+	}
+	return cli.ExitOK
+}
--- /dev/null
+++ b/cmd/eelgrassctl/main.go
@@ -0,0 +1,10 @@
+// Command eelgrassctl is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/ctl"
+)
+
+func main() { os.Exit(ctl.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/ctl/run.go
@@ -0,0 +1,94 @@
+package ctl
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/cli"
+	"github.com/eelgrassbay/eelgrassbay/internal/settings"
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes beside those of package cli.
+const (
+	ExitConflict = 3
+	ExitNotFound = 4
+)
+
+// Run runs the command that args name and returns its exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	g := &Globals{out: out}
+	parser := flags.NewNamedParser("eelgrassctl", flags.HelpFlag|flags.PassDoubleDash)
+	if err := addCommands(parser, g); err != nil {
+		panic(err) // the commands' own declarations are wrong
+	}
+	_, err := parser.ParseArgs(args)
+	var fe *flags.Error
+	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+		fmt.Fprintln(out, fe.Message)
+		return cli.ExitOK
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var fe *flags.Error
+	var field *settings.FieldError
+	switch {
+	case err == nil:
+		return cli.ExitOK
+	case errors.As(err, &fe), errors.As(err, &field):
+		return cli.ExitUsage
+	case errors.Is(err, ErrConflict), errors.Is(err, ErrNoVersion):
+		return ExitConflict
+	case errors.Is(err, ErrNotFound):
+		return ExitNotFound
+	}
+	return cli.ExitFailure
+}
+
+// command is one command of the tool.
+type command struct {
+	name, short, long string
+	data              any
+}
+
+func addCommands(parser *flags.Parser, g *Globals) error {
+	if _, err := parser.AddGroup("Global options", "", g); err != nil {
+		return err
+	}
+	for _, c := range []command{
+		{"check", "check a document", "Checks a document without storing it.", &Check{Globals: g}},
+		{"apply", "store a document", "Checks a document and stores it if the version that it is based on is still the stored one.", &Apply{Globals: g}},
+		{"get", "print a document", "Prints the stored document in the form that apply takes.", &Get{Globals: g}},
+		{"delete", "delete a document", "Deletes a document; the service is served no more.", &Delete{Globals: g}},
+		{"version", "print the version", "Prints the version of eelgrassctl.", &Version{Globals: g}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			return err
+		}
+	}
+	key, err := parser.AddCommand("key", "issue and withdraw keys", "Issues and withdraws keys of organisations.", &struct{}{})
+	if err != nil {
+		return err
+	}
+	if _, err := key.AddCommand("issue", "issue a key", "Issues a key and prints it once.", &KeyIssue{Globals: g}); err != nil {
+		return err
+	}
+	_, err = key.AddCommand("withdraw", "withdraw a key", "Withdraws the key with an id.", &KeyWithdraw{Globals: g})
+	return err
+}
+
+// Version prints the version.
+type Version struct{ *Globals }
+
+// Execute implements flags.Commander.
+func (c *Version) Execute([]string) error {
+	return c.print(struct {
+		Version string `json:"version"`
+	}{cli.Version()}, "eelgrassctl "+cli.Version())
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -27,9 +27,6 @@
 	keyAge   time.Duration // age of the knowledge of keys
 }
 
-// version returns the version of the document that decides for the call.
-func (c *call) version() uint64 { return c.known.Versions[c.service.Service] }
-
 // authorise finds the organisation whose key came with the request. Knowledge
 // of keys is looked up for every request, also on a connection kept open.
 func (s *Server) authorise(r *http.Request, c *call) *Error {
--- /dev/null
+++ b/internal/entry/completions.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/config"
+	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
+	"github.com/eelgrassbay/eelgrassbay/internal/engine"
+	"github.com/eelgrassbay/eelgrassbay/internal/fair"
+	"github.com/eelgrassbay/eelgrassbay/internal/once"
+	"github.com/eelgrassbay/eelgrassbay/internal/route"
+	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
+)
+
+func (s *Server) handleChat(w http.ResponseWriter, r *http.Request, c *call) *Error {
+	return s.handleCompletion(w, r, c, true)
+}
+
+func (s *Server) handleCompletions(w http.ResponseWriter, r *http.Request, c *call) *Error {
+	return s.handleCompletion(w, r, c, false)
+}
+
+// handleCompletion runs a request to a model.
+func (s *Server) handleCompletion(w http.ResponseWriter, r *http.Request, c *call, chat bool) *Error {
+	if hasKey(r) {
+		if err := s.authorise(r, c); err != nil {
+			return err
+		}
+	}
+	body, err := s.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	req, err := s.parseCompletion(body, chat)
+	if err != nil {
+		return err
+	}
+	if err := s.findModel(c, req); err != nil {
+		return err
+	}
+	if err := c.checkLeak(r, body); err != nil {
+		return err
+	}
+	c.class = classOf(r.Header, req.tier)
+	charge := int64(req.prompt + req.maxTokens)
+	if err := s.admit(c, charge); err != nil {
+		return err
+	}
+	m := &modelCall{server: s, call: c, req: req, sink: newSink(w, req), charge: charge}
+	defer m.settle()
+	return m.run(r.Context())
+}
+
+// findModel resolves the model within the service of the caller's key or,
+// without a key, among the models open to all.
+func (s *Server) findModel(c *call, req *completion) *Error {
+	if c.service != nil {
+		return req.resolve(c.service)
+	}
+	for _, service := range c.known.Services {
+		if req.resolve(service) == nil && req.model.Open {
+			return c.setOrganisation(config.OrganisationID{Service: service.Service, Organisation: config.OpenOrganisation})
+		}
+	}
+	return refuse(http.StatusUnauthorized, CodeUnauthorized, "want a key as \"Authorization: Bearer KEY\"")
+}
+
+// modelCall is one request to a model.
+type modelCall struct {
+	server *Server
+	call   *call
+	req    *completion
+	sink   sink
+	charge int64 // tokens taken from the organisation's limits
+	used   int64 // tokens of the prompt and of the answer, as far as known
+	ran    bool  // an attempt may have run
+}
+
+func (m *modelCall) model() string { return m.call.service.Service + "/" + m.req.model.Name }
+
+func (m *modelCall) run(ctx context.Context) *Error {
+	limits := m.call.service.Deadlines
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(limits.RequestMS)*time.Millisecond)
+	defer cancel()
+	body, encodeErr := m.req.upstreamBody()
+	if encodeErr != nil {
+		return refuse(http.StatusBadRequest, CodeBadRequest, "the body cannot be passed on")
+	}
+	deadline := m.call.received + time.Duration(limits.FirstTokenMS)*time.Millisecond
+	if m.call.class == fair.Batch {
+		deadline = m.call.received + time.Duration(limits.RequestMS)*time.Millisecond
+	}
+	req := once.NewRequest(once.RequestOptions{Idempotent: true, Deadline: deadline}, m.server.opts.Budget)
+	acquire := func() (*dispatch.Slot, *Error) {
+		return m.server.acquire(ctx, dispatch.Request{
+			Organisation: m.call.org.String(), Class: m.call.class,
+			Route: route.Request{
+				Model: m.model(), Adapter: m.req.adapter, Prefix: m.req.prefix, PrefixTokens: m.req.prompt,
+				PromptTokens: m.req.prompt, MaxTokens: m.req.maxTokens, Deadline: deadline,
+			},
+		})
+	}
+	err := m.server.attempts(ctx, req, acquire, func(id string, slot *dispatch.Slot) once.Outcome {
+		outcome := m.attempt(ctx, id, slot, body)
+		release(slot, outcome, m.sink.tokens())
+		return outcome
+	})
+	return m.conclude(err)
+}
+
+// conclude ends the answer. Once any of it has reached the caller an error can
+// only be told inside the stream, which is then cut.
+func (m *modelCall) conclude(err *Error) *Error {
+	if err == nil {
+		return m.sink.finish()
+	}
+	if !m.sink.started() {
+		return err
+	}
+	err.Code, err.Ran = CodeCut, RanUnknown
+	m.server.logError(m.call, err)
+	m.sink.abort(err, m.call.id)
+	return nil
+}
+
+// attempt runs one attempt on one engine, with resumes on the same engine.
+func (m *modelCall) attempt(ctx context.Context, id string, slot *dispatch.Slot, body []byte) once.Outcome {
+	address, ok := addressOf(m.call.service, slot.Upstream)
+	if !ok {
+		return once.NotSent
+	}
+	st := &stream{call: m, attempt: id, address: address, body: body}
+	outcome := st.run(ctx)
+	m.ran = m.ran || outcome == once.Answered || outcome == once.Unknown
+	return outcome
+}
+
+func (m *modelCall) header(attempt string) http.Header {
+	h := http.Header{}
+	h.Set("Content-Type", "application/json")
+	h.Set("Accept", "text/event-stream")
+	h.Set(engine.HeaderAttempt, attempt)
+	h.Set(engine.HeaderFlow, m.call.org.String())
+	h.Set(engine.HeaderPriority, engine.PriorityLive)
+	if m.call.class == fair.Batch {
+		h.Set(engine.HeaderPriority, engine.PriorityBatch)
+	}
+	h.Set(headerRequestID, m.call.id)
+	return h
+}
+
+func (m *modelCall) newAttempt(id, address string, body []byte) *upstream.Attempt {
+	return &upstream.Attempt{ID: id, Method: http.MethodPost, Address: address, Path: m.req.path(), Header: m.header(id), Body: body}
+}
--- /dev/null
+++ b/internal/entry/http.go
@@ -0,0 +1,21 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+)
+
+// readHeaderTimeout bounds how long a caller may take to send its headers.
+const readHeaderTimeout = 10 * time.Second
+
+// newHTTPServer returns the server for callers. Its timeout is off: it would
+// cut every stream; deadlines come from the documents.
+func (n *Node) newHTTPServer() *khttp.Server {
+	srv := khttp.NewServer(khttp.Address(n.settings.Listen), khttp.Timeout(0))
+	srv.HandlePrefix("/", n.server.Handler())
+	srv.ReadHeaderTimeout = readHeaderTimeout
+	srv.MaxHeaderBytes = http.DefaultMaxHeaderBytes / 16
+	return srv
+}
--- /dev/null
+++ b/internal/entry/node.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
+	"github.com/eelgrassbay/eelgrassbay/internal/engine"
+	"github.com/eelgrassbay/eelgrassbay/internal/inventory"
+	"github.com/eelgrassbay/eelgrassbay/internal/once"
+	"github.com/eelgrassbay/eelgrassbay/internal/peer"
+	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/eelgrassbay/eelgrassbay/internal/replica"
+	"github.com/eelgrassbay/eelgrassbay/internal/route"
+	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
+	"github.com/go-kratos/kratos/v2"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+)
+
+// Node is one entry instance: its duties and how they are joined.
+type Node struct {
+	settings *Settings
+	log      *slog.Logger
+	self     platform.Instance
+	now      func() time.Duration
+
+	platform  *platform.Client
+	peers     *peer.Client
+	peerSrv   *peer.Server
+	replica   *replica.Duty
+	inventory *inventory.Duty
+	dispatch  *dispatch.Duty
+	table     *tableFeed
+	server    *Server
+}
+
+// monotonic returns a clock that starts now and never goes back.
+func monotonic() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
+
+// NewNode builds an instance from checked settings; it listens for peers.
+func NewNode(s *Settings, log *slog.Logger) (*Node, error) {
+	n := &Node{settings: s, log: log.With("instance", s.Name, "zone", s.Zone), now: monotonic()}
+	if err := n.connect(); err != nil {
+		return nil, err
+	}
+	n.self = platform.Instance{
+		Name: s.Name, Incarnation: uuid.NewString(), Zone: s.Zone, Role: platform.RoleEntry, State: platform.InstanceLive,
+		Address: orElse(s.Advertise, s.Listen), PeerAddress: orElse(s.PeerAdvertise, n.peerSrv.Address()),
+	}
+	n.buildDuties()
+	return n, n.register()
+}
+
+func orElse(value, other string) string {
+	if value == "" {
+		return other
+	}
+	return value
+}
+
+// connect opens what reaches other processes.
+func (n *Node) connect() error {
+	s := n.settings
+	n.platform = platform.NewClient(platform.ClientOptions{
+		BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std(), WatchTimeout: s.Platform.WatchTimeout.Std(),
+	})
+	n.peers = peer.NewClient(peer.ClientOptions{})
+	srv, err := peer.NewServer(s.PeerListen, nil)
+	if err != nil {
+		return fmt.Errorf("entry: %w", err)
+	}
+	n.peerSrv = srv
+	return nil
+}
+
+func (n *Node) buildDuties() {
+	n.replica = replica.NewDuty(replica.Options{
+		Self: n.self, Store: n.platform, Instances: n.platform, Peers: n.peers, Seeds: n.settings.Peers,
+		Reads: func() bool { return true }, Now: n.now, Log: n.log, Seed: rand.Int64(),
+	})
+	n.dispatch = dispatch.New(dispatch.Options{
+		Route: route.Options{Distance: n.distance}, Now: n.now, Seed: rand.Uint64(),
+	})
+	n.table = newTableFeed(n.dispatch, n.log)
+	n.inventory = inventory.NewDuty(inventory.Options{
+		Self: n.self, Replica: n.replica, Engines: engine.NewClient(), Peers: n.peers,
+		Apply: n.table.report, Now: n.now, Log: n.log,
+	})
+	n.table.latest = n.inventory.Entry
+	n.server = NewServer(ServerOptions{
+		Name: n.settings.Name, Requests: n.settings.Requests, Replica: n.replica, Dispatch: n.dispatch,
+		Upstream: upstream.NewClient(), Budget: once.NewBudget(n.now(), once.BudgetOptions{}, rand.New(rand.NewPCG(rand.Uint64(), 0))),
+		Now: n.now, Log: n.log,
+	})
+}
+
+// zoneDistance is the round trip to another zone.
+const zoneDistance = 1500 * time.Microsecond
+
+func (n *Node) distance(zone string) time.Duration {
+	if zone == n.settings.Zone {
+		return 0
+	}
+	return zoneDistance
+}
+
+func (n *Node) register() error {
+	if err := n.peerSrv.Register(n.replica, peerpb.DRPCSyncDescription{}); err != nil {
+		return err
+	}
+	return n.peerSrv.Register(n.inventory, peerpb.DRPCInventoryDescription{})
+}
+
+// Run serves until SIGTERM or SIGINT, stops gracefully and returns.
+func (n *Node) Run() error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	g, ctx := errgroup.WithContext(ctx)
+	for _, duty := range []func(context.Context) error{
+		n.peerSrv.Serve, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.feedTable, n.announce,
+	} {
+		g.Go(func() error { return duty(ctx) })
+	}
+	app := kratos.New(
+		kratos.Name("eelgrass-entry"), kratos.ID(n.self.Incarnation), kratos.Logger(kratosLogger{n.log}), kratos.Context(ctx),
+		kratos.Server(n.newHTTPServer()),
+		kratos.BeforeStop(n.leave),
+		kratos.StopTimeout(n.settings.Stop.Drain.Std()),
+	)
+	n.log.Info("serving", "listen", n.settings.Listen, "peer_listen", n.peerSrv.Address())
+	err := app.Run()
+	n.depart()
+	stop()
+	if dutyErr := g.Wait(); err == nil {
+		err = dutyErr
+	}
+	n.log.Info("stopped", "error", err)
+	return err
+}
+
+// feedTable brings the routing table in step with documents and members.
+func (n *Node) feedTable(ctx context.Context) error {
+	for {
+		n.table.sync(n.replica.Snapshot())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.replica.Changed():
+		}
+	}
+}
+
+// announceRetry spaces the tries to enter the instance list.
+const announceRetry = time.Second
+
+// announce enters the instance list.
+func (n *Node) announce(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := n.platform.Register(ctx, n.self)
+		if err == nil {
+			return nil
+		}
+		n.log.Warn("enter the instance list", "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(announceRetry):
+		}
+	}
+	return nil
+}
+
+// leave runs before the HTTP server stops: it tells the list and the peers,
+// goes on serving while the balancer learns of it, then refuses new requests
+// as not run and waits for those that run.
+func (n *Node) leave(ctx context.Context) error {
+	n.log.Info("leaving", "lame_duck", n.settings.Stop.LameDuck.String())
+	leaving := n.self
+	leaving.State = platform.InstanceLeaving
+	if err := n.platform.Register(ctx, leaving); err != nil {
+		n.log.Warn("mark as leaving in the instance list", "error", err)
+	}
+	if err := n.replica.Leave(ctx); err != nil {
+		n.log.Warn("tell peers of leaving", "error", err)
+	}
+	time.Sleep(n.settings.Stop.LameDuck.Std())
+	n.server.Refuse()
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Stop.Drain.Std())
+	defer cancel()
+	if left := n.server.Drain(ctx); left > 0 {
+		n.log.Error("requests cut by the stop", "requests", left)
+	}
+	return nil
+}
+
+// departTimeout bounds the last call to the instance list.
+const departTimeout = 2 * time.Second
+
+// depart leaves the instance list.
+func (n *Node) depart() {
+	ctx, cancel := context.WithTimeout(context.Background(), departTimeout)
+	defer cancel()
+	if err := n.platform.Deregister(ctx, n.self.Name); err != nil {
+		n.log.Warn("leave the instance list", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/entry/sink.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
+)
+
+// sink takes the events of a checked stream and answers the caller.
+type sink interface {
+	// event takes one event; an error means that the caller has left.
+	event(data []byte, c *chunk) error
+	// finish ends a whole answer.
+	finish() *Error
+	// abort ends a started answer that is not whole, so that the caller can
+	// not take it for a whole one.
+	abort(err *Error, requestID string)
+	// pass answers with an upstream's own error.
+	pass(status int, header http.Header, body []byte)
+	// started reports whether any of the answer has reached the caller.
+	started() bool
+	// tokens returns the number of tokens taken.
+	tokens() int
+}
+
+func newSink(w http.ResponseWriter, req *completion) sink {
+	base := sinkBase{w: w}
+	if req.stream {
+		return &streamSink{sinkBase: base, flush: http.NewResponseController(w)}
+	}
+	return &wholeSink{sinkBase: base, chat: req.chat}
+}
+
+type sinkBase struct {
+	w      http.ResponseWriter
+	count  int
+	wrote  bool
+	passed bool
+}
+
+func (s *sinkBase) tokens() int   { return s.count }
+func (s *sinkBase) started() bool { return s.wrote }
+
+func (s *sinkBase) pass(status int, header http.Header, body []byte) {
+	s.wrote, s.passed = true, true
+	upstream.CopyAnswerHeader(s.w.Header(), header)
+	s.w.WriteHeader(status)
+	_, _ = s.w.Write(body)
+}
+
+// streamSink passes events on as they come.
+type streamSink struct {
+	sinkBase
+	flush *http.ResponseController
+}
+
+func (s *streamSink) event(data []byte, c *chunk) error {
+	if !s.wrote {
+		s.wrote = true
+		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Cache-Control", "no-store")
+		s.w.WriteHeader(http.StatusOK)
+	}
+	if c.hasToken() {
+		s.count++
+	}
+	return s.write(data)
+}
+
+func (s *streamSink) write(data []byte) error {
+	event := make([]byte, 0, len(data)+len("data: \n\n"))
+	event = append(event, "data: "...)
+	event = append(event, data...)
+	event = append(event, "\n\n"...)
+	if _, err := s.w.Write(event); err != nil {
+		return err
+	}
+	return s.flush.Flush()
+}
+
+func (s *streamSink) finish() *Error {
+	if !s.passed {
+		_ = s.write([]byte("[DONE]"))
+	}
+	return nil
+}
+
+func (s *streamSink) abort(err *Error, requestID string) {
+	_ = s.write(err.body(requestID))
+	panic(http.ErrAbortHandler) // the connection ends without the end marker
+}
+
+// wholeSink collects the events into one answer.
+type wholeSink struct {
+	sinkBase
+	chat bool
+	text []byte
+	last map[string]json.RawMessage
+	stop json.RawMessage // finish_reason
+}
+
+func (s *wholeSink) event(data []byte, c *chunk) error {
+	if c.hasToken() {
+		s.count++
+		s.text = append(s.text, c.Choices[0].Text...)
+		s.text = append(s.text, c.Choices[0].Delta.Content...)
+	}
+	s.last = nil
+	if err := json.Unmarshal(data, &s.last); err != nil {
+		return err
+	}
+	var choices []struct {
+		FinishReason json.RawMessage `json:"finish_reason"`
+	}
+	if err := json.Unmarshal(s.last["choices"], &choices); err == nil && len(choices) > 0 {
+		s.stop = choices[0].FinishReason
+	}
+	return nil
+}
+
+// wholeChoice is the one choice of a whole answer.
+type wholeChoice struct {
+	Index        int             `json:"index"`
+	Text         *string         `json:"text,omitempty"`
+	Message      *message        `json:"message,omitempty"`
+	FinishReason json.RawMessage `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (s *wholeSink) finish() *Error {
+	if s.passed {
+		return nil
+	}
+	text := string(s.text)
+	choice := wholeChoice{FinishReason: s.stop}
+	object := "text_completion"
+	if s.chat {
+		object = "chat.completion"
+		choice.Message = &message{Role: "assistant", Content: text}
+	} else {
+		choice.Text = &text
+	}
+	answer := map[string]any{"object": object, "choices": []wholeChoice{choice}}
+	for _, field := range []string{"id", "created", "model", "usage", "attempt"} {
+		if raw, ok := s.last[field]; ok {
+			answer[field] = raw
+		}
+	}
+	s.w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(s.w).Encode(answer); err != nil {
+		return nil // the caller has left
+	}
+	return nil
+}
+
+// abort is never needed: nothing is written before the answer is whole.
+func (s *wholeSink) abort(*Error, string) { panic(http.ErrAbortHandler) }
--- a/internal/inventory/duty.go
+++ b/internal/inventory/duty.go
@@ -74,6 +74,13 @@
 	return d.state.Entries()
 }
 
+// Entry returns the latest report of an upstream.
+func (d *Duty) Entry(upstream string) (Entry, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Entry(upstream)
+}
+
 // Run reads the reports that fall to this instance until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
 	lastPull := -pullPeriod
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,90 @@
+#!/usr/bin/env bash
+# Starts the stand-ins and three entry instances in two zones as processes on
+# loopback, sends requests through them and stops all by process id. Exits
+# non-zero if anything was wrong.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+logs=$(mktemp -d)
+pids=()
+
+stop_all() {
+  local status=0
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" || status=1; done
+  return $status
+}
+
+fail() {
+  echo "demo: $*" >&2
+  tail -n 5 "$logs"/* >&2
+  stop_all || true
+  exit 1
+}
+
+start() { # name, command...
+  local name=$1
+  shift
+  "$@" 2>"$logs/$name.log" &
+  pids+=($!)
+}
+
+ready() { # url
+  for _ in $(seq 100); do
+    curl -fsS -o /dev/null "$1" 2>/dev/null && return 0
+    sleep 0.1
+  done
+  fail "$1 is not ready"
+}
+
+ctl() { bin/eelgrassctl "$@"; }
+
+start standin bin/eelgrass-standin --config examples/demo/standin.hujson
+ready http://127.0.0.1:7100/instances
+for name in north-1 north-2 south-1; do
+  start "$name" bin/eelgrass-entry --config "examples/demo/$name.hujson"
+done
+
+ctl apply examples/service.hujson || fail "apply"
+key=$(ctl key issue lab harbour-lab) || fail "key issue"
+for port in 7200 7201 7202; do ready "http://127.0.0.1:$port/readyz"; done
+
+call() { # port, path, curl arguments...
+  local port=$1 path=$2
+  shift 2
+  curl -fsS --retry 8 --retry-all-errors --retry-delay 1 -H "Authorization: Bearer $key" "$@" "http://127.0.0.1:$port$path"
+}
+
+for port in 7200 7201 7202; do
+  call "$port" /v1/models >/dev/null || fail "models at $port"
+done
+
+echo "streamed request:"
+stream=$(call 7200 /v1/chat/completions -d '{"model": "panel-notes", "stream": true, "max_tokens": 8,
+  "messages": [{"role": "user", "content": "note on panel 12"}]}') || fail "streamed request"
+echo "$stream" | tail -n 2
+echo "$stream" | grep -q '^data: \[DONE\]' || fail "the stream is not whole"
+
+echo "idempotent lookup:"
+call 7202 /services/lab/lookup/panel-12 || fail "lookup"
+echo
+
+runs_of() { # id
+  for port in 7120 7121; do curl -fsS "http://127.0.0.1:$port/runs/$1"; done |
+    sed -n 's/.*"runs":\([0-9]*\).*/\1/p' | awk '{n += $1} END {print n + 0}'
+}
+
+echo "non-idempotent check-in:"
+id="checkin-$$"
+call 7201 "/services/lab/checkin/$id" -X POST || fail "check-in"
+runs=$(runs_of "$id")
+[ "$runs" = 1 ] || fail "the check-in ran $runs times"
+
+seen=0
+for port in 7110 7111 7120 7121; do
+  seen=$((seen + $(curl -fsS "http://127.0.0.1:$port/seen-credentials" | tr -dc 0-9)))
+done
+[ "$seen" = 0 ] || fail "upstreams saw $seen credentials"
+
+stop_all || fail "a process did not stop gracefully"
+echo "demo: all good"
