--- a/internal/once/claimer_test.go
+++ b/internal/once/claimer_test.go
@@ -298,7 +298,7 @@
 	rapidtest.Check(t, func(t *rapid.T) {
 		f := newFleet(t, 3, true)
 		var keys []Key
-		for range rapid.IntRange(50, 250).Draw(t, "steps") {
+		for range rapid.IntRange(200, 1200).Draw(t, "steps") {
 			switch f.draw(12, "step") {
 			case 0:
 				keys = append(keys, testKey(len(keys), f.now))
--- a/internal/once/request.go
+++ b/internal/once/request.go
@@ -114,7 +114,7 @@
 	case NotSent, RefusedBeforeRun:
 		return r.retryOr(now, true, eventNotRunRetry, eventNotRunFinal)
 	}
-	return r.retryOr(now, true, eventUnknownRetry, eventUnknownFinal)
+	return r.retryOr(now, r.opts.Idempotent, eventUnknownRetry, eventUnknownFinal)
 }
 
 func (r *Request) retryOr(now time.Duration, allowed bool, retry, final string) Decision {
