--- /dev/null
+++ b/internal/lease/message.go
@@ -0,0 +1,78 @@
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+)
+
+// Value is what the lease's object holds.
+type Value struct {
+	Holder   string `json:"holder"`  // instance name, for operators
+	Writer   string `json:"writer"`  // unique per incarnation
+	Attempt  uint64 `json:"attempt"` // unique per writer
+	TermMS   int64  `json:"term_ms"`
+	Released bool   `json:"released,omitempty"`
+}
+
+// Decode reads the value of a lease's object. It fails on malformed JSON.
+func Decode(obj platform.Object) (Value, error) {
+	var v Value
+	if err := json.Unmarshal(obj.Value, &v); err != nil {
+		return Value{}, fmt.Errorf("lease: object %s: %w", obj.Name, err)
+	}
+	return v, nil
+}
+
+// Message is an input of Lease.Step.
+type Message interface{ message() }
+
+// Messages. Attempt is that of the Put which is answered.
+type (
+	// Tick lets time pass; send it a few times per second.
+	Tick struct{}
+	// Read reports the object as read or relayed, however late. The zero
+	// Object stands for an object that was never written.
+	Read struct{ Object platform.Object }
+	// WriteOK reports the object as stored by a Put.
+	WriteOK struct {
+		Attempt uint64
+		Object  platform.Object
+	}
+	// WriteConflict reports that a Put had no effect.
+	WriteConflict struct{ Attempt uint64 }
+	// WriteUnknown reports that a Put may have had an effect, now or later.
+	WriteUnknown struct{ Attempt uint64 }
+	// Unavailable reports that the object API did not answer a Get or a Put.
+	Unavailable struct{}
+	// Release gives the lease up for good.
+	Release struct{}
+)
+
+func (Tick) message()          {}
+func (Read) message()          {}
+func (WriteOK) message()       {}
+func (WriteConflict) message() {}
+func (WriteUnknown) message()  {}
+func (Unavailable) message()   {}
+func (Release) message()       {}
+
+// Action is an output of Lease.Step. The caller carries it out and reports
+// the outcome as a message.
+type Action interface{ action() }
+
+// Actions.
+type (
+	// Get asks for a read of the object, reported as Read or Unavailable.
+	Get struct{}
+	// Put asks for a conditional write, reported with its attempt number.
+	Put struct {
+		Attempt         uint64
+		ExpectedVersion uint64
+		Value           json.RawMessage
+	}
+)
+
+func (Get) action() {}
+func (Put) action() {}
