placement/ledger: count accelerator memory in the worst case

Cause: an order may be lost, late, duplicated, or come from a former owner, and some engines ignore fences; memory read off a report alone overcommits.

Change: Ledger counts what the engine reports as resident plus each recorded order not proven dead, one per key and operation. Every order has a fence of its own and is sent once by the run that recorded it; a retry is a new record. With durable fences a higher fence in a later report kills an order; elsewhere an order lives until a report asked for after send window + MaxOrderDelay since it was first seen. A report counts only if it was asked for after the ledger version was read, so boots need no order. Controller keeps the sequence.

Ruled out: freeing on `settled` (a copy may load again), trusting a fence that a reboot resets (treated as no fence), counting reports by boot and seq (boots have no order), sending an order twice under one id.

Conclusion: memory bound and return to the wanted set hold under the faults injected, given the engine's promises in the package comment.

--- /dev/null
+++ b/internal/placement/ledger/charts.go
@@ -0,0 +1,63 @@
+package ledger
+
+import (
+	_ "embed" // the state charts
+
+	"github.com/eelgrassbay/eelgrassbay/internal/chart"
+)
+
+//go:embed order.hujson
+var orderSource []byte
+
+//go:embed upstream.hujson
+var upstreamSource []byte
+
+var (
+	orderChart    = chart.MustLoad(orderSource)
+	upstreamChart = chart.MustLoad(upstreamSource)
+)
+
+// States of an order, as in order.hujson.
+const (
+	OrderPlanned  = "planned"
+	OrderRecorded = "recorded"
+	OrderSent     = "sent"
+	OrderUnknown  = "unknown"
+	OrderApplied  = "applied"
+	OrderDead     = "dead"
+)
+
+// States of an upstream, as in upstream.hujson.
+const (
+	UpstreamUnknown = "unknown"
+	UpstreamLive    = "live"
+	UpstreamLeaving = "leaving"
+	UpstreamGone    = "gone"
+)
+
+// Events of the charts.
+const (
+	eventWritten       = "written"
+	eventNotWritten    = "not_written"
+	eventSend          = "send"
+	eventWithhold      = "withhold"
+	eventAccepted      = "accepted"
+	eventRefused       = "refused"
+	eventNoAnswer      = "no_answer"
+	eventSettled       = "settled"
+	eventDied          = "died"
+	eventReport        = "report"
+	eventReportLeaving = "report_leaving"
+	eventSilent        = "silent"
+	eventListedLive    = "listed_live"
+	eventListedLeaving = "listed_leaving"
+	eventUnlisted      = "unlisted"
+)
+
+// fire applies an event of an embedded chart. chart.Load has proven that each
+// state defines each event, so a failure is a fault of this package.
+func fire(m *chart.Machine, event string) {
+	if _, err := m.Fire(event); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/placement/ledger/decide.go
@@ -0,0 +1,142 @@
+package ledger
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/engine"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+)
+
+// maxOrdersPerWrite bounds the orders that one conditional update records, so
+// that adapter orders share a write.
+const maxOrdersPerWrite = 8
+
+// startWrite claims the ledger and records the orders that are due.
+func (c *Controller) startWrite(now time.Duration) []Action {
+	next := c.base
+	next.Owner = c.opt.Owner
+	next.Writer = c.opt.Writer
+	next.Attempt = c.attempt + 1
+	next.MemoryMB = c.opt.MemoryMB
+	next.DurableFence = c.opt.Promise.DurableFence
+	var orders []engine.Order
+	if c.State() == UpstreamLive {
+		next, orders = c.reserve(now, next)
+	}
+	if len(orders) == 0 && c.base.Owner == c.opt.Owner {
+		return nil
+	}
+	value, err := next.Encode()
+	if err != nil {
+		return []Action{Invalid{Err: err}}
+	}
+	c.attempt++
+	c.write = &pendingWrite{attempt: c.attempt, started: now, next: next, orders: orders}
+	return []Action{WriteObject{Attempt: c.attempt, Object: platform.Object{
+		Kind: platform.KindLedger, Name: c.opt.Upstream, Version: c.version, Value: value,
+	}}}
+}
+
+// reserve records what is due: unloads first, then loads by urgency. A load
+// that does not fit waits until memory is proven free.
+func (c *Controller) reserve(now time.Duration, l Ledger) (Ledger, []engine.Order) {
+	var orders []engine.Order
+	for _, o := range append(c.dueUnloads(now), c.dueLoads(now)...) {
+		if len(orders) == maxOrdersPerWrite {
+			break
+		}
+		o.ID = fmt.Sprintf("%s/%d/%d", c.opt.Writer, l.Attempt, len(orders))
+		next, recorded, err := l.Reserve(o)
+		if err != nil {
+			continue
+		}
+		l = next
+		orders = append(orders, recorded)
+	}
+	return l, orders
+}
+
+func (c *Controller) wanted(k Key) bool {
+	return slices.ContainsFunc(c.want, func(w Want) bool { return w.Key == k })
+}
+
+// dueUnloads returns orders for what is resident or may become so and is not
+// wanted. At an engine with durable fences an unload also serves as a barrier
+// that proves a lost load order dead; elsewhere only time does.
+func (c *Controller) dueUnloads(now time.Duration) []engine.Order {
+	var due []engine.Order
+	for _, r := range c.base.Resident {
+		k := ResidentKey(r)
+		if !c.wanted(k) && r.State != engine.ResidencyUnloading && c.due(now, k, false) {
+			due = append(due, unloadOrder(k))
+		}
+	}
+	if !c.base.FenceKills() {
+		return due
+	}
+	for _, o := range c.base.Orders {
+		k := OrderKey(o)
+		_, resident := c.base.Find(k)
+		if loads(o.Op) && !resident && !c.wanted(k) && c.due(now, k, false) {
+			due = append(due, unloadOrder(k))
+		}
+	}
+	return due
+}
+
+// dueLoads returns orders for what is wanted and not resident, or may still be
+// unloaded by an earlier order. There a load serves as a barrier at an engine
+// with durable fences; elsewhere the load waits until no copy of the unload
+// can arrive.
+func (c *Controller) dueLoads(now time.Duration) []engine.Order {
+	var due []engine.Order
+	for _, w := range c.want {
+		r, resident := c.base.Find(w.Key)
+		_, unload := c.base.Pending(w.Key, false)
+		barrier := unload && c.base.FenceKills()
+		blocked := unload && !c.base.FenceKills()
+		unloading := resident && r.State == engine.ResidencyUnloading
+		if unloading || blocked || resident && !barrier {
+			continue
+		}
+		if c.due(now, w.Key, true) {
+			due = append(due, loadOrder(w))
+		}
+	}
+	return due
+}
+
+// due says whether a key has no recent order of the kind.
+func (c *Controller) due(now time.Duration, k Key, load bool) bool {
+	o, pending := c.base.Pending(k, load)
+	if !pending {
+		return true
+	}
+	st := c.orders[o.ID]
+	return st == nil || st.retry || now-st.firstSeen >= c.opt.RetryAfter
+}
+
+func loadOrder(w Want) engine.Order {
+	o := engine.Order{Op: engine.OpLoad, MemoryMB: w.MemoryMB}
+	if w.Key.Adapter != "" {
+		o.Op = engine.OpLoadAdapter
+	}
+	return withKey(o, w.Key)
+}
+
+func unloadOrder(k Key) engine.Order {
+	o := engine.Order{Op: engine.OpUnload}
+	if k.Adapter != "" {
+		o.Op = engine.OpUnloadAdapter
+	}
+	return withKey(o, k)
+}
+
+func withKey(o engine.Order, k Key) engine.Order {
+	o.Model = k.Model
+	o.Adapter = k.Adapter
+	o.Version = k.Version
+	return o
+}
--- /dev/null
+++ b/internal/placement/ledger/ledger_test.go
@@ -0,0 +1,180 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/engine"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
+)
+
+// disturb does one random thing that may happen.
+func (w *world) disturb() {
+	o := w.owners[w.draw(len(w.owners))]
+	switch kind := w.draw(24); {
+	case kind < 8 && len(w.calls) > 0:
+		w.perform(w.draw(len(w.calls)), w.draw(6) == 0)
+	case kind < 13 && len(w.replies) > 0:
+		w.answer(w.draw(len(w.replies)))
+	case kind < 15 && len(w.network) > 0:
+		w.arrive(w.draw(len(w.network)), w.draw(2) == 0)
+	case kind == 15 && len(w.network) > 0 && w.draw(2) == 0:
+		i := w.draw(len(w.network))
+		w.network = append(w.network[:i], w.network[i+1:]...)
+	case kind == 16 && w.draw(2) == 0:
+		w.engine.progress(w.draw(8), w.draw(3) == 0)
+	case kind == 17 && w.draw(4) == 0:
+		w.engine.reboot()
+	case kind == 18:
+		w.want(o)
+	case kind == 19 && w.draw(4) == 0:
+		w.restart(o)
+	case kind == 20:
+		w.outage = w.draw(4) == 0
+	case kind > 20:
+		w.pass(time.Duration(w.draw(400)) * time.Millisecond)
+	default:
+		w.step(o, Tick{})
+	}
+	w.check()
+}
+
+// answer hands a reply over; now and then a copy comes again later.
+func (w *world) answer(i int) {
+	r := w.replies[i]
+	if w.draw(8) != 0 {
+		w.replies = append(w.replies[:i], w.replies[i+1:]...)
+	}
+	w.step(r.to, r.msg)
+}
+
+// settle ends all faults and lets only the latest owner act.
+func (w *world) settle() *owner {
+	w.outage = false
+	last := w.owners[0]
+	if w.owners[1].current > last.current {
+		last = w.owners[1]
+	}
+	for range 300 {
+		for len(w.calls) > 0 {
+			w.perform(0, false)
+		}
+		for len(w.network) > 0 {
+			w.arrive(0, false)
+		}
+		for len(w.replies) > 0 {
+			r := w.replies[0]
+			w.replies = w.replies[1:]
+			if r.to == last {
+				w.step(r.to, r.msg)
+			}
+		}
+		for i := len(w.engine.held) - 1; i >= 0; i-- {
+			w.engine.progress(i, false)
+		}
+		w.pass(100 * time.Millisecond)
+		w.step(last, Tick{})
+		w.check()
+	}
+	return last
+}
+
+func checkMemory(t *testing.T, s sort) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		w := newWorld(rt, s)
+		for range rapid.IntRange(50, 400).Draw(rt, "steps") {
+			w.disturb()
+		}
+		last := w.settle()
+		for _, want := range last.c.want {
+			if !last.c.Ledger().Ready(want.Key) {
+				rt.Fatalf("%v is not ready: state %s, ledger %+v", want.Key, last.c.State(), last.c.Ledger())
+			}
+		}
+		if len(w.engine.held) != len(last.c.want) {
+			rt.Fatalf("wanted %v, resident %+v", last.c.want, w.engine.held)
+		}
+	})
+}
+
+func TestMemoryNeverOvercommitted(t *testing.T) {
+	t.Run("durable fence", func(t *testing.T) { checkMemory(t, fenceDurable) })
+	t.Run("fence lost at reboot", func(t *testing.T) { checkMemory(t, fenceVolatile) })
+	t.Run("fence ignored", func(t *testing.T) { checkMemory(t, fenceIgnored) })
+}
+
+func TestReserveCountsWorstCase(t *testing.T) {
+	l := New(100, true)
+	_, _, err := l.Reserve(engine.Order{Op: engine.OpLoad, Model: "a", MemoryMB: 1})
+	must.ErrorIs(t, err, ErrUnobserved)
+	never := func(string) bool { return false }
+	l = l.Observe(engine.Report{Boot: "1", Seq: 1}, never)
+	one, o, err := l.Reserve(engine.Order{ID: "1", Op: engine.OpLoad, Model: "a", MemoryMB: 60})
+	must.NoError(t, err)
+	must.Eq(t, 60, one.Committed())
+	must.Eq(t, 0, l.Committed())
+	_, _, err = one.Reserve(engine.Order{ID: "2", Op: engine.OpLoad, Model: "b", MemoryMB: 41})
+	must.ErrorIs(t, err, ErrNoMemory)
+	// The engine saw the order and shows nothing: a copy may still run.
+	seen := one.Observe(engine.Report{Boot: "1", Seq: 2, Fence: o.Fence}, never)
+	must.Eq(t, 60, seen.Committed())
+	later := seen.Observe(engine.Report{Boot: "1", Seq: 3, Fence: o.Fence + 1}, never)
+	must.Eq(t, 0, later.Committed())
+	value, err := seen.Encode()
+	must.NoError(t, err)
+	back, err := Decode(value)
+	must.NoError(t, err)
+	must.Eq(t, seen.Committed(), back.Committed())
+}
+
+func TestReportAskedForBeforeTheLedgerWasReadDoesNotCount(t *testing.T) {
+	c := NewController(Options{
+		Upstream: "u", Writer: "w", Owner: 1, MemoryMB: 100,
+		Promise:    Promise{DurableFence: true},
+		SendWindow: time.Second, RetryAfter: time.Hour, PollEvery: time.Hour, CallTimeout: time.Hour,
+	})
+	actions := c.Step(0, Tick{})
+	actions = c.Step(1, ReadDone{ID: actions[0].(ReadObject).ID, Err: platform.ErrNotFound})
+	claim, poll := actions[0].(WriteObject), actions[1].(PollReport)
+	actions = c.Step(2, WriteDone{Attempt: claim.Attempt, Version: 1})
+	again := actions[0].(PollReport)
+	c.Step(3, PollDone{ID: poll.ID, Report: engine.Report{Boot: "old"}})
+	must.False(t, c.Claimed())
+	c.Step(4, PollDone{ID: again.ID, Report: engine.Report{Boot: "new"}})
+	must.True(t, c.Claimed())
+	must.Eq(t, "new", c.Ledger().Boot)
+}
+
+func TestFenceThatDidNotLastIsNoLongerTrusted(t *testing.T) {
+	never := func(string) bool { return false }
+	l := New(100, true).Observe(engine.Report{Boot: "1", Fence: 5}, never)
+	l, _, err := l.Reserve(engine.Order{ID: "1", Op: engine.OpLoad, Model: "a", MemoryMB: 60})
+	must.NoError(t, err)
+	l = l.Observe(engine.Report{Boot: "2", Fence: 2}, never)
+	must.True(t, l.FenceLost)
+	l = l.Observe(engine.Report{Boot: "2", Fence: 99}, never)
+	must.Eq(t, 60, l.Committed())
+}
+
+func TestOrderIsNotSentAfterTheSendWindow(t *testing.T) {
+	for _, late := range []time.Duration{0, 2 * time.Second} {
+		c := NewController(Options{
+			Upstream: "u", Writer: "w", Owner: 1, MemoryMB: 100,
+			SendWindow: time.Second, RetryAfter: time.Hour, PollEvery: time.Hour, CallTimeout: time.Hour,
+		})
+		k := Key{Model: "m"}
+		c.Step(0, Wanted{Want: []Want{{Key: k, MemoryMB: 60}}})
+		actions := c.Step(0, ReadDone{ID: 1, Err: platform.ErrNotFound})
+		actions = c.Step(0, WriteDone{Attempt: actions[0].(WriteObject).Attempt, Version: 1})
+		actions = c.Step(0, PollDone{ID: actions[0].(PollReport).ID, Report: engine.Report{Boot: "1"}})
+		write := actions[0].(WriteObject)
+		actions = c.Step(late, WriteDone{Attempt: write.Attempt, Version: 2})
+		_, sent := actions[0].(SendOrder)
+		must.Eq(t, late == 0, sent)
+		must.Eq(t, 60, c.Ledger().Committed())
+	}
+}
