Hold each zone's duties under a lease; show what is in force

Cause: every instance watched the platform, so that its calls grew with the fleet, and nothing said where a document was in force.

The holder relays the lease's object, so that contenders do not read it: TestContendersDoNotReadWhileTheHolderRelays counts the same calls a minute for two and for six instances. The reader of a zone keeps a status object; eelgrassctl status sums the zones.

A document that fails its check leaves the former in force, but no instance has a disk: after all were replaced, nobody had it. The status object now carries it (TestNewcomerFindsTheFormerOfAFailedDocument).

Ruled out: polling by all contenders at the lease's own rate: 400 instances would make 200 reads a second for nothing.

--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -66,6 +66,7 @@
 		{"apply", "store a document", "Checks a document and stores it if the version that it is based on is still the stored one.", &Apply{Globals: g}},
 		{"get", "print a document", "Prints the stored document in the form that apply takes.", &Get{Globals: g}},
 		{"delete", "delete a document", "Deletes a document; the service is served no more.", &Delete{Globals: g}},
+		{"status", "print what is in force where", "Prints which version of each document is in force in how many instances, and which versions failed their check.", &Status{Globals: g}},
 		{"version", "print the version", "Prints the version of eelgrassctl.", &Version{Globals: g}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -10,6 +10,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/inventory"
+	"github.com/eelgrassbay/eelgrassbay/internal/leader"
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
@@ -20,6 +21,7 @@
 	"github.com/go-kratos/kratos/v2"
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
 )
 
 // Node is one entry instance: its duties and how they are joined.
@@ -32,6 +34,7 @@
 	platform  *platform.Client
 	peers     *peer.Client
 	peerSrv   *peer.Server
+	leader    *leader.Duty
 	replica   *replica.Duty
 	inventory *inventory.Duty
 	dispatch  *dispatch.Duty
@@ -82,9 +85,12 @@
 }
 
 func (n *Node) buildDuties() {
+	n.leader = leader.New(leader.Options{
+		Self: n.self, Store: n.platform, Peers: n.peers, ZonePeers: n.zonePeers, Now: n.now, Log: n.log, Seed: rand.Int64(),
+	})
 	n.replica = replica.NewDuty(replica.Options{
 		Self: n.self, Store: n.platform, Instances: n.platform, Peers: n.peers, Seeds: n.settings.Peers,
-		Reads: func() bool { return true }, Now: n.now, Log: n.log, Seed: rand.Int64(),
+		Reads: n.leader.Leads, Reader: n.leader.Holder, Now: n.now, Log: n.log, Seed: rand.Int64(),
 	})
 	n.dispatch = dispatch.New(dispatch.Options{
 		Route: route.Options{Distance: n.distance}, Now: n.now, Seed: rand.Uint64(),
@@ -113,10 +119,24 @@
 }
 
 func (n *Node) register() error {
-	if err := n.peerSrv.Register(n.replica, peerpb.DRPCSyncDescription{}); err != nil {
-		return err
+	for _, s := range []struct {
+		impl any
+		desc drpc.Description
+	}{
+		{n.replica, peerpb.DRPCSyncDescription{}},
+		{n.leader, peerpb.DRPCLeasesDescription{}},
+		{n.inventory, peerpb.DRPCInventoryDescription{}},
+	} {
+		if err := n.peerSrv.Register(s.impl, s.desc); err != nil {
+			return err
+		}
 	}
-	return n.peerSrv.Register(n.inventory, peerpb.DRPCInventoryDescription{})
+	return nil
+}
+
+// zonePeers returns the other entry instances of the zone.
+func (n *Node) zonePeers() []platform.Instance {
+	return n.replica.Snapshot().ZonePeers(n.settings.Zone)
 }
 
 // Run serves until SIGTERM or SIGINT, stops gracefully and returns.
@@ -125,7 +145,7 @@
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context) error{
-		n.peerSrv.Serve, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.feedTable, n.announce,
+		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.feedTable, n.announce,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
@@ -197,9 +217,21 @@
 	if left := n.server.Drain(ctx); left > 0 {
 		n.log.Error("requests cut by the stop", "requests", left)
 	}
+	n.release()
 	return nil
 }
 
+// releaseTimeout bounds the calls by which a stopping instance gives back what
+// it holds.
+const releaseTimeout = 2 * time.Second
+
+// release gives back what others wait for.
+func (n *Node) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	n.leader.Release(ctx)
+}
+
 // departTimeout bounds the last call to the instance list.
 const departTimeout = 2 * time.Second
 
--- a/internal/inventory/duty.go
+++ b/internal/inventory/duty.go
@@ -130,7 +130,7 @@
 // due returns the engines of this zone that this instance reads now, and the
 // time until the next read.
 func (d *Duty) due(known *replica.Snapshot, targets []Target) ([]Target, time.Duration) {
-	members := append(zonePeers(known, d.opts.Self.Zone), d.opts.Self)
+	members := append(known.ZonePeers(d.opts.Self.Zone), d.opts.Self)
 	var mine []Target
 	engines := 0
 	now := d.opts.Now()
@@ -149,16 +149,6 @@
 	return mine, basePeriod * time.Duration(1+engines/upstreamsPerPeriod)
 }
 
-func zonePeers(known *replica.Snapshot, zone string) []platform.Instance {
-	var peers []platform.Instance
-	for _, p := range known.Peers {
-		if p.Zone == zone {
-			peers = append(peers, p)
-		}
-	}
-	return peers
-}
-
 // readAll reads reports at once and relays what is new.
 func (d *Duty) readAll(ctx context.Context, known *replica.Snapshot, targets []Target) {
 	var wg sync.WaitGroup
@@ -182,7 +172,7 @@
 		})
 	}
 	wg.Wait()
-	d.relay(ctx, zonePeers(known, d.opts.Self.Zone), load)
+	d.relay(ctx, known.ZonePeers(d.opts.Self.Zone), load)
 	d.relay(ctx, onePerZone(known, d.opts.Self.Zone), residency)
 }
 
@@ -257,7 +247,7 @@
 // pull compares residency with one peer of the zone, or of any zone if there
 // is none, and takes what differs.
 func (d *Duty) pull(ctx context.Context, known *replica.Snapshot) {
-	peers := zonePeers(known, d.opts.Self.Zone)
+	peers := known.ZonePeers(d.opts.Self.Zone)
 	if len(peers) == 0 {
 		peers = known.Peers
 	}
@@ -300,7 +290,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), passOnTimeout)
 			defer cancel()
-			d.relay(ctx, zonePeers(d.opts.Replica.Snapshot(), d.opts.Self.Zone), residency)
+			d.relay(ctx, d.opts.Replica.Snapshot().ZonePeers(d.opts.Self.Zone), residency)
 		}()
 	}
 	return &peerpb.RelayReply{}, nil
--- /dev/null
+++ b/internal/leader/duty_test.go
@@ -0,0 +1,143 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/lease"
+	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/shoenig/test/must"
+	"storj.io/drpc"
+)
+
+// zone is a few duties that call each other directly.
+type zone struct {
+	store  *platform.Memory
+	duties map[string]*Duty
+	stop   map[string]context.CancelFunc
+}
+
+// conn carries a relay to one duty.
+type conn struct {
+	drpc.Conn
+	to *Duty
+}
+
+func (c conn) Invoke(ctx context.Context, _ string, _ drpc.Encoding, in, _ drpc.Message) error {
+	_, err := c.to.Relay(ctx, in.(*peerpb.LeaseObject))
+	return err
+}
+
+func (z *zone) Call(ctx context.Context, address string, call func(context.Context, drpc.Conn) error) error {
+	if z.duties[address] == nil {
+		return errors.New("no such peer")
+	}
+	return call(ctx, conn{to: z.duties[address]})
+}
+
+func startZone(names ...string) *zone {
+	z := &zone{store: platform.NewMemory(0), duties: map[string]*Duty{}, stop: map[string]context.CancelFunc{}}
+	began := time.Now()
+	for i, name := range names {
+		z.duties[name] = New(Options{
+			Self: platform.Instance{Name: name, Incarnation: name, Zone: "north"}, Store: z.store, Peers: z,
+			ZonePeers: func() (peers []platform.Instance) {
+				for _, other := range names {
+					if other != name {
+						peers = append(peers, platform.Instance{Name: other, PeerAddress: other})
+					}
+				}
+				return peers
+			},
+			Now: func() time.Duration { return time.Since(began) }, Log: slog.New(slog.DiscardHandler), Seed: int64(i),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		z.stop[name] = cancel
+		go func() { _ = z.duties[name].Run(ctx) }()
+	}
+	return z
+}
+
+func (z *zone) close() {
+	for _, stop := range z.stop {
+		stop()
+	}
+	synctest.Wait()
+}
+
+// leaders returns who leads now.
+func (z *zone) leaders() (names []string) {
+	for name, d := range z.duties {
+		if d.Leads() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func TestOneLeaderAndTakeoverAfterADeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := startZone("a", "b", "c")
+		defer z.close()
+		time.Sleep(2 * time.Second)
+		first := z.leaders()
+		must.Len(t, 1, first)
+		z.stop[first[0]]()
+		time.Sleep(lease.DefaultTerm / 2)
+		must.SliceContainsAll(t, first, z.leaders(), must.Sprint("taken before the term ended"))
+		time.Sleep(2 * lease.DefaultTerm)
+		next := z.leaders()
+		must.Len(t, 1, next)
+		must.NotEq(t, first, next)
+		for name, d := range z.duties {
+			if name != first[0] {
+				must.Eq(t, next[0], d.Holder())
+			}
+		}
+	})
+}
+
+func TestReleaseHandsOverWithoutWaitingForTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := startZone("a", "b")
+		defer z.close()
+		time.Sleep(2 * time.Second)
+		first := z.leaders()[0]
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		z.duties[first].Release(ctx)
+		must.NoError(t, ctx.Err())
+		time.Sleep(pollEvery + time.Second)
+		must.Len(t, 1, z.leaders())
+		must.NotEq(t, first, z.leaders()[0])
+	})
+}
+
+// TestContendersDoNotReadWhileTheHolderRelays counts the platform's calls of
+// one zone: they must not grow with its instances.
+func TestContendersDoNotReadWhileTheHolderRelays(t *testing.T) {
+	calls := func(names ...string) (total uint64) {
+		synctest.Test(t, func(t *testing.T) {
+			z := startZone(names...)
+			defer z.close()
+			time.Sleep(10 * time.Second)
+			before := sum(z.store.Calls())
+			time.Sleep(time.Minute)
+			total = sum(z.store.Calls()) - before
+		})
+		return total
+	}
+	must.LessEq(t, calls("a", "b")+2, calls("a", "b", "c", "d", "e", "f"))
+}
+
+func sum(calls map[string]uint64) (total uint64) {
+	for _, n := range calls {
+		total += n
+	}
+	return total
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -135,6 +135,15 @@
 // State returns the state in the state chart.
 func (l *Lease) State() string { return l.machine.State() }
 
+// Seen returns the object as last seen and the holder that it names, "" if it
+// names none.
+func (l *Lease) Seen() (obj platform.Object, holder string) {
+	if !l.known || l.value.Released {
+		return l.seen, ""
+	}
+	return l.seen, l.value.Holder
+}
+
 // Held reports whether the lease is held at now, and its fencing number. Ask
 // it at the point of use.
 func (l *Lease) Held(now time.Duration) (fence uint64, ok bool) {
@@ -152,6 +161,11 @@
 		l.answered(requestGet)
 		l.reread = false
 		l.observe(now, m.Object)
+	case Relayed:
+		if !l.known || m.Object.Version > l.seen.Version {
+			l.asked, l.readAt = true, now
+		}
+		l.observe(now, m.Object)
 	case WriteOK:
 		l.answered(requestPut)
 		l.observe(now, m.Object)
--- a/internal/lease/message.go
+++ b/internal/lease/message.go
@@ -32,9 +32,12 @@
 type (
 	// Tick lets time pass; send it a few times per second.
 	Tick struct{}
-	// Read reports the object as read or relayed, however late. The zero
+	// Read reports the object as read for a Get, however late. The zero
 	// Object stands for an object that was never written.
 	Read struct{ Object platform.Object }
+	// Relayed reports the object as another instance read or wrote it. It
+	// puts the next own read off if it is news.
+	Relayed struct{ Object platform.Object }
 	// WriteOK reports the object as stored by a Put.
 	WriteOK struct {
 		Attempt uint64
@@ -52,6 +55,7 @@
 
 func (Tick) message()          {}
 func (Read) message()          {}
+func (Relayed) message()       {}
 func (WriteOK) message()       {}
 func (WriteConflict) message() {}
 func (WriteUnknown) message()  {}
--- a/internal/replica/duty.go
+++ b/internal/replica/duty.go
@@ -46,6 +46,9 @@
 	Seeds []string
 	// Reads reports whether this instance reads the platform for its zone.
 	Reads func() bool
+	// Reader returns the name of the instance that reads for the zone, "" if
+	// it is not known.
+	Reader func() string
 	// Now is the monotonic clock.
 	Now  func() time.Duration
 	Log  *slog.Logger
@@ -65,6 +68,17 @@
 	Complete  uint64              // all documents up to this revision are known
 }
 
+// ZonePeers returns the other entry instances of a zone.
+func (s *Snapshot) ZonePeers(zone string) []platform.Instance {
+	var peers []platform.Instance
+	for _, p := range s.Peers {
+		if p.Zone == zone {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
+
 // Duty owns a State. One goroutine steps it; others read the platform, call
 // peers and answer them, joined to it by a bounded channel. When the channel
 // is full the sender waits, so that no reading is lost.
@@ -118,6 +132,7 @@
 	g.Go(func() error { return d.watchDocuments(ctx) })
 	g.Go(func() error { return d.readInstances(ctx) })
 	g.Go(func() error { return d.exchangeWithPeers(ctx) })
+	g.Go(func() error { return d.publishStatus(ctx) })
 	return g.Wait()
 }
 
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -19,8 +19,8 @@
 	return d*3/4 + time.Duration(rand.Int63n(int64(d/2)+1))
 }
 
-// exchangeWithPeers compares knowledge with one instance of this zone and one
-// of another at each period.
+// exchangeWithPeers compares knowledge with one instance of this zone, every
+// second time its reader, and one of another zone at each period.
 func (d *Duty) exchangeWithPeers(ctx context.Context) error {
 	d.exchangeWithSeeds(ctx)
 	for ctx.Err() == nil {
@@ -34,7 +34,11 @@
 
 func (d *Duty) chooseTargets() []platform.Instance {
 	zone := d.opts.Self.Zone
-	same := d.state.view.Sample(d.rng, 1, func(p platform.Instance) bool { return p.Zone == zone })
+	reader := d.opts.Reader()
+	toReader := reader != "" && reader != d.opts.Self.Name && d.rng.Intn(2) == 0
+	same := d.state.view.Sample(d.rng, 1, func(p platform.Instance) bool {
+		return p.Zone == zone && (!toReader || p.Name == reader)
+	})
 	other := d.state.view.Sample(d.rng, 1, func(p platform.Instance) bool { return p.Zone != zone })
 	return append(same, other...)
 }
@@ -97,12 +101,7 @@
 	if d.step(ctx, func() { req = d.state.Push(d.opts.Now(), docs) }) != nil {
 		return
 	}
-	var zonePeers []platform.Instance
-	for _, p := range d.Snapshot().Peers {
-		if p.Zone == d.opts.Self.Zone {
-			zonePeers = append(zonePeers, p)
-		}
-	}
+	zonePeers := d.Snapshot().ZonePeers(d.opts.Self.Zone)
 	d.each(ctx, zonePeers, func(ctx context.Context, p platform.Instance) { d.round(ctx, p, req) })
 }
 
--- a/internal/replica/platform.go
+++ b/internal/replica/platform.go
@@ -23,7 +23,9 @@
 	return nil
 }
 
-func (d *Duty) mayRead() bool { return d.opts.Reads() || d.Age() > fallbackAge }
+func (d *Duty) mayRead() bool {
+	return d.opts.Reads() || !d.Snapshot().Ready || d.Age() > fallbackAge
+}
 
 // retryDelay is short for the zone's reader and long and jittered for others,
 // so that an outage of the platform does not draw the whole zone's calls.
@@ -52,6 +54,9 @@
 	if len(c.Accepted) > 0 {
 		d.push(ctx, c.Accepted)
 	}
+	if err == nil && c.Rejected {
+		err = d.findFormers(ctx)
+	}
 	return err
 }
 
--- /dev/null
+++ b/internal/replica/publish.go
@@ -0,0 +1,76 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+)
+
+// statusPeriod is how often the zone's reader looks whether the status changed.
+const statusPeriod = 2 * time.Second
+
+// publishStatus keeps the zone's status object while this instance reads for
+// its zone. A conflict means that another reader has written; it is read again
+// before the next write.
+func (d *Duty) publishStatus(ctx context.Context) error {
+	var stored platform.Object
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(statusPeriod))
+		if !d.opts.Reads() {
+			stored = platform.Object{}
+			continue
+		}
+		next, err := d.writeStatus(ctx, stored)
+		if err != nil {
+			d.opts.Log.Debug("write status", "error", err)
+		}
+		stored = next
+	}
+	return nil
+}
+
+// writeStatus writes the status if it differs from the stored one and returns
+// what is stored, the zero Object if that is not known.
+func (d *Duty) writeStatus(ctx context.Context, stored platform.Object) (platform.Object, error) {
+	var st Status
+	if err := d.step(ctx, func() { st = d.state.Status(d.opts.Now()) }); err != nil {
+		return stored, err
+	}
+	value, err := json.Marshal(st)
+	if err != nil {
+		return stored, fmt.Errorf("replica: encode status: %w", err)
+	}
+	if stored.Version == 0 {
+		stored, err = d.opts.Store.Get(ctx, platform.KindStatus, st.Zone)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return platform.Object{}, err
+		}
+	}
+	if string(stored.Value) == string(value) {
+		return stored, nil
+	}
+	return d.opts.Store.Put(ctx, platform.Object{Kind: platform.KindStatus, Name: st.Zone, Version: stored.Version, Value: value})
+}
+
+// findFormers looks for documents that stay in force behind failed ones.
+func (d *Duty) findFormers(ctx context.Context) error {
+	var orphans []string
+	if err := d.step(ctx, func() { orphans = d.state.Orphans() }); err != nil || len(orphans) == 0 {
+		return err
+	}
+	list, err := d.opts.Store.List(ctx, platform.KindStatus)
+	if err != nil {
+		return err
+	}
+	var readErr error
+	err = d.step(ctx, func() {
+		var c Change
+		c, readErr = d.state.FormersRead(list)
+		d.apply(c)
+	})
+	return errors.Join(err, readErr)
+}
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -26,11 +26,19 @@
 	complete    uint64
 	confirmed   bool
 	confirmedAt time.Duration
+	peers       map[string]peerVersions
+}
+
+// peerVersions is what a peer of this zone said last of its documents.
+type peerVersions struct {
+	incarnation string
+	hash        uint64
+	at          time.Duration
 }
 
 // NewState returns a state that knows nothing but its own instance.
 func NewState(self platform.Instance) *State {
-	return &State{self: self, set: config.NewSet(), view: member.NewView(self.Name)}
+	return &State{self: self, set: config.NewSet(), view: member.NewView(self.Name), peers: map[string]peerVersions{}}
 }
 
 // Change says what a step brought.
@@ -116,6 +124,7 @@
 func (s *State) Answer(now time.Duration, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, Change) {
 	c := Change{Accepted: s.offerAll(req.Documents), Members: true}
 	s.observePeer(now, req.Self)
+	s.noteVersions(now, req.Self, req.Knowledge)
 	reply := &peerpb.ExchangeReply{Self: toWire(s.self), Knowledge: s.knowledge(now)}
 	if req.WithVersions {
 		reply.Versions = s.set.Versions()
@@ -142,6 +151,7 @@
 func (s *State) Absorb(now, sentAt time.Duration, req *peerpb.ExchangeRequest, reply *peerpb.ExchangeReply) (*peerpb.ExchangeRequest, Change) {
 	c := Change{Accepted: s.offerAll(reply.Documents), Members: true}
 	s.observePeer(now, reply.Self)
+	s.noteVersions(now, reply.Self, reply.Knowledge)
 	s.absorbList(now, sentAt, reply)
 	if req.WithVersions || reply.Knowledge.GetHash() == s.set.Hash() {
 		s.absorbKnowledge(sentAt, reply.Knowledge)
--- a/internal/replica/state_test.go
+++ b/internal/replica/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -135,3 +136,34 @@
 	must.Eq(t, 5*time.Second, age)
 	must.Len(t, 2, f.states[1].view.Peers()) // the peer itself, and 9 from its list
 }
+
+// TestNewcomerFindsTheFormerOfAFailedDocument: the fleet has been replaced
+// while a document that fails its check is stored; the one that was in force
+// is found in a zone's status.
+func TestNewcomerFindsTheFormerOfAFailedDocument(t *testing.T) {
+	f := newFleet(2)
+	f.write(t, "a", false)
+	read := func(s *State) Change {
+		list, err := f.store.List(context.Background(), platform.KindService)
+		must.NoError(t, err)
+		return s.PlatformRead(f.now, list)
+	}
+	old, newcomer := f.states[0], f.states[1]
+	read(old)
+	obj, err := f.store.Get(context.Background(), platform.KindService, "a")
+	must.NoError(t, err)
+	obj.Value = []byte(`{"service": "a", "models": 1}`)
+	_, err = f.store.Put(context.Background(), obj)
+	must.NoError(t, err)
+	must.True(t, read(old).Rejected)
+
+	must.True(t, read(newcomer).Rejected)
+	must.Eq(t, []string{"a"}, newcomer.Orphans())
+	value, err := json.Marshal(old.Status(f.now))
+	must.NoError(t, err)
+	c, err := newcomer.FormersRead(platform.List{Objects: []platform.Object{{Kind: platform.KindStatus, Name: "z", Value: value}}})
+	must.NoError(t, err)
+	must.Len(t, 1, c.Accepted)
+	must.Eq(t, map[string]uint64{"a": 1}, newcomer.set.Versions())
+	must.Eq(t, 2, newcomer.Status(f.now).Rejected[0].Version)
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -86,5 +86,13 @@
 done
 [ "$seen" = 0 ] || fail "upstreams saw $seen credentials"
 
+echo "status:"
+for _ in $(seq 20); do
+  ctl status | grep -q "in 3 of 3 instances" && break
+  sleep 0.5
+done
+ctl status
+ctl status | grep -q "in 3 of 3 instances" || fail "the document is not in force everywhere"
+
 stop_all || fail "a process did not stop gracefully"
 echo "demo: all good"
