Add metrics of requests, and TLS with certificates read again

Cause: histograms per organisation and class are asked for, and certificates must be renewed without a restart.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -9,6 +9,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
 	"github.com/eelgrassbay/eelgrassbay/internal/fair"
 	"github.com/eelgrassbay/eelgrassbay/internal/keys"
+	"github.com/eelgrassbay/eelgrassbay/internal/metrics"
 	"github.com/eelgrassbay/eelgrassbay/internal/replica"
 	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
 )
@@ -25,6 +26,9 @@
 	limits   config.Organisation
 	class    fair.Class
 	keyAge   time.Duration // age of the knowledge of keys
+	tokens   int           // tokens of the answer that reached the caller
+	flow     *metrics.Flow
+	cut      Code // set if the answer broke off after it had begun
 }
 
 // authorise finds the organisation whose key came with the request. Knowledge
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -113,6 +113,7 @@
 // conclude ends the answer. Once any of it has reached the caller an error can
 // only be told inside the stream, which is then cut.
 func (m *modelCall) conclude(err *Error) *Error {
+	m.call.tokens = m.sink.tokens()
 	if err == nil {
 		return m.sink.finish()
 	}
@@ -120,6 +121,7 @@
 		return err
 	}
 	err.Code, err.Ran = CodeCut, RanUnknown
+	m.call.cut = CodeCut
 	m.server.logError(m.call, err)
 	m.sink.abort(err, m.call.id)
 	return nil
@@ -133,6 +135,7 @@
 	}
 	st := &stream{call: m, attempt: id, address: address, body: body}
 	outcome := st.run(ctx)
+	m.server.flow(m.call).Attempt(string(outcome))
 	m.ran = m.ran || outcome == once.Answered || outcome == once.Unknown
 	return outcome
 }
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -27,6 +27,9 @@
 // Code names an error to programs.
 type Code string
 
+// codeOK counts requests that got a whole answer.
+const codeOK Code = "ok"
+
 // The codes of errors.
 const (
 	CodeBadRequest       Code = "bad_request"
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -13,7 +13,11 @@
 // newHTTPServer returns the server for callers. Its timeout is off: it would
 // cut every stream; deadlines come from the documents.
 func (n *Node) newHTTPServer() *khttp.Server {
-	srv := khttp.NewServer(khttp.Address(n.settings.Listen), khttp.Timeout(0))
+	opts := []khttp.ServerOption{khttp.Address(n.settings.Listen), khttp.Timeout(0)}
+	if n.callerTLS != nil {
+		opts = append(opts, khttp.TLSConfig(n.callerTLS))
+	}
+	srv := khttp.NewServer(opts...)
 	srv.HandlePrefix("/", n.server.Handler())
 	srv.ReadHeaderTimeout = readHeaderTimeout
 	srv.MaxHeaderBytes = http.DefaultMaxHeaderBytes / 16
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/certs"
 	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/inventory"
 	"github.com/eelgrassbay/eelgrassbay/internal/leader"
+	"github.com/eelgrassbay/eelgrassbay/internal/metrics"
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
@@ -32,6 +35,8 @@
 	now      func() time.Duration
 
 	platform  *platform.Client
+	metrics   *metrics.Metrics
+	callerTLS *tls.Config // nil for plain HTTP
 	peers     *peer.Client
 	peerSrv   *peer.Server
 	leader    *leader.Duty
@@ -75,12 +80,45 @@
 	n.platform = platform.NewClient(platform.ClientOptions{
 		BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std(), WatchTimeout: s.Platform.WatchTimeout.Std(),
 	})
-	n.peers = peer.NewClient(peer.ClientOptions{})
-	srv, err := peer.NewServer(s.PeerListen, nil)
+	n.metrics = metrics.New()
+	callers, err := loadCerts(s.TLS.Callers, n.log)
 	if err != nil {
+		return err
+	}
+	if callers != nil {
+		n.callerTLS = callers.Server()
+	}
+	peers, err := loadCerts(s.TLS.Peers, n.log)
+	if err != nil {
+		return err
+	}
+	return n.connectPeers(peers)
+}
+
+// loadCerts returns nil if no certificate is named.
+func loadCerts(s CertSettings, log *slog.Logger) (*certs.Store, error) {
+	if !s.Enabled() {
+		return nil, nil
+	}
+	store, err := certs.Load(certs.Files{Cert: s.Cert, Key: s.Key, CA: s.CA}, log)
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	return store, nil
+}
+
+// connectPeers listens for peers and makes the client that calls them, with
+// TLS if there is a certificate.
+func (n *Node) connectPeers(store *certs.Store) (err error) {
+	var client peer.ClientOptions
+	var server *tls.Config
+	if store != nil {
+		client.TLS, server = store.Client, store.Server()
+	}
+	n.peers = peer.NewClient(client)
+	if n.peerSrv, err = peer.NewServer(n.settings.PeerListen, server); err != nil {
 		return fmt.Errorf("entry: %w", err)
 	}
-	n.peerSrv = srv
 	return nil
 }
 
@@ -104,7 +142,7 @@
 	n.server = NewServer(ServerOptions{
 		Name: n.settings.Name, Requests: n.settings.Requests, Replica: n.replica, Dispatch: n.dispatch,
 		Upstream: upstream.NewClient(), Budget: once.NewBudget(n.now(), once.BudgetOptions{}, rand.New(rand.NewPCG(rand.Uint64(), 0))),
-		Now: n.now, Log: n.log,
+		Metrics: n.metrics, Now: n.now, Log: n.log,
 	})
 }
 
@@ -162,6 +200,9 @@
 	if dutyErr := g.Wait(); err == nil {
 		err = dutyErr
 	}
+	if closeErr := n.metrics.Close(); err == nil {
+		err = closeErr
+	}
 	n.log.Info("stopped", "error", err)
 	return err
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
+	"github.com/eelgrassbay/eelgrassbay/internal/fair"
+	"github.com/eelgrassbay/eelgrassbay/internal/metrics"
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
 	"github.com/eelgrassbay/eelgrassbay/internal/replica"
 	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
@@ -26,6 +28,7 @@
 	Dispatch *dispatch.Duty
 	Upstream *upstream.Client
 	Budget   *once.Budget
+	Metrics  *metrics.Metrics
 	Now      func() time.Duration
 	Log      *slog.Logger
 }
@@ -49,6 +52,7 @@
 	mux.Handle("/services/{service}/", s.serve(s.handleService))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.handleReady)
+	mux.Handle("GET /metrics", s.opts.Metrics.Handler())
 	mux.Handle("/", s.serve(func(http.ResponseWriter, *http.Request, *call) *Error {
 		return refuse(http.StatusNotFound, CodeNotFound, "no such path")
 	}))
@@ -66,17 +70,58 @@
 		w.Header().Set(headerRequestID, c.id)
 		active := s.active.Add(1)
 		defer s.active.Add(-1)
-		if err := s.mayServe(c, active); err != nil {
-			err.write(w, c.id)
-			return
+		err := s.mayServe(c, active)
+		if err == nil {
+			err = h(w, r, c)
 		}
-		if err := h(w, r, c); err != nil {
+		if err != nil {
 			s.logError(c, err)
 			err.write(w, c.id)
 		}
+		s.measure(c, err)
 	})
 }
 
+// measure counts a call that has ended. Calls that were not found to be any
+// organisation's are counted together.
+func (s *Server) measure(c *call, err *Error) {
+	code := codeOK
+	if c.cut != "" {
+		code = c.cut
+	}
+	if err != nil {
+		code = err.Code
+	}
+	s.flow(c).Ended(string(code), s.opts.Now()-c.received, c.tokens)
+}
+
+// noOrganisation is the label of calls without an organisation.
+const noOrganisation = "none"
+
+// flow returns the measures of a call's organisation and class, once both are
+// known.
+func (s *Server) flow(c *call) *metrics.Flow {
+	if c.flow != nil {
+		return c.flow
+	}
+	name := noOrganisation
+	if c.service != nil {
+		name = c.org.String()
+	}
+	class := classLive
+	if c.class == fair.Batch {
+		class = classBatch
+	}
+	c.flow = s.opts.Metrics.Flow(name, class)
+	return c.flow
+}
+
+// Labels of the classes.
+const (
+	classLive  = "live"
+	classBatch = "batch"
+)
+
 // Waits told to callers that this instance cannot serve now.
 const (
 	stoppingRetryAfter = time.Second
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -10,6 +10,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/inventory"
+	"github.com/eelgrassbay/eelgrassbay/internal/metrics"
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
 	"github.com/eelgrassbay/eelgrassbay/internal/route"
 	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
@@ -128,6 +129,7 @@
 	}
 	err := p.server.attempts(ctx, req, acquire, func(id string, slot *dispatch.Slot) (outcome once.Outcome) {
 		answer, outcome = p.attempt(ctx, id, slot)
+		p.server.flow(p.call).Attempt(string(outcome))
 		release(slot, outcome, 0)
 		return outcome
 	})
@@ -174,6 +176,7 @@
 	body, err := upstream.ReadAll(resp.Body, maxPlainAnswerBytes)
 	own := resp.Header.Get(engine.HeaderAttempt) == a.ID
 	if !own {
+		p.server.opts.Metrics.Count(metrics.ForeignAnswers)
 		p.server.opts.Log.Warn("answer of another attempt dropped", "request", p.call.id, "attempt", a.ID, "upstream", a.Address)
 	}
 	outcome := once.Classify(once.Evidence{
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
+	"github.com/eelgrassbay/eelgrassbay/internal/metrics"
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
 	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
 )
@@ -67,6 +68,7 @@
 	address string
 	body    []byte
 	next    int // tokens delivered
+	last    time.Duration
 }
 
 // run reads until the answer is whole or cannot be got. A broken connection is
@@ -74,6 +76,7 @@
 func (st *stream) run(ctx context.Context) once.Outcome {
 	outcome := st.connect(ctx, false)
 	for resumes := 0; outcome == once.Unknown && resumes < maxResumes && ctx.Err() == nil; resumes++ {
+		st.call.server.opts.Metrics.Count(metrics.Resumes)
 		outcome = st.connect(ctx, true)
 		if outcome != once.Answered {
 			// The attempt itself has run, whatever the resume says.
@@ -90,7 +93,10 @@
 	progress := time.Duration(st.call.call.service.Deadlines.ProgressMS) * time.Millisecond
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(progress, cancel)
+	watchdog := time.AfterFunc(progress, func() {
+		st.call.server.opts.Metrics.Count(metrics.SilentConnections)
+		cancel()
+	})
 	defer watchdog.Stop()
 	a := st.call.newAttempt(st.attempt, st.address, st.body)
 	if resume {
@@ -107,6 +113,7 @@
 	}
 	if resp.Header.Get(engine.HeaderAttempt) != st.attempt {
 		st.log("answer dropped", errForeign)
+		st.call.server.opts.Metrics.Count(metrics.ForeignAnswers)
 		return once.Unknown
 	}
 	err = st.read(resp.Body, func() { watchdog.Reset(progress) })
@@ -178,10 +185,23 @@
 	}
 	if c.hasToken() {
 		st.next++
+		st.measure()
 	}
 	return nil
 }
 
+// measure takes the time of a token that was passed on.
+func (st *stream) measure() {
+	now := st.call.server.opts.Now()
+	flow := st.call.server.flow(st.call.call)
+	if st.next == 1 {
+		flow.FirstToken(now - st.call.call.received)
+	} else {
+		flow.Gap(now - st.last)
+	}
+	st.last = now
+}
+
 var dataField = []byte("data:")
 
 // readEvent returns the data of the next server-sent event.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -25,6 +25,13 @@
 // OtherOrganisations is the label of organisations beyond the bound.
 const OtherOrganisations = "other"
 
+// Names of the instance's counters.
+const (
+	ForeignAnswers    = "foreign_answers"    // answers of another attempt, dropped
+	Resumes           = "stream_resumes"     // streams resumed at an offset
+	SilentConnections = "silent_connections" // connections abandoned without progress
+)
+
 // Buckets of the histograms, around the deadlines that they are held to.
 var (
 	firstTokenBuckets = milliseconds(5, 10, 20, 50, 100, 150, 200, 300, 400, 480, 600, 1000, 2000, 5000, 10000)
