Add eelgrass-load, an open-loop load generator

Ruled out: a closed loop, whose own waiting hides a slow target; one bound of requests in flight for all flows, since a flow that stalls would delay the others' sending (each flow has a share by its highest rate); dropping what exceeds the bound, which would omit the latencies that matter. Requests beyond the bound are sent late and counted from their intended moment.

Change: internal/load has the strict experiment file, a seeded schedule (Poisson or even, steps, ramp, bursts), calls to models and plain services, a check of each answer's text against the stand-ins, HdrHistograms per flow merged by organisation and class, reports as JSON, text and a plot, and comparisons of two target sets in alternating rounds of one schedule. eelgrass-load has run, compare and plot. The transport repeats requests with an Idempotency-Key by itself; check-ins carry a body that it cannot get again. A stream is read to its end after the last event: closing it at once ended the connection, and with it, at a crossed pair, the partner's answer.

Proofs, each with its mechanism off: - check of answers off: TestCrossedAnswersAreWrong expects 6 wrong, got 0 (Intended:20 OK:20 Wrong:0) - counted from the sending: TestLatencyCountsFromTheIntendedMoment expects 25 attained, got 39 - missing last event taken for an end: TestOutcomes expects incomplete, got ok - no bound: TestAStuckTargetTimesOutAndTheRestIsUnsent expects 4 timeouts and 6 unsent, got 10 timeouts

--- /dev/null
+++ b/cmd/eelgrass-load/commands.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/load"
+	"github.com/eelgrassbay/eelgrassbay/internal/settings"
+)
+
+// experimentOptions are shared by the commands that send load.
+type experimentOptions struct {
+	Config      string        `long:"config" value-name:"FILE" required:"true" description:"experiment file (HuJSON)"`
+	CheckConfig bool          `long:"check-config" description:"check the experiment and exit"`
+	Targets     []string      `long:"target" value-name:"URL" description:"base URL in place of the experiment's targets; may be repeated"`
+	Seed        *uint64       `long:"seed" description:"seed in place of the experiment's"`
+	Duration    time.Duration `long:"duration" description:"duration in place of the experiment's, such as 10s"`
+	RunID       string        `long:"run-id" value-name:"ID" description:"beginning of all request ids (default: random)"`
+	AllowRemote bool          `long:"allow-remote" description:"allow targets that are not on loopback"`
+	Report      string        `long:"report" value-name:"FILE" description:"write the report as JSON"`
+}
+
+func usageError(err error) error { return &exitError{code: exitUsage, err: err} }
+
+// experiment reads the file and applies the options over it.
+func (o *experimentOptions) experiment() (*load.Experiment, error) {
+	exp, err := load.LoadExperiment(o.Config)
+	if err != nil {
+		return nil, usageError(err)
+	}
+	if len(o.Targets) > 0 {
+		exp.Targets.URLs = o.Targets
+	}
+	if o.Seed != nil {
+		exp.Seed = *o.Seed
+	}
+	if o.Duration > 0 {
+		exp.Duration = settings.Duration(o.Duration)
+	}
+	err = exp.CheckTargets(o.AllowRemote)
+	switch {
+	case errors.Is(err, load.ErrRemote):
+		return nil, usageError(fmt.Errorf("%w (see --allow-remote)", err))
+	case err != nil:
+		return nil, usageError(err)
+	}
+	return exp, nil
+}
+
+// send runs fn with the experiment until it ends or a signal stops it.
+func (o *experimentOptions) send(fn func(context.Context, *load.Experiment, load.Options) error) error {
+	exp, err := o.experiment()
+	if err != nil || o.CheckConfig {
+		return err
+	}
+	if err := exp.ReadKeys(); err != nil {
+		return usageError(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return fn(ctx, exp, load.Options{RunID: o.RunID})
+}
+
+// write puts a report into its file, if one is named.
+func (o *experimentOptions) write(report any) error {
+	if o.Report == "" {
+		return nil
+	}
+	return load.WriteFile(o.Report, report)
+}
+
+type runCommand struct {
+	experimentOptions
+	Plot string `long:"plot" value-name:"FILE" description:"draw the report as .png or .svg"`
+}
+
+// Execute implements flags.Commander.
+func (c *runCommand) Execute([]string) error { return c.send(c.run) }
+
+func (c *runCommand) run(ctx context.Context, exp *load.Experiment, opts load.Options) error {
+	report, err := load.Run(ctx, exp, opts)
+	if err != nil {
+		return err
+	}
+	if err := report.WriteText(os.Stdout); err != nil {
+		return err
+	}
+	if err := c.write(report); err != nil {
+		return err
+	}
+	if c.Plot != "" {
+		if err := report.WritePlot(c.Plot); err != nil {
+			return err
+		}
+	}
+	return brokenError(report)
+}
+
+func brokenError(report *load.Report) error {
+	if n := report.Broken(); n > 0 {
+		return &exitError{code: exitBroken, err: fmt.Errorf("%d answers were wrong or incomplete, or check-ins repeated", n)}
+	}
+	return nil
+}
+
+type compareCommand struct {
+	experimentOptions
+}
+
+// Execute implements flags.Commander.
+func (c *compareCommand) Execute([]string) error { return c.send(c.run) }
+
+func (c *compareCommand) run(ctx context.Context, exp *load.Experiment, opts load.Options) error {
+	comparison, err := load.RunComparison(ctx, exp, opts)
+	if err != nil {
+		return err
+	}
+	if err := comparison.WriteText(os.Stdout); err != nil {
+		return err
+	}
+	if err := c.write(comparison); err != nil {
+		return err
+	}
+	return brokenError(comparison.Ours)
+}
+
+type plotCommand struct {
+	Args struct {
+		Report string `positional-arg-name:"REPORT" description:"report of run, as JSON"`
+		Image  string `positional-arg-name:"IMAGE" description:"file to write, .png or .svg"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *plotCommand) Execute([]string) error {
+	report, err := load.ReadReport(c.Args.Report)
+	if err != nil {
+		return err
+	}
+	return report.WritePlot(c.Args.Image)
+}
--- /dev/null
+++ b/internal/load/rate.go
@@ -0,0 +1,101 @@
+package load
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/settings"
+)
+
+// Rate is how many requests a second a flow intends to send over time. The
+// steps set the base rate, and the ramp and the bursts multiply it.
+type Rate struct {
+	PerS  float64 `json:"per_s"`
+	Steps []Step  `json:"steps"` // in order of time
+	Ramp  *Ramp   `json:"ramp"`
+	Burst *Burst  `json:"burst"`
+	// Even sends at even distances in place of a Poisson process.
+	Even bool `json:"even"`
+}
+
+// Step sets the rate from a moment of the run on.
+type Step struct {
+	At   settings.Duration `json:"at"`
+	PerS float64           `json:"per_s"`
+}
+
+// Ramp grows the rate by a factor, linearly, and then keeps it there.
+type Ramp struct {
+	Start  settings.Duration `json:"start"`
+	Length settings.Duration `json:"length"`
+	Factor float64           `json:"factor"`
+}
+
+// Burst multiplies the rate for a while in each period.
+type Burst struct {
+	Every  settings.Duration `json:"every"`
+	Length settings.Duration `json:"length"`
+	Factor float64           `json:"factor"`
+}
+
+// at returns the requests a second at a moment of the run.
+func (r Rate) at(t time.Duration) float64 {
+	rate := r.PerS
+	for _, s := range r.Steps {
+		if t >= s.At.Std() {
+			rate = s.PerS
+		}
+	}
+	return rate * r.Ramp.factor(t) * r.Burst.factor(t)
+}
+
+// peak returns a rate that at never exceeds.
+func (r Rate) peak() float64 {
+	rate := r.PerS
+	for _, s := range r.Steps {
+		rate = max(rate, s.PerS)
+	}
+	if r.Ramp != nil {
+		rate *= max(r.Ramp.Factor, 1)
+	}
+	if r.Burst != nil {
+		rate *= max(r.Burst.Factor, 1)
+	}
+	return rate
+}
+
+func (r *Ramp) factor(t time.Duration) float64 {
+	if r == nil || t <= r.Start.Std() {
+		return 1
+	}
+	part := min(float64(t-r.Start.Std())/float64(r.Length.Std()), 1)
+	return 1 + part*(r.Factor-1)
+}
+
+func (b *Burst) factor(t time.Duration) float64 {
+	if b == nil || t%b.Every.Std() >= b.Length.Std() {
+		return 1
+	}
+	return b.Factor
+}
+
+func (r Rate) check(c *settings.Checks, field string) {
+	c.Want(r.PerS >= 0, field+"/per_s", "want 0 or more requests a second")
+	for i, s := range r.Steps {
+		at := field + "/steps/" + strconv.Itoa(i)
+		c.Want(s.PerS >= 0, at+"/per_s", "want 0 or more requests a second")
+		c.Want(i == 0 || s.At > r.Steps[i-1].At, at+"/at", "want a moment after the former step")
+	}
+	if r.Ramp != nil {
+		c.Want(r.Ramp.Start >= 0, field+"/ramp/start", "want 0 or more")
+		c.Want(r.Ramp.Length > 0, field+"/ramp/length", "want more than 0")
+		c.Want(r.Ramp.Factor > 0, field+"/ramp/factor", "want more than 0")
+	}
+	if r.Burst != nil {
+		c.Want(r.Burst.Length > 0, field+"/burst/length", "want more than 0")
+		c.Want(r.Burst.Every > r.Burst.Length, field+"/burst/every", "want more than the length")
+		c.Want(r.Burst.Factor >= 0, field+"/burst/factor", "want 0 or more")
+	}
+	peak := r.peak()
+	c.Want(peak > 0 && peak <= maxRate, field, "want a highest rate above 0 and up to %g requests a second, got %g", maxRate, peak)
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,206 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is the account of one run. Times are in milliseconds and count from
+// the intended moments of sending.
+type Report struct {
+	Name      string    `json:"name"`
+	RunID     string    `json:"run_id"`
+	Seed      uint64    `json:"seed"`
+	DurationS float64   `json:"duration_s"` // of the schedule
+	ElapsedS  float64   `json:"elapsed_s"`
+	Targets   []string  `json:"targets"`
+	Verified  bool      `json:"verified"`
+	Deadlines Deadlines `json:"deadlines"`
+
+	Total           Group   `json:"total"`
+	Organisations   []Group `json:"organisations"`
+	Classes         []Group `json:"classes"`
+	OrganisationsBy []Group `json:"organisations_by_class"`
+	Flows           []Group `json:"flows"`
+
+	WorstServed *Served    `json:"worst_served"` // organisation with the lowest attainment
+	BestServed  *Served    `json:"best_served"`
+	WorstToBest float64    `json:"worst_to_best"` // 0 if nobody was served
+	Runs        *RunCounts `json:"runs,omitempty"`
+}
+
+// Served is an organisation's attainment.
+type Served struct {
+	Organisation string  `json:"organisation"`
+	Attainment   float64 `json:"attainment"`
+}
+
+// Group is the account of some requests. Latencies are of answers that came
+// whole.
+type Group struct {
+	Name              string  `json:"name"`
+	Counts            Counts  `json:"counts"`
+	Attainment        float64 `json:"attainment"`
+	AttainmentMeanGap float64 `json:"attainment_mean_gap"`
+	FirstToken        Latency `json:"first_token"` // of streamed answers
+	WorstGap          Latency `json:"worst_gap"`   // of each request
+	MeanGap           Latency `json:"mean_gap"`
+	Total             Latency `json:"total"`
+	Late              Latency `json:"late"` // how late the generator itself sent
+}
+
+// Latency is a distribution in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean_ms"`
+	P50   float64 `json:"p50_ms"`
+	P90   float64 `json:"p90_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p999_ms"`
+	Max   float64 `json:"max_ms"`
+	// Curve holds the percentiles for a plot.
+	Curve []Point `json:"curve,omitempty"`
+}
+
+// Point is one point of a percentile curve.
+type Point struct {
+	Percentile float64 `json:"percentile"`
+	MS         float64 `json:"ms"`
+}
+
+// curvePercentiles are the points of a curve.
+var curvePercentiles = []float64{0, 10, 25, 50, 75, 80, 85, 90, 92.5, 95, 97, 98, 99, 99.5, 99.8, 99.9, 99.95, 99.99}
+
+func millis(us float64) float64 { return us / 1000 }
+
+func newLatency(h *hdrhistogram.Histogram) Latency {
+	at := func(p float64) float64 { return millis(float64(h.ValueAtPercentile(p))) }
+	l := Latency{Count: h.TotalCount()}
+	if l.Count == 0 {
+		return l
+	}
+	l.Mean, l.Max = millis(h.Mean()), millis(float64(h.Max()))
+	l.P50, l.P90, l.P95, l.P99, l.P999 = at(50), at(90), at(95), at(99), at(99.9)
+	for _, p := range curvePercentiles {
+		l.Curve = append(l.Curve, Point{Percentile: p, MS: at(p)})
+	}
+	return l
+}
+
+func newGroup(name string, t *Tally) Group {
+	return Group{
+		Name:              name,
+		Counts:            t.Counts,
+		Attainment:        t.Counts.Attainment(),
+		AttainmentMeanGap: share(t.Counts.AttainedMean, t.Counts.Intended),
+		FirstToken:        newLatency(t.first),
+		WorstGap:          newLatency(t.worstGap),
+		MeanGap:           newLatency(t.meanGap),
+		Total:             newLatency(t.total),
+		Late:              newLatency(t.late),
+	}
+}
+
+func newReport(exp *Experiment, runID string, elapsed time.Duration, tallies []*Tally) *Report {
+	by := func(name func(Flow) string) []Group { return groupBy(exp, tallies, name) }
+	r := &Report{
+		Name:      exp.Name,
+		RunID:     runID,
+		Seed:      exp.Seed,
+		DurationS: exp.Duration.Std().Seconds(),
+		ElapsedS:  elapsed.Seconds(),
+		Targets:   exp.Targets.URLs,
+		Verified:  exp.Verify,
+		Deadlines: exp.Deadlines,
+
+		Total:           by(func(Flow) string { return "all" })[0],
+		Organisations:   by(func(f Flow) string { return f.Organisation }),
+		Classes:         by(func(f Flow) string { return string(f.Class) }),
+		OrganisationsBy: by(func(f Flow) string { return f.Organisation + "/" + string(f.Class) }),
+		Flows:           by(func(f Flow) string { return f.Name }),
+	}
+	r.rank()
+	return r
+}
+
+// groupBy merges the flows of the same name, in order of names.
+func groupBy(exp *Experiment, tallies []*Tally, name func(Flow) string) []Group {
+	merged := map[string]*Tally{}
+	for i, f := range exp.Flows {
+		key := name(f)
+		if merged[key] == nil {
+			merged[key] = NewTally(exp.Deadlines)
+		}
+		merged[key].Merge(tallies[i])
+	}
+	var list []Group
+	for _, key := range sortedKeys(merged) {
+		list = append(list, newGroup(key, merged[key]))
+	}
+	return list
+}
+
+// rank finds the worst and the best served organisation that sent anything.
+func (r *Report) rank() {
+	for _, g := range r.Organisations {
+		if g.Counts.Intended == 0 {
+			continue
+		}
+		s := &Served{Organisation: g.Name, Attainment: g.Attainment}
+		if r.WorstServed == nil || s.Attainment < r.WorstServed.Attainment {
+			r.WorstServed = s
+		}
+		if r.BestServed == nil || s.Attainment > r.BestServed.Attainment {
+			r.BestServed = s
+		}
+	}
+	if r.BestServed != nil && r.BestServed.Attainment > 0 {
+		r.WorstToBest = r.WorstServed.Attainment / r.BestServed.Attainment
+	}
+}
+
+// Broken counts what must never happen: wrong and incomplete answers, and
+// check-ins that ran more than once.
+func (r *Report) Broken() int {
+	n := r.Total.Counts.Wrong + r.Total.Counts.Incomplete
+	if r.Runs != nil {
+		n += r.Runs.Repeated
+	}
+	return n
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// WriteFile writes a report as JSON.
+func WriteFile(file string, report any) error {
+	text, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return fmt.Errorf("load: report: %w", err)
+	}
+	if err := os.WriteFile(file, append(text, '\n'), 0o644); err != nil {
+		return fmt.Errorf("load: report: %w", err)
+	}
+	return nil
+}
+
+// ReadReport reads what WriteFile wrote of a Run.
+func ReadReport(file string) (*Report, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("load: report: %w", err)
+	}
+	var r Report
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, fmt.Errorf("load: report %s: %w", file, err)
+	}
+	return &r, nil
+}
--- /dev/null
+++ b/internal/load/runs.go
@@ -0,0 +1,68 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// RunCounts tells how often the check-ins of this run were executed, by the
+// plain services' own account.
+type RunCounts struct {
+	CheckIns int `json:"check_ins"` // that ran at least once
+	Repeated int `json:"repeated"`  // that ran more than once
+}
+
+const countRunsTimeout = 10 * time.Second
+
+// countRuns asks the plain services; nil if the experiment names none.
+func (g *generator) countRuns(ctx context.Context) (*RunCounts, error) {
+	if len(g.exp.PlainServices) == 0 {
+		return nil, nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), countRunsTimeout)
+	defer cancel()
+	sum := map[string]uint64{}
+	for _, base := range g.exp.PlainServices {
+		if err := g.addRuns(ctx, base, sum); err != nil {
+			return nil, fmt.Errorf("load: runs of check-ins at %s: %w", base, err)
+		}
+	}
+	counts := &RunCounts{}
+	for id, n := range sum {
+		if !strings.HasPrefix(id, g.runID+"-") {
+			continue
+		}
+		counts.CheckIns++
+		if n > 1 {
+			counts.Repeated++
+		}
+	}
+	return counts, nil
+}
+
+func (g *generator) addRuns(ctx context.Context, base string, sum map[string]uint64) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(base, "/")+"/runs", nil)
+	if err != nil {
+		return err
+	}
+	res, err := g.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", res.StatusCode)
+	}
+	runs := map[string]uint64{}
+	if err := json.NewDecoder(res.Body).Decode(&runs); err != nil {
+		return err
+	}
+	for id, n := range runs {
+		sum[id] += n
+	}
+	return nil
+}
