--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -31,6 +31,8 @@
 	PathReport      = "/engine/report"       // GET Report
 	PathCacheEvents = "/engine/cache-events" // GET ?since=SEQ, answers CacheEvents
 	PathCancel      = "/engine/cancel/"      // POST attempt id
+	PathKVExport    = "/engine/kv/export"    // POST model and prompt, as of a completion; answers KVPrefix
+	PathKVImport    = "/engine/kv/import"    // POST KVPrefix, answers KVImported
 )
 
 // Op is what an order asks for.
@@ -42,6 +44,17 @@
 	OpUnload        Op = "unload"
 	OpLoadAdapter   Op = "load_adapter"
 	OpUnloadAdapter Op = "unload_adapter"
+	OpSetRole       Op = "set_role"
+)
+
+// Role is the part of requests that an engine does.
+type Role string
+
+// The roles of engines.
+const (
+	RoleMixed   Role = "mixed"   // whole requests; the role at the start
+	RolePrefill Role = "prefill" // prompts, up to the first token
+	RoleDecode  Role = "decode"  // requests whose prompt is in the prefix cache
 )
 
 // Order asks an engine to change what is resident. An engine that checks
@@ -54,6 +67,7 @@
 	Adapter  string `json:"adapter,omitempty"`
 	Version  string `json:"version,omitempty"`
 	MemoryMB int64  `json:"memory_mb"`
+	Role     Role   `json:"role,omitempty"` // of OpSetRole, which names no model
 }
 
 // OrderReply says whether the engine took an order.
@@ -95,6 +109,7 @@
 	Boot          string     `json:"boot"`
 	Seq           uint64     `json:"seq"`
 	Fence         uint64     `json:"fence"`
+	Role          Role       `json:"role"`
 	MemoryMB      int64      `json:"memory_mb"`
 	Resident      []Resident `json:"resident"`
 	Settled       []Settled  `json:"settled"` // the latest orders, oldest first
@@ -106,6 +121,21 @@
 	AgeMS         int64      `json:"age_ms"` // how old the load figures are
 }
 
+// KVPrefix is the KV cache of one prompt prefix on its way from one engine to
+// another. Blocks are the hashes of its prefixes, as PrefixHashes gives them.
+type KVPrefix struct {
+	Model  string   `json:"model"` // with the adapter
+	Blocks []uint64 `json:"blocks"`
+}
+
+// Tokens returns the length of the prefix.
+func (k KVPrefix) Tokens() int { return len(k.Blocks) * CacheBlockTokens }
+
+// KVImported is the answer to an import.
+type KVImported struct {
+	Tokens int `json:"tokens"`
+}
+
 // CacheEvent says that a prompt prefix entered or left the cache.
 type CacheEvent struct {
 	Seq     uint64 `json:"seq"`
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -87,6 +87,7 @@
 	LoadMS             float64 `json:"load_ms"`
 	UnloadMS           float64 `json:"unload_ms"`
 	AdapterMS          float64 `json:"adapter_ms"`
+	KVTransferTokenMS  float64 `json:"kv_transfer_token_ms"`
 	OutputTokens       int     `json:"output_tokens"` // mean answer length; 0 for max_tokens always
 	ReportLagMS        float64 `json:"report_lag_ms"`
 	CacheEventDelayMS  float64 `json:"cache_event_delay_ms"`
@@ -247,6 +248,7 @@
 		WeightsURL:         e.WeightStore,
 		LoadTime:           millis(t.LoadMS),
 		AdapterTime:        millis(t.AdapterMS),
+		KVTransferPerToken: millis(t.KVTransferTokenMS),
 		ReportLag:          millis(t.ReportLagMS),
 		CacheEventDelay:    millis(t.CacheEventDelayMS),
 		CacheEventGap:      t.CacheEventGap,
--- a/internal/standin/emulator/batch.go
+++ b/internal/standin/emulator/batch.go
@@ -96,6 +96,8 @@
 		return RefusalTooLong
 	case !e.memory.ready(r.model, r.adapter):
 		return RefusalNotResident
+	case !e.inRole(r):
+		return RefusalRole
 	case waiting >= e.set.MaxQueue && !e.roomFor(r):
 		return RefusalQueueFull
 	}
--- a/internal/standin/emulator/cache.go
+++ b/internal/standin/emulator/cache.go
@@ -46,16 +46,20 @@
 
 // cachePrompt keeps the blocks of a prompt that was computed.
 func (e *Engine) cachePrompt(r *request) {
+	e.cacheBlocks(r.name, r.model, r.prefixes)
+}
+
+func (e *Engine) cacheBlocks(name, model string, prefixes []uint64) {
 	c := &e.cache
 	if c.capacity == 0 {
 		return
 	}
-	for i, p := range r.prefixes {
+	for i, p := range prefixes {
 		if el, ok := c.blocks[p]; ok {
 			c.order.MoveToFront(el)
 			continue
 		}
-		b := block{name: r.name, model: r.model, prefix: p, tokens: (i + 1) * engine.CacheBlockTokens}
+		b := block{name: name, model: model, prefix: p, tokens: (i + 1) * engine.CacheBlockTokens}
 		c.blocks[p] = c.order.PushFront(b)
 		e.emitCached(b, false)
 		if c.order.Len() > c.capacity {
--- a/internal/standin/emulator/emulator.go
+++ b/internal/standin/emulator/emulator.go
@@ -37,6 +37,7 @@
 	RefusalNotResident Refusal = "model not resident"
 	RefusalTooLong     Refusal = "longer than the KV memory"
 	RefusalKnown       Refusal = "attempt already known"
+	RefusalRole        Refusal = "not in the engine's role"
 )
 
 // Event is something that happens to the engine.
@@ -64,6 +65,10 @@
 	OK   bool
 }
 
+// ImportKV brings the KV cache of a prompt prefix. It is dropped if its model
+// is not ready.
+type ImportKV struct{ Prefix engine.KVPrefix }
+
 // Tick lets due steps end.
 type Tick struct{}
 
@@ -71,6 +76,7 @@
 func (Cancel) event()       {}
 func (OrderArrived) event() {}
 func (Fetched) event()      {}
+func (ImportKV) event()     {}
 func (Tick) event()         {}
 
 // Action is something that the caller carries out.
@@ -133,6 +139,8 @@
 	ModelLoads      uint64 `json:"model_loads"`       // model loads begun
 	AdapterLoads    uint64 `json:"adapter_loads"`     // adapter loads begun
 	LoadsOfResident uint64 `json:"loads_of_resident"` // load orders of what was there
+	KVExported      uint64 `json:"kv_exported"`       // tokens of KV cache exported
+	KVImported      uint64 `json:"kv_imported"`       // tokens of KV cache imported
 }
 
 // Load is the part of a report that lags.
@@ -149,6 +157,7 @@
 	batch    batch
 	cache    cache
 	memory   memory
+	role     engine.Role
 	counters Counters
 	actions  []Action
 }
@@ -160,6 +169,7 @@
 		batch:  batch{known: map[string]*request{}},
 		cache:  newCache(set.CacheTokens),
 		memory: memory{},
+		role:   engine.RoleMixed,
 	}
 }
 
@@ -177,6 +187,8 @@
 		e.order(ev.Order)
 	case Fetched:
 		e.fetched(ev)
+	case ImportKV:
+		e.importKV(ev.Prefix)
 	case Tick:
 	}
 	e.finishUnloads(now)
--- a/internal/standin/emulator/emulator_test.go
+++ b/internal/standin/emulator/emulator_test.go
@@ -215,3 +215,49 @@
 	}
 	must.Eq(t, 2, refused)
 }
+
+func TestImportedKVIsCached(t *testing.T) {
+	from, to := ready(t, settings()), ready(t, settings())
+	prompt := slices.Repeat([]string{"w"}, 40)
+	must.Eq(t, 0, from.ExportKV("m", prompt).Tokens())
+	from.Step(0, Submit{Attempt: "a", Model: "m", Prompt: prompt, MaxTokens: 1})
+	drain(from)
+	kv := from.ExportKV("m", prompt)
+	must.Eq(t, 32, kv.Tokens())
+
+	to.Step(0, ImportKV{Prefix: engine.KVPrefix{Model: "other", Blocks: kv.Blocks}})
+	must.Eq(t, 0, to.ExportKV("m", prompt).Tokens())
+	actions := to.Step(0, ImportKV{Prefix: kv})
+	must.Len(t, 2, actions) // a cache event for each block
+	to.Step(0, Submit{Attempt: "b", Model: "m", Prompt: prompt, MaxTokens: 1})
+	drain(to)
+	c := to.Counters()
+	must.Eq(t, []uint64{32, 8, 32}, []uint64{c.CachedTokens, c.PrefillTokens, c.KVImported})
+	must.Eq(t, 32, from.Counters().KVExported)
+}
+
+func TestRolesRefuseOtherRequests(t *testing.T) {
+	set := settings()
+	set.Fencing = true
+	e := ready(t, set)
+	role := func(fence uint64, r engine.Role) engine.OrderReply {
+		o := engine.Order{ID: "r", Fence: fence, Op: engine.OpSetRole, Role: r}
+		return e.Step(0, OrderArrived{Order: o})[0].(Replied).Reply
+	}
+	refused := func(s Submit) bool {
+		actions := e.Step(0, s)
+		drain(e)
+		return slices.Contains(actions, Action(Refused{Attempt: s.Attempt, Reason: RefusalRole}))
+	}
+	must.True(t, role(2, engine.RolePrefill).Accepted)
+	must.Eq(t, engine.RolePrefill, e.Residency().Role)
+	must.True(t, refused(submit("a", 32, 2, false)))
+	must.False(t, refused(submit("b", 32, 1, false)))
+	must.Eq(t, ReasonOldFence, role(1, engine.RoleMixed).Reason)
+	must.Eq(t, ReasonNoRole, role(2, "other").Reason)
+	must.True(t, role(3, engine.RoleDecode).Accepted)
+	must.False(t, refused(submit("c", 32, 2, false)))
+	must.True(t, refused(submit("d", 64, 2, false)))
+	must.True(t, role(3, engine.RoleMixed).Accepted)
+	must.False(t, refused(submit("d", 64, 2, false)))
+}
--- a/internal/standin/emulator/memory.go
+++ b/internal/standin/emulator/memory.go
@@ -20,6 +20,7 @@
 	ReasonUnknownOp  = "unknown operation"
 	ReasonNoSize     = "memory_mb is not positive"
 	ReasonNoModelSet = "no model named"
+	ReasonNoRole     = "unknown role"
 )
 
 // item is one resident and what it waits for.
@@ -120,7 +121,7 @@
 }
 
 func (e *Engine) orderRefusal(o engine.Order) string {
-	if o.Model == "" {
+	if o.Model == "" && o.Op != engine.OpSetRole {
 		return ReasonNoModelSet
 	}
 	if !e.set.Fencing {
@@ -148,6 +149,8 @@
 		return e.unload(o)
 	case engine.OpUnloadAdapter:
 		return e.unload(o)
+	case engine.OpSetRole:
+		return e.setRole(o)
 	}
 	return ReasonUnknownOp
 }
@@ -319,6 +322,7 @@
 	r := engine.Report{
 		Seq:      e.memory.seq,
 		Fence:    e.memory.fence,
+		Role:     e.role,
 		MemoryMB: e.set.MemoryMB,
 		Resident: []engine.Resident{},
 		Settled:  slices.Clone(e.memory.settled),
--- a/internal/standin/modelengine/modelengine.go
+++ b/internal/standin/modelengine/modelengine.go
@@ -27,6 +27,7 @@
 	CacheEventDelay    time.Duration // age at which cache events are published
 	CacheEventGap      int           // one in this many cache events is lost; 0 for none
 	CancelOnDisconnect bool          // cancel a request whose client went away
+	KVTransferPerToken time.Duration // time of an import of KV cache
 	RetainAttempts     int           // ended attempts that can still be resumed
 	Resident           []Initial     // what is resident at the start
 }
@@ -187,6 +188,8 @@
 	mux.HandleFunc("GET "+engine.PathReport, s.report)
 	mux.HandleFunc("GET "+engine.PathCacheEvents, s.cacheEvents)
 	mux.HandleFunc("POST "+engine.PathCancel+"{attempt}", s.cancel)
+	mux.HandleFunc("POST "+engine.PathKVExport, s.exportKV)
+	mux.HandleFunc("POST "+engine.PathKVImport, s.importKV)
 	mux.HandleFunc("GET /counters", s.showCounters)
 	mux.Handle("GET "+observe.Path, &s.counter)
 	return s.faults.Wrap(mux)
--- a/internal/standin/modelengine/modelengine_test.go
+++ b/internal/standin/modelengine/modelengine_test.go
@@ -248,3 +248,24 @@
 	got := l.since(3*time.Second, 0)
 	must.Eq(t, engine.CacheEvents{Next: 3, Events: []engine.CacheEvent{{Seq: 1}, {Seq: 3}}}, got)
 }
+
+func TestKVMovesToAnotherEngine(t *testing.T) {
+	from, to := newRig(t, 0), newRig(t, 0)
+	prompt := strings.Repeat("w ", 20)
+	body := `{"model":"m","prompt":"` + prompt + `","max_tokens":1}`
+	res := from.post("/v1/completions", body, nil)
+	_, err := io.ReadAll(res.Body)
+	must.NoError(t, err)
+
+	kv, err := io.ReadAll(from.post(engine.PathKVExport, body, nil).Body)
+	must.NoError(t, err)
+	imported, err := io.ReadAll(to.post(engine.PathKVImport, string(kv), nil).Body)
+	must.NoError(t, err)
+	must.Eq(t, "{\"tokens\":16}\n", string(imported))
+	_, err = io.ReadAll(to.post("/v1/completions", body, nil).Body)
+	must.NoError(t, err)
+	must.Eq(t, 16, to.engine.Counters().CachedTokens)
+
+	other := strings.Replace(string(kv), `"m"`, `"n"`, 1)
+	must.Eq(t, http.StatusNotFound, to.post(engine.PathKVImport, other, nil).StatusCode)
+}
