Add escrowed shares of rate and burst, fleet to zone to instance

Cause: no organisation may receive more than its rate and burst across all instances together, through kills, pauses, partitions and platform outages.

Ruled out: a central counter (stops with the platform), eventually consistent counters (overspend), equal static division alone (wrongful refusals; kept as the policy StaticDivision). A plain refund: a charge refilled while its request runs would be refunded a second time (TestRefundAfterRefill). Deciding over former holders' extras before they lapsed: a base share or a reduced claim given out of them breaks the sum, so both wait as extras do.

Change: Instance, Zone and the pure Claims; the lease's fence is now that of the tenure, so that the duty holder sees when it did not hold all the time.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -7,7 +7,8 @@
 // saw the object's version. Every write is conditional on the version last
 // seen, so two writes from one version cannot both take effect. Held is asked
 // at the point of use, so a holder that was paused stops by itself. The
-// version of the holder's last confirmed write is its fencing number.
+// object's version when a tenure began is its fencing number; renewals keep
+// it, so a changed number tells the holder that it did not hold all the time.
 //
 // A write whose reply is lost is resolved by reading back: only the writer
 // knows its writer id and attempt number. Such a read may be as stale as it
@@ -135,8 +136,8 @@
 // State returns the state in the state chart.
 func (l *Lease) State() string { return l.machine.State() }
 
-// Held reports whether the lease is held at now, and its fencing number. Ask
-// it at the point of use.
+// Held reports whether the lease is held at now, and the fencing number of
+// this tenure. Ask it at the point of use.
 func (l *Lease) Held(now time.Duration) (fence uint64, ok bool) {
 	if now >= l.until {
 		return 0, false
@@ -246,8 +247,10 @@
 		if a.number != l.value.Attempt || now >= a.sentAt+a.term {
 			continue
 		}
+		if l.until == 0 {
+			l.fence = l.seen.Version
+		}
 		l.until = max(l.until, a.sentAt+a.term)
-		l.fence = l.seen.Version
 		if !l.reread {
 			l.fire("mine")
 		}
--- /dev/null
+++ b/internal/limit/bucket_test.go
@@ -0,0 +1,96 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func static(limits map[string]Limit) *Instance {
+	in := NewInstance(Options{Policy: StaticDivision, Instances: 1}, "i", "run")
+	in.Step(0, Limits{Version: 1, Orgs: limits})
+	return in
+}
+
+// drain takes all tokens in charges of one.
+func drain(in *Instance, now time.Duration, org string) (n int64) {
+	for in.Admit(now, org, 1).Admitted {
+		n++
+	}
+	return n
+}
+
+// TestRefundAfterRefill is the counterexample to a plain refund: a charge is
+// refilled while its request runs, so its refund would be the same tokens a
+// second time.
+func TestRefundAfterRefill(t *testing.T) {
+	in := static(map[string]Limit{"a": {Rate: 10, Burst: 100}})
+	const full = 11 * time.Second
+	must.Eq(t, 100, drain(in, full, "a"))
+	first := in.Admit(2*full, "a", 100)
+	must.True(t, first.Admitted)
+	second := in.Admit(3*full, "a", 100) // refilled in place of the first
+	must.True(t, second.Admitted)
+	must.Zero(t, in.Refund(3*full, first.Receipt, 0))
+	must.Zero(t, drain(in, 3*full, "a"))
+
+	// The second was not refilled: all that it did not use comes back.
+	must.Eq(t, 60*PPM, in.Refund(3*full, second.Receipt, 40))
+	must.Eq(t, 60, drain(in, 3*full, "a"))
+}
+
+// TestFastClock drains a full bucket whose clock is as fast as allowed.
+func TestFastClock(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 100}
+	in := static(map[string]Limit{"a": limit})
+	c := clock{ratePPM: DefaultDriftPPM}
+	var sum int64
+	for truth := time.Second; truth <= 201*time.Second; truth += 50 * time.Millisecond {
+		sum += drain(in, c.at(truth), "a")
+	}
+	must.LessEq(t, limit.Rate*200+limit.Burst, sum)
+	must.Greater(t, limit.Rate*199, sum)
+}
+
+// TestGenerationsRunOut keeps more runs of charges open than are remembered:
+// the oldest refunds are forfeited, never paid twice.
+func TestGenerationsRunOut(t *testing.T) {
+	in := static(map[string]Limit{"a": {Rate: 100, Burst: 100}})
+	now := 2 * time.Second
+	var open []Receipt
+	for range 3 * generations {
+		d := in.Admit(now, "a", 2)
+		must.True(t, d.Admitted)
+		open = append(open, d.Receipt)
+		now += 100 * time.Millisecond
+	}
+	for _, r := range open {
+		in.Refund(now, r, 0)
+	}
+	b := &in.orgs["a"].bucket
+	must.LessEq(t, b.cap, b.level)
+	must.Zero(t, b.owed)
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	limits := map[string]Limit{"a": {Rate: MaxTokens, Burst: MaxTokens}}
+	in := static(limits)
+	now := time.Second
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Microsecond
+		d := in.Admit(now, "a", 1000)
+		in.Refund(now, d.Receipt, 500)
+	}
+}
+
+func TestAdmitDoesNotAllocate(t *testing.T) {
+	in := static(map[string]Limit{"a": {Rate: 1000, Burst: 1000}})
+	now := time.Second
+	must.Zero(t, testing.AllocsPerRun(1000, func() {
+		now += time.Millisecond
+		d := in.Admit(now, "a", 3)
+		in.Refund(now, d.Receipt, 2)
+	}))
+}
--- /dev/null
+++ b/internal/limit/grant_test.go
@@ -0,0 +1,163 @@
+package limit
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+)
+
+var (
+	tenth = Share{RatePPM: PPM / 10, BurstPPM: PPM / 10}
+	whole = Share{RatePPM: PPM, BurstPPM: PPM}
+)
+
+func escrowInstance(burst int64) *Instance {
+	in := NewInstance(testOptions(), "i", "run")
+	in.Step(time.Second, Limits{Version: 1, Orgs: map[string]Limit{"a": {Rate: 1000, Burst: burst}}})
+	return in // request 1 was sent at 1 s
+}
+
+func grantOf(seq uint64, base, extra Share, loans ...Loan) Grant {
+	return Grant{Incarnation: "run", Number: GrantNumber{Fence: 1, Seq: seq}, Request: 1,
+		Shares: []OrgShare{{Org: "a", Base: base, Extra: extra}}, Loans: loans}
+}
+
+func TestTermsCountFromTheRequest(t *testing.T) {
+	in := escrowInstance(1000)
+	in.Step(2900*time.Millisecond, grantOf(2, tenth, tenth))
+	must.Eq(t, Share{PPM / 5, PPM / 5}, in.orgs["a"].share())
+	in.Admit(3*time.Second, "a", 1)
+	must.Eq(t, tenth, in.orgs["a"].share()) // the extra has ended
+	in.Admit(13*time.Second, "a", 1)
+	must.Eq(t, Share{}, in.orgs["a"].share()) // and the base share, isolated
+}
+
+func TestOlderAndForeignGrantsAreIgnored(t *testing.T) {
+	in := escrowInstance(1000)
+	in.Step(time.Second, grantOf(2, tenth, Share{}))
+	late, foreign, unasked := grantOf(1, whole, whole), grantOf(3, whole, whole), grantOf(3, whole, whole)
+	foreign.Incarnation = "former run"
+	unasked.Request = 7
+	for _, g := range []Grant{late, foreign, unasked, grantOf(2, whole, whole)} {
+		in.Step(time.Second, g)
+		must.Eq(t, tenth, in.orgs["a"].share())
+	}
+	in.Step(time.Second, Stop{})
+	in.Step(time.Second, grantOf(4, whole, whole))
+	must.Eq(t, Share{}, in.orgs["a"].share())
+	must.False(t, in.Admit(2*time.Second, "a", 1).Admitted)
+}
+
+func TestLoanIsUsedOnceAndOnlyUnderItsBurst(t *testing.T) {
+	in := escrowInstance(1000)
+	id := GrantNumber{Fence: 1, Seq: 9}
+	in.Step(time.Second, grantOf(1, tenth, Share{}))
+	d := in.Admit(time.Second, "a", 500) // beyond the instance's own burst
+	must.False(t, d.Admitted)
+	must.True(t, d.Borrowing)
+	sent := in.Step(time.Second, Tick{})[0].(SendRequest).Request
+	must.Eq(t, []Demand{{Org: "a", Need: 500}}, sent.Demand)
+
+	g := grantOf(2, tenth, Share{}, Loan{ID: id, Org: "a", Tokens: 500, Burst: 1000})
+	g.Request = sent.Seq
+	in.Step(time.Second, g)
+	must.True(t, in.Admit(time.Second, "a", 500).Admitted)
+	must.False(t, in.Admit(time.Second, "a", 500).Admitted)
+	must.Eq(t, []GrantNumber{id}, in.Step(time.Second, Tick{})[0].(SendRequest).Request.LoansDone)
+
+	in.Step(time.Second, grantOf(3, tenth, Share{}, Loan{ID: id, Org: "a", Tokens: 500, Burst: 1001}))
+	must.False(t, in.Admit(time.Second, "a", 500).Admitted)
+}
+
+// zoneWith returns a holder of the duty that has read both objects.
+func zoneWith(t *testing.T, claims Claims, ledger Ledger) (*Zone, []Action) {
+	z := NewZone(testOptions(), "z", &fakeDuty{fence: 9, until: 1 << 62})
+	z.Step(time.Second, Limits{Version: 1, Orgs: map[string]Limit{"a": {Rate: 1000, Burst: 1000}}})
+	z.Step(time.Second, Read{Object: stored(t, claimsName, 1, claims)})
+	return z, z.Step(time.Second, Read{Object: stored(t, LedgerName("z"), 2, ledger)})
+}
+
+func stored(t *testing.T, name string, version uint64, value any) platform.Object {
+	raw, err := json.Marshal(value)
+	must.NoError(t, err)
+	return platform.Object{Kind: platform.KindShare, Name: name, Version: version, Value: raw}
+}
+
+func grants(actions []Action) (out []Grant) {
+	for _, a := range actions {
+		if g, ok := a.(SendGrant); ok {
+			out = append(out, g.Grant)
+		}
+	}
+	return out
+}
+
+// TestNewHolderStampsBeforeItGrants: a write of the former holder may still be
+// on its way until both objects carry the new holder's fence.
+func TestNewHolderStampsBeforeItGrants(t *testing.T) {
+	formerClaim := ZoneClaim{Fence: 5, Shares: Shares{"a": whole}}
+	formerLedger := Ledger{Fence: 5, Members: map[string]Member{"run": {Instance: "i", Base: Shares{"a": tenth}}}}
+	z, actions := zoneWith(t, Claims{Zones: map[string]ZoneClaim{"z": formerClaim}}, formerLedger)
+	must.SliceLen(t, 1, actions) // the ledger's stamp; that of the claims went before
+	ask := func(now time.Duration, seq uint64, applied GrantNumber) []Grant {
+		return grants(z.Step(now, Request{Instance: "i", Incarnation: "run", Seq: seq, Applied: applied}))
+	}
+	must.SliceEmpty(t, ask(time.Second, 1, GrantNumber{}))
+
+	stampedClaim, stampedLedger := formerClaim, formerLedger
+	stampedClaim.Fence, stampedLedger.Fence = 9, 9
+	z.Step(time.Second, Written{Object: stored(t, claimsName, 3, Claims{Zones: map[string]ZoneClaim{"z": stampedClaim}})})
+	z.Step(time.Second, Written{Object: stored(t, LedgerName("z"), 4, stampedLedger)})
+	first := ask(time.Second, 2, GrantNumber{})
+	must.SliceLen(t, 1, first)
+	must.Eq(t, OrgShare{Org: "a", Base: tenth}, first[0].Shares[0]) // no extra until the former's ended
+	must.SliceEmpty(t, ask(time.Second, 2, GrantNumber{}))          // a duplicate
+
+	later := ask(4*time.Second, 3, first[0].Number)
+	must.SliceLen(t, 1, later)
+	must.Positive(t, later[0].Shares[0].Extra.RatePPM)
+}
+
+// TestBaseIsGrantedOnlyOnceRecorded: a raised base share whose ledger write is
+// still open must not reach the instance.
+func TestBaseIsGrantedOnlyOnceRecorded(t *testing.T) {
+	z, _ := zoneWith(t, Claims{Zones: map[string]ZoneClaim{"z": {Fence: 9, Shares: Shares{"a": whole}}}}, Ledger{Fence: 9})
+	at := 4 * time.Second
+	z.Step(at, Request{Instance: "i", Incarnation: "run", Seq: 1})
+	must.NotNil(t, z.ledger.pending)
+	must.Positive(t, z.ledger.pending.Members["run"].Base["a"].RatePPM)
+	z.Step(at, WriteFailed{Name: LedgerName("z")})
+	must.Eq(t, z.ledger.pending.Members["run"].Base["a"], z.baseCount("run", "a")) // yet it counts
+	got := grants(z.Step(at, Request{Instance: "i", Incarnation: "run", Seq: 2}))
+	must.Eq(t, Share{}, got[0].Shares[0].Base)
+
+	z.Step(at, Written{Object: stored(t, LedgerName("z"), 5, *z.ledger.pending)})
+	got = grants(z.Step(at, Request{Instance: "i", Incarnation: "run", Seq: 3}))
+	must.Eq(t, z.ledger.value.Members["run"].Base["a"], got[0].Shares[0].Base)
+}
+
+// TestClaimStaysWhileMembersHoldIt: a target below what members may still hold
+// lowers the claim only to that.
+func TestClaimStaysWhileMembersHoldIt(t *testing.T) {
+	held := Share{RatePPM: 900_000, BurstPPM: 900_000}
+	mine := ZoneClaim{Fence: 9, Shares: Shares{"a": whole}}
+	claims := Claims{Zones: map[string]ZoneClaim{"z": mine, "y": {}}}
+	z, _ := zoneWith(t, claims,
+		Ledger{Fence: 9, Members: map[string]Member{"run": {Instance: "i", Base: Shares{"a": held}}}})
+	for at := 4 * time.Second; at < 10*time.Second; at += 100 * time.Millisecond {
+		z.Step(at, Tick{})
+		if z.claims.stale {
+			z.Step(at, Read{Object: stored(t, claimsName, 1, claims)})
+		}
+		if z.claims.pending != nil {
+			must.True(t, z.claims.pending.Zones["z"].Shares["a"].atLeast(held))
+		}
+	}
+	must.NotNil(t, z.claims.pending)
+	z.ceiling = Shares{} // the open write alone binds as well
+	must.True(t, z.claims.pending.Zones["z"].Shares["a"].atLeast(z.usable("a")))
+}
--- /dev/null
+++ b/internal/limit/zone.go
@@ -0,0 +1,240 @@
+package limit
+
+import (
+	"maps"
+	"time"
+)
+
+// Duty tells whether the zone's duty is held, as lease.Lease does.
+type Duty interface {
+	Held(now time.Duration) (fence uint64, ok bool)
+}
+
+// Names of the KindShare objects.
+const claimsName = "claims"
+
+// ClaimsName returns the name of the object with the zones' claims.
+func ClaimsName() string { return claimsName }
+
+// LedgerName returns the name of the object with a zone's ledger.
+func LedgerName(zone string) string { return "ledger-" + zone }
+
+// needKept is how long a zone keeps claiming burst for a large charge.
+const needKept = time.Minute
+
+// member is one incarnation as the duty holder knows it. baseBound and
+// extraBound are the most that any grant still in effect may give it.
+type member struct {
+	instance     string
+	lastRequest  uint64
+	heardAt      time.Duration
+	heard        bool
+	gone         bool
+	wants        map[string]int64
+	grant        GrantNumber
+	granted      map[string]OrgShare
+	baseBound    Shares
+	extraBound   Shares
+	baseExpires  time.Duration
+	extraExpires time.Duration
+}
+
+type zoneLoan struct {
+	id      GrantNumber
+	org     string
+	burst   int64 // parts per million
+	expires time.Duration
+}
+
+type reserve struct {
+	share  Share
+	bucket bucket
+	need   int64 // parts per million of the burst wanted for one large charge
+	needAt time.Duration
+}
+
+// Zone is the duty holder's part: it divides the zone's claim between the
+// zone's instances. It acts only while its duty is held. It is not safe for
+// concurrent use.
+//
+// Invariant, for each organisation: bounds of all members + loans + reserve
+// <= the zone's claim as stored, whichever open write takes effect.
+type Zone struct {
+	opts    Options
+	zone    string
+	duty    Duty
+	version uint64
+	limits  map[string]Limit
+	order   []string
+	err     error
+
+	fence   uint64
+	since   time.Duration
+	claims  slot[Claims]
+	ledger  slot[Ledger]
+	loaded  bool // members were taken from the ledger
+	fresh   bool // the zone never had a claim, so no former holder
+	members map[string]*member
+	left    map[string]time.Duration
+	ceiling Shares // claims to be reduced to this once it is in force
+	moveAt  time.Duration
+	ledgeAt time.Duration
+	reserve map[string]*reserve
+	loans   []zoneLoan
+	seq     uint64
+}
+
+// NewZone returns a duty holder that acts while duty is held.
+func NewZone(opts Options, zone string, duty Duty) *Zone {
+	z := &Zone{opts: opts.withDefaults(), zone: zone, duty: duty}
+	z.claims = slot[Claims]{name: claimsName, decode: DecodeClaims}
+	z.ledger = slot[Ledger]{name: LedgerName(zone), decode: DecodeLedger}
+	return z
+}
+
+// Err returns the last error met in a stored object.
+func (z *Zone) Err() error { return z.err }
+
+// Step applies a message at now and returns what to send, read and write.
+func (z *Zone) Step(now time.Duration, msg Message) []Action {
+	if m, ok := msg.(Limits); ok {
+		z.setLimits(m)
+	}
+	fence, held := z.duty.Held(now)
+	if !held {
+		z.fence = 0
+		return nil
+	}
+	if fence != z.fence {
+		z.takeOver(now, fence)
+	}
+	z.expire(now)
+	var out []Action
+	switch m := msg.(type) {
+	case Request:
+		out = z.serve(now, m)
+	case Gone:
+		if mem := z.members[m.Incarnation]; mem != nil {
+			mem.gone = true
+		}
+	case Read:
+		z.observe(now, m.Object.Name, func(s observer) error { return s.observe(now, m.Object) })
+	case Written:
+		z.observe(now, m.Object.Name, func(s observer) error { return s.observe(now, m.Object) })
+	case WriteFailed:
+		z.observe(now, m.Name, func(s observer) error { s.failed(); return nil })
+	}
+	return append(out, z.maintain(now)...)
+}
+
+func (z *Zone) setLimits(m Limits) {
+	if m.Version <= z.version {
+		return
+	}
+	z.version = m.Version
+	z.limits = m.Orgs
+	z.order = sortedKeys(m.Orgs)
+}
+
+// takeOver forgets the former tenure. Nothing is granted before both objects
+// carry this tenure's fence, which kills writes of former holders that are
+// still on their way, and no extra before the former holder's have lapsed.
+func (z *Zone) takeOver(now time.Duration, fence uint64) {
+	z.fence, z.since, z.seq = fence, now, 0
+	z.claims.reset()
+	z.ledger.reset()
+	z.loaded, z.fresh = false, false
+	z.members = map[string]*member{}
+	z.left = map[string]time.Duration{}
+	z.ceiling = Shares{}
+	z.reserve = map[string]*reserve{}
+	z.loans = nil
+	z.moveAt, z.ledgeAt = 0, 0
+}
+
+// expire drops bounds and loans whose terms are over on every clock.
+func (z *Zone) expire(now time.Duration) {
+	for _, m := range z.members {
+		if m.gone || now >= m.extraExpires {
+			m.extraBound = Shares{}
+		}
+		if m.gone || now >= m.baseExpires {
+			m.baseBound = Shares{}
+			m.gone = true
+		}
+	}
+	kept := z.loans[:0]
+	for _, l := range z.loans {
+		if now < l.expires {
+			kept = append(kept, l)
+		}
+	}
+	z.loans = kept
+	for inc, at := range z.left {
+		if now-at >= z.opts.BaseTerm {
+			delete(z.left, inc)
+		}
+	}
+}
+
+type observer interface {
+	observe(now time.Duration, obj object) error
+	failed()
+}
+
+func (z *Zone) observe(now time.Duration, name string, f func(observer) error) {
+	var err error
+	switch name {
+	case z.claims.name:
+		err = f(&z.claims)
+	case z.ledger.name:
+		err = f(&z.ledger)
+	}
+	if err != nil {
+		z.err = err
+	}
+	if z.stamped() && !z.loaded {
+		z.load()
+	}
+}
+
+// stamped reports whether both objects carry this tenure's fence.
+func (z *Zone) stamped() bool {
+	return z.claims.known && z.ledger.known &&
+		z.claims.value.Zones[z.zone].Fence == z.fence && z.ledger.value.Fence == z.fence
+}
+
+// load takes the members from the ledger. A former holder may have renewed
+// their base shares up to the time of the takeover.
+func (z *Zone) load() {
+	z.loaded = true
+	for inc, lm := range z.ledger.value.Members {
+		if z.members[inc] == nil {
+			z.members[inc] = &member{instance: lm.Instance}
+		}
+		z.members[inc].baseBound = maps.Clone(lm.Base)
+		z.members[inc].baseExpires = z.since + stretch(z.opts.BaseTerm, z.opts.DriftPPM)
+	}
+}
+
+// settled reports whether no extra or loan of a former holder is left: until
+// then this one knows only a lower bound of what is in the members' hands.
+func (z *Zone) settled(now time.Duration) bool {
+	return z.stamped() && (z.fresh || now >= z.since+stretch(z.opts.ExtraTerm, z.opts.DriftPPM))
+}
+
+// maintain polls and writes the objects and sizes the reserve.
+func (z *Zone) maintain(now time.Duration) []Action {
+	out := z.claims.poll(now, z.opts.MoveEvery)
+	out = append(out, z.ledger.poll(now, z.opts.BaseTerm)...)
+	if z.claims.idle() {
+		out = append(out, z.planClaims(now)...)
+	}
+	if z.ledger.idle() {
+		out = append(out, z.planLedger(now)...)
+	}
+	for _, org := range z.order {
+		z.sizeReserve(now, org)
+	}
+	return out
+}
