--- /dev/null
+++ b/internal/limit/zonegrant.go
@@ -0,0 +1,231 @@
+package limit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+)
+
+type object = platform.Object
+
+// serve answers a request. Duplicate and late requests change nothing.
+func (z *Zone) serve(now time.Duration, r Request) []Action {
+	if _, ok := z.left[r.Incarnation]; ok || !z.stamped() {
+		return nil
+	}
+	m := z.members[r.Incarnation]
+	if m == nil {
+		m = &member{instance: r.Instance, baseExpires: now + z.opts.ExtraTerm}
+		z.members[r.Incarnation] = m
+	}
+	if m.gone || m.heard && r.Seq <= m.lastRequest {
+		return nil
+	}
+	z.hear(now, m, r)
+	if r.Leaving {
+		z.left[r.Incarnation] = now
+		m.gone = true
+		z.expire(now)
+		return nil
+	}
+	return []Action{SendGrant{Instance: r.Instance, Grant: z.grant(now, m, r)}}
+}
+
+// hear takes in what a request says. Once the last grant is applied no
+// earlier one can be, so the bounds shrink to it.
+func (z *Zone) hear(now time.Duration, m *member, r Request) {
+	m.heard, m.heardAt, m.lastRequest = true, now, r.Seq
+	m.wants = map[string]int64{}
+	for _, d := range r.Demand {
+		m.wants[d.Org] = d.RatePPM
+	}
+	if m.granted != nil && r.Applied == m.grant {
+		m.baseBound, m.extraBound = Shares{}, Shares{}
+		for org, s := range m.granted {
+			m.baseBound[org], m.extraBound[org] = s.Base, s.Extra
+		}
+	}
+	z.endLoans(now, r.LoansDone)
+	z.refundLoans(now, r.LoanRefunds)
+}
+
+// endLoans takes the burst shares of ended loans back into the reserve. Their
+// levels are spent, but the reserve owes what their requests will not use.
+func (z *Zone) endLoans(now time.Duration, ids []GrantNumber) {
+	for _, id := range ids {
+		i := slices.IndexFunc(z.loans, func(l zoneLoan) bool { return l.id == id })
+		if i < 0 {
+			continue
+		}
+		l := z.loans[i]
+		z.loans = slices.Delete(z.loans, i, i+1)
+		z.sizeReserve(now, l.org)
+		b := &z.reserve[l.org].bucket
+		amount := min(l.amount, b.cap-b.level-b.owed)
+		if amount <= 0 {
+			continue
+		}
+		b.level += amount
+		z.lent[id] = lentCharge{org: l.org, generation: b.charge(amount), amount: amount, at: now}
+	}
+}
+
+// noteNeed remembers the largest need of the last minute.
+func (z *Zone) noteNeed(now time.Duration, r *reserve, burst int64) {
+	if burst >= r.need || now-r.needAt >= needKept {
+		r.need, r.needAt = min(burst, PPM), now
+	}
+}
+
+func (z *Zone) refundLoans(now time.Duration, refunds []LoanRefund) {
+	for _, f := range refunds {
+		l, ok := z.lent[f.ID]
+		if !ok {
+			continue
+		}
+		delete(z.lent, f.ID)
+		b := &z.reserve[l.org].bucket
+		b.advance(now)
+		b.settle(l.generation, l.amount, min(f.Tokens*PPM, l.amount))
+	}
+}
+
+// forgetLoans gives up the refunds of requests that run for very long.
+func (z *Zone) forgetLoans(now time.Duration) {
+	for id, l := range z.lent {
+		if now-l.at >= needKept {
+			delete(z.lent, id)
+		}
+	}
+}
+
+// grant decides the shares of a member and adds them to its bounds.
+func (z *Zone) grant(now time.Duration, m *member, r Request) Grant {
+	z.seq++
+	m.grant = GrantNumber{Fence: z.fence, Seq: z.seq}
+	m.granted = map[string]OrgShare{}
+	if m.baseBound == nil {
+		m.baseBound = Shares{}
+	}
+	if m.extraBound == nil {
+		m.extraBound = Shares{}
+	}
+	g := Grant{Incarnation: r.Incarnation, Number: m.grant, Request: r.Seq}
+	for _, org := range z.order {
+		z.sizeReserve(now, org)
+		s := OrgShare{Org: org, Base: z.baseGrant(r.Incarnation, org), Extra: z.extraGrant(now, r.Incarnation, org)}
+		m.granted[org] = s
+		m.baseBound[org] = m.baseBound[org].max(s.Base)
+		m.extraBound[org] = m.extraBound[org].max(s.Extra)
+		g.Shares = append(g.Shares, s)
+	}
+	m.extraExpires = now + stretch(z.opts.ExtraTerm, z.opts.DriftPPM)
+	m.baseExpires = now + stretch(z.opts.BaseTerm, z.opts.DriftPPM)
+	for _, d := range r.Demand {
+		if l, ok := z.lend(now, d); ok {
+			g.Loans = append(g.Loans, l)
+		}
+	}
+	return g
+}
+
+// baseGrant is what the ledger holds for certain, or the target if that is
+// clearly lower.
+func (z *Zone) baseGrant(inc, org string) Share {
+	s := z.ledger.value.Members[inc].Base[org]
+	if z.ledger.pending != nil {
+		s = s.min(z.ledger.pending.Members[inc].Base[org])
+	}
+	if target := z.baseTarget(org); !s.near(target) {
+		s = s.min(target)
+	}
+	return s
+}
+
+// extraGrant divides what base shares and reserve leave by demand.
+func (z *Zone) extraGrant(now time.Duration, inc, org string) Share {
+	if !z.settled(now) {
+		return Share{}
+	}
+	pool := z.usable(org).sub(z.reserveTarget(now, org))
+	var live, wants int64
+	for i, m := range z.members {
+		base := z.baseCount(i, org)
+		if z.live(now, m) {
+			live++
+			wants += m.wants[org]
+			base = base.max(z.baseTarget(org))
+		}
+		pool = pool.sub(base)
+	}
+	floor := wants/(4*max(live, 1)) + 1
+	weight, weights := z.members[inc].wants[org]+floor, wants+live*floor
+	return pool.max(Share{}).scale(weight, weights).min(z.free(org, inc))
+}
+
+// sizeReserve gives the reserve its part of the claim, less what is lent.
+func (z *Zone) sizeReserve(now time.Duration, org string) {
+	r := z.reserve[org]
+	if r == nil {
+		r = &reserve{bucket: bucket{last: now}}
+		z.reserve[org] = r
+	}
+	r.bucket.advance(now)
+	r.share = Share{}
+	if z.settled(now) {
+		want := z.reserveTarget(now, org)
+		for _, l := range z.loans {
+			if l.org == org {
+				want.BurstPPM -= l.burst
+			}
+		}
+		r.share = want.min(z.free(org, "")).max(Share{})
+	}
+	r.bucket.set(r.share, z.limits[org], z.opts.DriftPPM)
+}
+
+// reserveTarget is the reserve's part of the claim, loans included, with room
+// for the largest charge that was asked for of late.
+func (z *Zone) reserveTarget(now time.Duration, org string) Share {
+	usable := z.usable(org)
+	want := usable.of(z.opts.Reserve)
+	if r := z.reserve[org]; r != nil && r.need > 0 && now-r.needAt < needKept {
+		want.BurstPPM = max(want.BurstPPM, min(r.need, usable.BurstPPM))
+	}
+	return want
+}
+
+// trimReserve shrinks the reserve at once to fit a lower claim.
+func (z *Zone) trimReserve(org string, ceiling Share) {
+	r := z.reserve[org]
+	if r == nil {
+		return
+	}
+	r.share = r.share.min(ceiling.sub(z.given(org, "")).max(Share{}))
+	r.bucket.set(r.share, z.limits[org], z.opts.DriftPPM)
+}
+
+// lend hands tokens of the reserve over for one charge, with the burst share
+// that they stand for: a loan is part of the burst until it has ended.
+func (z *Zone) lend(now time.Duration, d Demand) (Loan, bool) {
+	r, l := z.reserve[d.Org], z.limits[d.Org]
+	if r == nil || d.Need <= 0 || d.Need > l.Burst || !z.settled(now) {
+		return Loan{}, false
+	}
+	burst := mulDiv(d.Need, PPM, l.Burst) + 1
+	if burst > r.share.BurstPPM {
+		z.noteNeed(now, r, burst)
+	}
+	if burst > r.share.BurstPPM || d.Need*PPM > r.bucket.level {
+		return Loan{}, false
+	}
+	z.seq++
+	id := GrantNumber{Fence: z.fence, Seq: z.seq}
+	expires := now + stretch(z.opts.ExtraTerm, z.opts.DriftPPM)
+	z.loans = append(z.loans, zoneLoan{id: id, org: d.Org, burst: burst, amount: d.Need * PPM, expires: expires})
+	r.share.BurstPPM -= burst
+	r.bucket.level -= d.Need * PPM
+	r.bucket.set(r.share, l, z.opts.DriftPPM)
+	return Loan{ID: id, Org: d.Org, Tokens: d.Need, Burst: l.Burst}, true
+}
