--- /dev/null
+++ b/internal/placement/adapters.go
@@ -0,0 +1,38 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Adapter is one adapter that is resident on an upstream.
+type Adapter struct {
+	Name     string
+	MemoryMB int64
+	InFlight int
+	Idle     time.Duration // since its last request here
+}
+
+// AdapterVictims returns the adapters to unload so that mb more fits into
+// free memory, the longest idle first, and whether that suffices. Adapters
+// that serve a request stay. The load itself is recorded in the upstream's
+// ledger, and waits until the unloads are proven there.
+func AdapterVictims(resident []Adapter, freeMB, mb int64) ([]string, bool) {
+	if freeMB >= mb {
+		return nil, true
+	}
+	idle := slices.DeleteFunc(slices.Clone(resident), func(a Adapter) bool { return a.InFlight > 0 })
+	slices.SortFunc(idle, func(a, b Adapter) int {
+		return cmp.Or(cmp.Compare(b.Idle, a.Idle), cmp.Compare(a.Name, b.Name))
+	})
+	var victims []string
+	for _, a := range idle {
+		victims = append(victims, a.Name)
+		freeMB += a.MemoryMB
+		if freeMB >= mb {
+			return victims, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/placement/fleet_test.go
@@ -0,0 +1,232 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	fleetModels = 8
+	modelSize   = 20
+	tick        = 10 * time.Second
+)
+
+// fleet is a few zones that plan each for itself from stale views of the
+// record of homes. Writes land late, lose their reply, or fail.
+type fleet struct {
+	t       *rapid.T
+	now     time.Duration
+	planner Planner
+	version uint64
+	homes   Homes
+	zones   []*zone
+	writes  []homesWrite
+	excused map[string]bool // an upstream with the model died
+}
+
+type zone struct {
+	name      string
+	owner     uint64
+	view      *HomesView
+	upstreams []Upstream
+	since     time.Duration
+}
+
+type homesWrite struct {
+	from    *zone
+	view    *HomesView // of the owner that sent it
+	version uint64
+	homes   Homes
+}
+
+func newFleet(t *rapid.T, planner Planner, upstreamMB int64) *fleet {
+	f := &fleet{t: t, planner: planner, excused: map[string]bool{}}
+	for i := range 3 {
+		z := &zone{name: fmt.Sprint("z", i)}
+		for j := range 2 {
+			z.upstreams = append(z.upstreams, Upstream{
+				Name: fmt.Sprint(z.name, "-", j), MemoryMB: upstreamMB, Live: true,
+			})
+		}
+		f.zones = append(f.zones, z)
+		f.restart(z)
+	}
+	for m := range fleetModels {
+		f.excused[modelName(m)] = true // until it had a home
+	}
+	return f
+}
+
+func modelName(m int) string { return fmt.Sprint("m", m) }
+
+func (f *fleet) draw(n int) int { return rapid.IntRange(0, n-1).Draw(f.t, "n") }
+
+// restart replaces a zone's duty holder; the router forgets its drains.
+func (f *fleet) restart(z *zone) {
+	z.owner++
+	z.view = NewHomesView(z.name, z.owner)
+	for _, up := range z.upstreams {
+		for i := range up.Replicas {
+			up.Replicas[i].Draining = false
+		}
+	}
+}
+
+func (f *fleet) read(z *zone) { z.view.Take(f.version, f.homes) }
+
+// plan lets a zone plan from what it knows, and takes the moves.
+func (f *fleet) plan(z *zone, demand func(m int) float64, alive func(string) bool) {
+	homes, version := z.view.Homes()
+	in := Input{Zone: z.name, Upstreams: z.upstreams, Loads: 2}
+	for _, other := range f.zones {
+		if other == z || alive(other.name) {
+			in.Zones = append(in.Zones, other.name)
+		}
+	}
+	for m := range fleetModels {
+		name := modelName(m)
+		d := demand(m)
+		in.Models = append(in.Models, Model{
+			Name: name, MemoryMB: modelSize, Fast: d, Slow: d,
+			Designated: z.view.Designated(name), Lost: homes.lost(name, z.name),
+			Elsewhere: homes.Elsewhere(name, z.name, alive), Since: f.now - z.since,
+		})
+	}
+	if !z.view.Claimed() {
+		in.Models = nil
+		in.Upstreams = nil
+	}
+	moves := f.planner.Plan(in)
+	for _, m := range moves {
+		z.apply(m)
+	}
+	next, changed, err := z.view.Edit(moves, alive)
+	if err == nil && changed {
+		f.writes = append(f.writes, homesWrite{z, z.view, version, next})
+	}
+}
+
+func (z *zone) apply(m Move) {
+	for u := range z.upstreams {
+		up := &z.upstreams[u]
+		if up.Name != m.Upstream {
+			continue
+		}
+		var index int
+		fmt.Sscanf(m.Model, "m%d", &index)
+		i := slices.IndexFunc(up.Replicas, func(r Replica) bool { return r.Model == index })
+		switch m.Kind {
+		case Load:
+			up.Replicas = append(up.Replicas, Replica{Model: index})
+			up.CommittedMB += modelSize
+		case Drain, Resume:
+			up.Replicas[i].Draining = m.Kind == Drain
+		case Unload:
+			up.Replicas[i].State = Unloading
+		}
+	}
+}
+
+// land lets one write take effect, if its version is still the latest.
+func (f *fleet) land(i int, loseReply bool) {
+	w := f.writes[i]
+	f.writes = slices.Delete(f.writes, i, i+1)
+	if w.version != f.version {
+		return
+	}
+	f.version++
+	f.homes = w.homes
+	if !loseReply && w.view == w.from.view {
+		w.view.Take(f.version, f.homes)
+	}
+}
+
+// progress ends loads and unloads of a zone.
+func (f *fleet) progress(z *zone) {
+	for u := range z.upstreams {
+		up := &z.upstreams[u]
+		up.Replicas = slices.DeleteFunc(up.Replicas, func(r Replica) bool { return r.State == Unloading })
+		up.CommittedMB = int64(len(up.Replicas)) * modelSize
+		for i := range up.Replicas {
+			up.Replicas[i].State = Ready
+			up.Replicas[i].Age += tick
+		}
+	}
+}
+
+// kill ends an upstream; another takes its place, empty.
+func (f *fleet) kill(z *zone, u int) {
+	for _, r := range z.upstreams[u].Replicas {
+		f.excused[modelName(r.Model)] = true
+	}
+	z.upstreams[u].Replicas = nil
+	z.upstreams[u].CommittedMB = 0
+}
+
+// reachable counts the zones where a model is ready and not draining.
+func (f *fleet) reachable(m int) int {
+	n := 0
+	for _, z := range f.zones {
+		if z.serves(m) {
+			n++
+		}
+	}
+	return n
+}
+
+func (z *zone) serves(m int) bool {
+	return slices.ContainsFunc(z.upstreams, func(up Upstream) bool {
+		return slices.ContainsFunc(up.Replicas, func(r Replica) bool {
+			return r.Model == m && r.State == Ready && !r.Draining
+		})
+	})
+}
+
+// check fails if a model that had a home has none. The excuse of a death ends
+// once every home that is or may get recorded serves again.
+func (f *fleet) check() {
+	for m := range fleetModels {
+		name := modelName(m)
+		if f.excused[name] {
+			f.excused[name] = !f.restored(m)
+			continue
+		}
+		if f.reachable(m) == 0 {
+			f.t.Fatalf("%s is nowhere ready; homes %v", name, f.homes.Models[name])
+		}
+	}
+}
+
+// restored says whether each recorded home serves, and each home that a write
+// under way may still record.
+func (f *fleet) restored(m int) bool {
+	records := []Homes{f.homes}
+	for _, w := range f.writes {
+		if w.version == f.version {
+			records = append(records, w.homes)
+		}
+	}
+	for _, homes := range records {
+		if !f.kept(m, homes) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) kept(m int, record Homes) bool {
+	homes := 0
+	for _, z := range f.zones {
+		if !record.Has(modelName(m), z.name) || record.lost(modelName(m), z.name) {
+			continue
+		}
+		if !z.serves(m) {
+			return false
+		}
+		homes++
+	}
+	return homes > 0
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,203 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
+)
+
+func (f *fleet) disturb() {
+	z := f.zones[f.draw(len(f.zones))]
+	alive := func(string) bool { return true }
+	if f.draw(6) == 0 {
+		alive = func(name string) bool { return name != "z0" } // cut off
+	}
+	switch kind := f.draw(24); {
+	case kind < 3:
+		f.read(z)
+	case kind < 12:
+		hot := f.draw(fleetModels)
+		f.plan(z, func(m int) float64 {
+			if m == hot {
+				return 3
+			}
+			return 0.01
+		}, alive)
+	case kind < 18 && len(f.writes) > 0:
+		f.land(f.draw(len(f.writes)), f.draw(4) == 0)
+	case kind == 18 && f.draw(4) == 0:
+		f.restart(z)
+	case kind == 19 && f.draw(10) == 0:
+		f.kill(z, f.draw(2))
+	case kind < 22:
+		f.progress(z)
+	default:
+		f.read(z)
+	}
+	f.now += tick
+	f.check()
+}
+
+// settle ends all faults: views are fresh and writes land.
+func (f *fleet) settle() {
+	for range 60 {
+		for _, z := range f.zones {
+			f.read(z)
+			f.plan(z, func(int) float64 { return 0.01 }, func(string) bool { return true })
+			for len(f.writes) > 0 {
+				f.land(0, false)
+			}
+			f.progress(z)
+			f.now += tick
+			f.check()
+		}
+	}
+}
+
+// restless plans without hysteresis, so that many moves cross.
+func restless() Planner {
+	opt := DefaultDemandOptions()
+	opt.Threshold, opt.MinStay, opt.Stagger = 0, 0, 0
+	opt.SpareWorth = 0.05
+	return Demand{Options: opt}
+}
+
+func TestEveryModelKeepsAHome(t *testing.T) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		f := newFleet(rt, restless(), 2*modelSize)
+		f.settle()
+		for range rapid.IntRange(50, 400).Draw(rt, "steps") {
+			f.disturb()
+		}
+		f.settle()
+		for m := range fleetModels {
+			if f.reachable(m) == 0 {
+				rt.Fatalf("m%d is nowhere ready; homes %v", m, f.homes.Models)
+			}
+		}
+	})
+}
+
+func TestSparesGoToOtherZones(t *testing.T) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		f := newFleet(rt, Demand{Options: DefaultDemandOptions()}, 3*modelSize)
+		for range rapid.IntRange(0, 100).Draw(rt, "steps") {
+			f.disturb()
+		}
+		f.settle()
+		for m := range fleetModels {
+			if f.reachable(m) < 2 {
+				rt.Fatalf("m%d is ready in %d zones; homes %v", m, f.reachable(m), f.homes.Models)
+			}
+		}
+	})
+}
+
+func TestOnlyKnownHomeIsNeverUnloaded(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		in := Input{Zone: "a", Zones: []string{"a", "b"}, Loads: 4, Models: []Model{
+			{Name: "held", MemoryMB: 60, Designated: true, Elsewhere: 1, Idle: time.Hour},
+			{Name: "asked", MemoryMB: 60, Fast: 1, Slow: 1, Elsewhere: 1},
+		}, Upstreams: []Upstream{{Name: "u", MemoryMB: 60, CommittedMB: 60, Live: true, Replicas: []Replica{
+			{Model: 0, State: Ready, Age: time.Hour},
+		}}}}
+		if cut {
+			in.Models[0].Elsewhere = 0
+		}
+		moves := Demand{Options: DefaultDemandOptions()}.Plan(in)
+		if cut {
+			must.SliceEmpty(t, moves)
+			continue
+		}
+		must.Eq(t, []Move{{Kind: Retire, Model: "held", Reason: "demand"}}, moves)
+		in.Models[0].Designated = false
+		moves = Demand{Options: DefaultDemandOptions()}.Plan(in)
+		must.Eq(t, []Move{{Kind: Drain, Model: "held", Upstream: "u", Reason: "demand"}}, moves)
+		in.Upstreams[0].Replicas[0].Draining = true
+		in.Upstreams[0].Replicas[0].InFlight = 1
+		must.SliceEmpty(t, Demand{Options: DefaultDemandOptions()}.Plan(in))
+		in.Upstreams[0].Replicas[0].InFlight = 0
+		moves = Demand{Options: DefaultDemandOptions()}.Plan(in)
+		must.Eq(t, []Move{{Kind: Unload, Model: "held", Upstream: "u", Reason: "drained"}}, moves)
+	}
+}
+
+func TestAdapterVictims(t *testing.T) {
+	resident := []Adapter{
+		{Name: "busy", MemoryMB: 5, InFlight: 1, Idle: time.Hour},
+		{Name: "new", MemoryMB: 5, Idle: time.Second},
+		{Name: "old", MemoryMB: 5, Idle: time.Minute},
+	}
+	victims, ok := AdapterVictims(resident, 1, 6)
+	must.True(t, ok)
+	must.Eq(t, []string{"old"}, victims)
+	_, ok = AdapterVictims(resident, 1, 12)
+	must.False(t, ok)
+}
+
+// fullZone is a zone of the planned size: upstreams hold four models each.
+func fullZone(upstreams, models int) Input {
+	rng := rand.New(rand.NewPCG(1, 2))
+	in := Input{Zone: "z00", Loads: 2}
+	for z := range 19 {
+		in.Zones = append(in.Zones, fmt.Sprintf("z%02d", z))
+	}
+	for m := range models {
+		d := rng.ExpFloat64() * float64(upstreams) / float64(models)
+		in.Models = append(in.Models, Model{
+			Name: fmt.Sprint("m", m), MemoryMB: 20, Fast: d, Slow: d, Elsewhere: 2, Since: time.Hour,
+		})
+	}
+	for u := range upstreams {
+		up := Upstream{Name: fmt.Sprint("u", u), MemoryMB: 80, CommittedMB: 80, Live: true}
+		for i := range 4 {
+			up.Replicas = append(up.Replicas, Replica{Model: (u*4 + i) % models, State: Ready, Age: time.Hour})
+		}
+		in.Upstreams = append(in.Upstreams, up)
+	}
+	return in
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ upstreams, models int }{{4, 20}, {29, 128}, {58, 255}, {116, 510}} {
+		b.Run(fmt.Sprintf("upstreams=%d/models=%d", size.upstreams, size.models), func(b *testing.B) {
+			in := fullZone(size.upstreams, size.models)
+			planner := Demand{Options: DefaultDemandOptions()}
+			b.ReportAllocs()
+			for b.Loop() {
+				planner.Plan(in)
+			}
+		})
+	}
+}
+
+func TestHomesViewCountsWritesInDoubt(t *testing.T) {
+	all := func(string) bool { return true }
+	v := NewHomesView("a", 2)
+	must.True(t, v.Designated("m"), must.Sprint("nothing is known"))
+	v.Take(1, Homes{Owners: map[string]uint64{"a": 1}})
+	must.True(t, v.Designated("m"), must.Sprint("a former owner may still designate"))
+	claim, changed, err := v.Edit(nil, all)
+	must.NoError(t, err)
+	must.True(t, changed)
+	v.Take(2, claim)
+	must.False(t, v.Designated("m"))
+	next, _, err := v.Edit([]Move{{Kind: Designate, Model: "m"}}, all)
+	must.NoError(t, err)
+	must.True(t, v.Designated("m"), must.Sprint("the write may land"))
+	v.Take(2, claim)
+	must.True(t, v.Designated("m"), must.Sprint("the write may still land"))
+	v.Take(3, claim)
+	must.False(t, v.Designated("m"), must.Sprint("another write took its version"))
+	_, err = next.Retire("m", "a", all)
+	must.ErrorIs(t, err, ErrLastHome)
+	v.Take(4, Homes{Owners: map[string]uint64{"a": 3}})
+	_, _, err = v.Edit(nil, all)
+	must.ErrorIs(t, err, ErrSuperseded)
+}
