--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -4,12 +4,15 @@
 
 // DemandOptions tune Demand.
 type DemandOptions struct {
+	// Target is the load up to which an accelerator meets its deadlines.
+	Target float64
 	// Threshold is the least gain of a move, in accelerators.
 	Threshold float64
 	// MinStay is how long a replica stays before demand may displace it.
 	MinStay time.Duration
 	// Stagger is how long each zone leaves the one before it, in the order of
-	// rendezvous hashing, to restore a home or add a spare.
+	// rendezvous hashing, to restore a home or add a spare. It is longer than
+	// a load takes.
 	Stagger time.Duration
 	// Extra is how long a replica beyond HomesWanted stays before its zone
 	// becomes a home as well.
@@ -32,12 +35,13 @@
 // DefaultDemandOptions returns the options that the system runs with.
 func DefaultDemandOptions() DemandOptions {
 	return DemandOptions{
-		Threshold:     0.1,
+		Target:        0.85,
+		Threshold:     0.05,
 		MinStay:       3 * time.Minute,
-		Stagger:       10 * time.Second,
+		Stagger:       time.Minute,
 		Extra:         time.Minute,
 		HomesWanted:   2,
-		SpareWorth:    0.2,
+		SpareWorth:    0.1,
 		RemotePenalty: 0.5,
 	}
 }
@@ -90,11 +94,10 @@
 		if len(p.where[m]) > 0 {
 			return 0, false
 		}
-		turn := time.Duration(p.rank(model.Name)) * p.opt.Stagger
-		return p.demand(m), model.Designated || model.Elsewhere == 0 && model.Since >= turn
+		return p.demand(m), model.Designated || model.Elsewhere == 0 && model.Since >= p.turn(m)
 	})
 	for _, m := range homeless {
-		if p.loads <= 0 {
+		if p.spent() {
 			return
 		}
 		n := need{model: m, evict: evict, force: true, worth: homeWorth, reason: "home"}
@@ -122,11 +125,10 @@
 		if len(p.where[m]) > 0 || p.waiting[m] || model.Designated || model.Elsewhere == 0 {
 			return 0, false
 		}
-		turn := time.Duration(p.rank(model.Name)) * p.opt.Stagger
-		return p.demand(m), model.Elsewhere < p.opt.HomesWanted && model.Since >= turn
+		return p.demand(m), model.Elsewhere < p.opt.HomesWanted && model.Since >= p.turn(m)
 	})
 	for _, m := range single {
-		if p.loads <= 0 {
+		if p.spent() {
 			return
 		}
 		p.place(need{
@@ -143,7 +145,7 @@
 		return excess, excess > p.opt.Threshold && !p.waiting[m]
 	})
 	for _, m := range short {
-		if p.loads <= 0 {
+		if p.spent() {
 			return
 		}
 		p.place(need{
@@ -159,7 +161,7 @@
 		return p.demand(m), len(p.where[m]) == 0 && p.in.Models[m].Elsewhere > 0 && !p.waiting[m]
 	})
 	for _, m := range lacking {
-		if p.loads <= 0 || p.place(need{model: m, threshold: anyGain, reason: "fill"}) {
+		if p.spent() || p.place(need{model: m, threshold: anyGain, reason: "fill"}) {
 			return
 		}
 	}
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -82,7 +82,7 @@
 func (p *plan) evaluate(n need, u int, victims []int) (candidate, bool) {
 	size := p.in.Models[n.model].MemoryMB
 	c := candidate{upstream: u, victims: victims}
-	spare := capacity - p.load[u]
+	spare := p.opt.Target - p.load[u]
 	var lost float64
 	for short := size - p.slot[u]; short > 0; {
 		i := p.cheapest(n, u, c.victims)
@@ -108,7 +108,7 @@
 // demand for its size, or -1.
 func (p *plan) cheapest(n need, u int, chosen []int) int {
 	best, least := -1, math.Inf(1)
-	if !n.evict {
+	if !n.evict || p.rooms <= 0 {
 		return best
 	}
 	for i, r := range p.in.Upstreams[u].Replicas {
@@ -146,19 +146,26 @@
 	return p.cost(m, u) / float64(max(p.in.Models[m].MemoryMB, 1))
 }
 
+// spent says whether this round can start nothing more.
+func (p *plan) spent() bool { return p.loads <= 0 && p.rooms <= 0 }
+
 // take starts a placement: the load itself if there is memory and budget,
-// else the removals that make room for a later round.
+// else the removals that make room for a later round. Either way the memory
+// is set aside from what this round places next.
 func (p *plan) take(n need, c candidate) {
 	size := p.in.Models[n.model].MemoryMB
 	for _, i := range c.victims {
 		p.remove(n, replicaID{c.upstream, i})
 	}
+	if len(c.victims) > 0 {
+		p.rooms--
+	}
 	p.slot[c.upstream] -= size
-	p.loads--
-	if p.free[c.upstream] < size {
+	if p.free[c.upstream] < size || p.loads <= 0 {
 		p.waiting[n.model] = true
 		return
 	}
+	p.loads--
 	p.free[c.upstream] -= size
 	p.addLoad(n.model, -1)
 	p.where[n.model] = append(p.where[n.model], c.upstream)
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -3,17 +3,16 @@
 import (
 	"hash/fnv"
 	"slices"
+	"time"
 )
 
-// capacity is the demand that one accelerator serves, in accelerators.
-const capacity = 1.0
-
 // plan is the state of one planning round. Models and upstreams go by index.
 type plan struct {
 	in      Input
 	opt     DemandOptions
 	moves   []Move
 	loads   int       // loads that may still start
+	rooms   int       // placements for which replicas may still be displaced
 	ready   []int     // ready replicas here that are not draining
 	where   [][]int   // upstreams that hold or load each model, not draining
 	load    []float64 // expected demand on each upstream, in accelerators
@@ -23,6 +22,14 @@
 	waiting []bool // models for which room is being made
 }
 
+// Replicas that may leave at one time in one zone: the least, and one for
+// this many upstreams. It does not depend on the loads that may start, so
+// that a room that is being made is not given up while the budget is spent.
+const (
+	leastRooms       = 2
+	upstreamsPerRoom = 16
+)
+
 type replicaID struct{ upstream, index int }
 
 func newPlan(in Input, opt DemandOptions) *plan {
@@ -30,6 +37,7 @@
 		in:      in,
 		opt:     opt,
 		loads:   in.Loads,
+		rooms:   max(leastRooms, len(in.Upstreams)/upstreamsPerRoom),
 		ready:   make([]int, len(in.Models)),
 		where:   make([][]int, len(in.Models)),
 		load:    make([]float64, len(in.Upstreams)),
@@ -58,6 +66,7 @@
 func (p *plan) count(u int, r Replica) {
 	if r.Draining || r.State == Unloading {
 		p.slot[u] += p.in.Models[r.Model].MemoryMB
+		p.rooms--
 		return
 	}
 	p.where[r.Model] = append(p.where[r.Model], u)
@@ -96,8 +105,8 @@
 	var excess float64
 	share := p.share(m)
 	for _, u := range p.where[m] {
-		if p.load[u] > capacity {
-			excess += share * (1 - capacity/p.load[u])
+		if p.load[u] > p.opt.Target {
+			excess += share * (1 - p.opt.Target/p.load[u])
 		}
 	}
 	return excess
@@ -120,7 +129,7 @@
 	}
 	for _, other := range p.where[m] {
 		if other != u {
-			share -= max(capacity-p.load[other], 0)
+			share -= max(p.opt.Target-p.load[other], 0)
 		}
 	}
 	return max(share, 0)
@@ -168,6 +177,11 @@
 	return rank
 }
 
+// turn is how long a model must have lacked a home before this zone acts.
+func (p *plan) turn(m int) time.Duration {
+	return time.Duration(p.rank(p.in.Models[m].Name)) * p.opt.Stagger
+}
+
 func rendezvous(model, zone string) uint32 {
 	h := fnv.New32a()
 	h.Write([]byte(model))
