evaluate: measure route and fair beside baselines in virtual time

Change: a workload file for each firm; an event loop with fake engines (continuous batching, prompts in chunks, prefix cache, priorities), late load reports and lost cache events; the real packages in fake instances.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 BINARIES := eelgrass-entry eelgrassctl eelgrass-standin eelgrass-load
 
-.PHONY: build test format vet lint unit generate clean
+.PHONY: build test format vet lint unit generate evaluate clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -26,5 +26,11 @@
 generate:
 	protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative $$(git ls-files '*.proto')
 
+# evaluate measures the policies beside their baselines.
+SEED ?= 20261203
+evaluate:
+	$(GO) build -o $(BIN)/eelgrass-evaluate ./cmd/eelgrass-evaluate
+	$(BIN)/eelgrass-evaluate --seed $(SEED) workloads/lakeshore.hujson workloads/laufzeit.hujson
+
 clean:
 	rm -rf $(BIN) out
--- /dev/null
+++ b/internal/evaluate/engine.go
@@ -0,0 +1,178 @@
+package evaluate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fair"
+)
+
+// Timing and sizes of an engine.
+const (
+	stepPerModel   = 6 * time.Millisecond   // for each model with work in a step
+	stepPerToken   = 700 * time.Microsecond // for each sequence that decodes
+	promptToken    = 100 * time.Microsecond
+	promptChunk    = 256 // prompt tokens computed in one step
+	maxRunning     = 32
+	cachedPrefixes = 60
+	keptAdapters   = 16
+)
+
+// cacheEvent is a change of an engine's prefix cache.
+type cacheEvent struct {
+	prefix  uint64
+	tokens  int
+	evicted bool
+}
+
+// engine is a fake model engine: continuous batching in steps, prompts in
+// chunks, an LRU prefix cache, a queue with or without priorities.
+type engine struct {
+	w        *world
+	id       int
+	zone     int
+	dead     bool
+	stepping bool
+	homes    []int // models ready
+	waiting  []*job
+	running  []*job
+	prefixes []cacheEvent // least recently used first
+	adapters []int        // least recently used first
+	events   []cacheEvent
+	loading  time.Duration // adapter loads to add to the next step
+}
+
+func (e *engine) submit(j *job) {
+	j.prefilled, j.tokens = 0, 0
+	e.waiting = append(e.waiting, j)
+	e.w.fleet.Used[e.id][j.model] = e.w.now
+	if !e.stepping {
+		e.stepping = true
+		e.step()
+	}
+}
+
+// take admits waiting requests, live ones first if priorities are on.
+func (e *engine) take() {
+	for len(e.running) < maxRunning && len(e.waiting) > 0 {
+		at := 0
+		if e.w.policies.Priorities {
+			at = max(0, slices.IndexFunc(e.waiting, func(j *job) bool { return j.class == fair.Live }))
+		}
+		j := e.waiting[at]
+		e.waiting = slices.Delete(e.waiting, at, at+1)
+		e.running = append(e.running, j)
+		j.prefilled = e.cached(j)
+		e.useAdapter(j.adapter)
+	}
+}
+
+func (e *engine) step() {
+	e.take()
+	if e.dead || len(e.running) == 0 {
+		e.stepping = false
+		return
+	}
+	chunk := promptChunk
+	decoding := 0
+	models := map[int]bool{}
+	chunks := make([]int, len(e.running))
+	for _, class := range []fair.Class{fair.Live, fair.Batch} {
+		for i, j := range e.running {
+			if j.class != class && e.w.policies.Priorities || !e.w.policies.Priorities && class == fair.Batch {
+				continue
+			}
+			models[j.model] = true
+			if j.prefilled < j.prompt {
+				chunks[i] = min(chunk, j.prompt-j.prefilled)
+				chunk -= chunks[i]
+				continue
+			}
+			decoding++
+		}
+	}
+	took := e.loading + time.Duration(len(models))*stepPerModel + time.Duration(decoding)*stepPerToken +
+		time.Duration(promptChunk-chunk)*promptToken
+	e.loading = 0
+	batch := slices.Clone(e.running)
+	e.w.after(took, func() { e.finishStep(batch, chunks) })
+}
+
+func (e *engine) finishStep(batch []*job, chunks []int) {
+	if e.dead {
+		return
+	}
+	for i, j := range batch {
+		if j.prefilled < j.prompt {
+			j.prefilled += chunks[i]
+			if chunks[i] == 0 || j.prefilled < j.prompt {
+				continue
+			}
+			e.store(j)
+			j.first = e.w.now
+		}
+		j.tokens++
+		j.last = e.w.now
+		if j.tokens >= j.output {
+			e.running = slices.DeleteFunc(e.running, func(x *job) bool { return x == j })
+			e.w.finished(j)
+		}
+	}
+	e.step()
+}
+
+// kill fails all requests of the engine.
+func (e *engine) kill() {
+	e.dead = true
+	lost := append(e.running, e.waiting...)
+	e.running, e.waiting = nil, nil
+	for _, j := range lost {
+		e.w.failed(j, j.tokens == 0, false)
+	}
+}
+
+func (e *engine) cached(j *job) int {
+	at := slices.IndexFunc(e.prefixes, func(p cacheEvent) bool { return p.prefix == j.prefix })
+	if at < 0 {
+		return 0
+	}
+	p := e.prefixes[at]
+	e.prefixes = append(slices.Delete(e.prefixes, at, at+1), p)
+	return min(p.tokens, j.prefixSize)
+}
+
+func (e *engine) store(j *job) {
+	e.prefixes = slices.DeleteFunc(e.prefixes, func(p cacheEvent) bool { return p.prefix == j.prefix })
+	p := cacheEvent{prefix: j.prefix, tokens: j.prefixSize}
+	e.prefixes = append(e.prefixes, p)
+	e.events = append(e.events, p)
+	if len(e.prefixes) > cachedPrefixes {
+		old := e.prefixes[0]
+		old.evicted = true
+		e.events = append(e.events, old)
+		e.prefixes = slices.Delete(e.prefixes, 0, 1)
+	}
+}
+
+func (e *engine) useAdapter(a int) {
+	at := slices.Index(e.adapters, a)
+	if at >= 0 {
+		e.adapters = append(slices.Delete(e.adapters, at, at+1), a)
+		return
+	}
+	e.loading += time.Duration(e.w.load.AdapterLoadUS) * time.Microsecond
+	e.adapters = append(e.adapters, a)
+	if len(e.adapters) > keptAdapters {
+		e.adapters = slices.Delete(e.adapters, 0, 1)
+	}
+}
+
+func (e *engine) queuedPrefill() int64 {
+	n := 0
+	for _, list := range [][]*job{e.running, e.waiting} {
+		for _, j := range list {
+			n += j.prompt - j.prefilled
+		}
+	}
+	return int64(n)
+}
--- /dev/null
+++ b/internal/evaluate/evaluate_test.go
@@ -0,0 +1,61 @@
+package evaluate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fair"
+)
+
+func short(t *testing.T) *Workload {
+	w, err := ReadWorkload("../../workloads/lakeshore.hujson")
+	must.NoError(t, err)
+	w.Seconds = 60
+	w.Flood.FromS, w.Flood.ToS = 20, 40
+	return w
+}
+
+// TestRunIsDeterministic: the same seed gives the same figures.
+func TestRunIsDeterministic(t *testing.T) {
+	w := short(t)
+	must.Eq(t, Run(w, Ours(), 7), Run(w, Ours(), 7))
+}
+
+// TestEveryRequestEnds: no request is lost in the fakes or in the queues, with
+// and without a killed server.
+func TestEveryRequestEnds(t *testing.T) {
+	w := short(t)
+	for _, kill := range []time.Duration{0, 20 * time.Second} {
+		p := Ours()
+		p.Kill = kill
+		x := run(w, p, w.trace(3), 3)
+		for i := range x.jobs {
+			j := &x.jobs[i]
+			must.NotEq(t, pending, j.end)
+			must.True(t, j.end != answered || j.tokens == j.output)
+		}
+	}
+}
+
+// TestOracleAdmitsWithinRate: the trace marks exactly what the oracle admits,
+// and a flood goes beyond it.
+func TestOracleAdmitsWithinRate(t *testing.T) {
+	w := short(t)
+	m := Run(w, Ours(), 3)
+	must.Eq(t, 0, m.Beyond)
+	must.Eq(t, 0.0, m.Limited)
+	beyond, batch := 0, 0
+	for _, j := range w.trace(3) {
+		if !j.within {
+			beyond++
+			must.Eq(t, w.Flood.Organisation, w.Organisations[j.org].Name)
+		}
+		if j.class == fair.Batch {
+			batch++
+		}
+	}
+	must.Positive(t, beyond)
+	must.Positive(t, batch)
+}
--- /dev/null
+++ b/internal/evaluate/measure.go
@@ -0,0 +1,97 @@
+package evaluate
+
+import (
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fair"
+)
+
+// Measures are the figures of one run.
+type Measures struct {
+	// Attainment is the share of live requests within rate that met both
+	// deadlines, Worst and Best those of organisations, while one floods.
+	Attainment, Worst, Best float64
+	// LateFirst and LateGap are the shares of live requests within rate that
+	// were answered but missed the first token's deadline, or only the one
+	// between tokens.
+	LateFirst, LateGap float64
+	// BatchDone is the share of batch requests within rate that were answered.
+	BatchDone float64
+	// Moves is the number of model loads.
+	Moves int
+	// Limited is the share of requests within rate that were refused for the
+	// rate, Refused the share refused for overload.
+	Limited, Refused float64
+	// Beyond is the number of tokens admitted beyond rate and burst.
+	Beyond int
+	// Attempts is the mean number of attempts of a request sent, after a kill.
+	Attempts float64
+	// Skew is the mean of the largest over the mean load of a model's homes.
+	Skew float64
+}
+
+// attained says whether a live request met both deadlines: the first token's
+// from the arrival at the instance, and the mean time between tokens.
+func (j *job) attained() bool {
+	if j.end != answered || j.first-j.at > firstTokenDeadline {
+		return false
+	}
+	return j.tokens < 2 || (j.last-j.first)/time.Duration(j.tokens-1) <= tokenGapDeadline
+}
+
+type ratio struct{ n, of int }
+
+func (r *ratio) add(yes bool) {
+	r.of++
+	if yes {
+		r.n++
+	}
+}
+
+func (r ratio) value() float64 { return float64(r.n) / float64(max(1, r.of)) }
+
+func (x *world) measure() Measures {
+	m := Measures{Moves: x.moves, Worst: 1}
+	var all, batch, limitedOnes, refusedOnes, attempts, lateFirst, lateGap ratio
+	orgs := make([]ratio, len(x.load.Organisations))
+	from, to := seconds(x.load.Flood.FromS), seconds(x.load.Flood.ToS)
+	oracle := newExactLimiter(x.load)
+	for i := range x.jobs {
+		j := &x.jobs[i]
+		if j.end != limited && !oracle.Admit(j.at, 0, j.org, j.prompt+j.output) {
+			m.Beyond += j.prompt + j.output
+		}
+		if j.attempts > 0 && j.at >= x.policies.Kill {
+			attempts.n += j.attempts
+			attempts.of++
+		}
+		if !j.within {
+			continue
+		}
+		limitedOnes.add(j.end == limited)
+		refusedOnes.add(j.end == refused)
+		if j.class == fair.Batch {
+			batch.add(j.end == answered)
+			continue
+		}
+		all.add(j.attained())
+		late := j.end == answered && j.first-j.at > firstTokenDeadline
+		lateFirst.add(late)
+		lateGap.add(j.end == answered && !late && !j.attained())
+		if j.at >= from && j.at < to {
+			orgs[j.org].add(j.attained())
+		}
+	}
+	for _, o := range orgs {
+		m.Worst = min(m.Worst, o.value())
+		m.Best = max(m.Best, o.value())
+	}
+	m.Attainment, m.BatchDone = all.value(), batch.value()
+	m.Limited, m.Refused = limitedOnes.value(), refusedOnes.value()
+	m.LateFirst, m.LateGap = lateFirst.value(), lateGap.value()
+	m.Attempts = attempts.value()
+	for _, s := range x.skew {
+		m.Skew += s / float64(len(x.skew))
+	}
+	return m
+}
--- /dev/null
+++ b/internal/evaluate/workload.go
@@ -0,0 +1,209 @@
+// Package evaluate measures the decision packages under a workload in virtual
+// time, beside baselines. Engines, instances and the network are small fakes in
+// one event loop.
+package evaluate
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fair"
+)
+
+// Organisation is a caller's organisation and its share of the requests.
+type Organisation struct {
+	Name  string  `json:"name"`
+	Share float64 `json:"share"`
+}
+
+// Flood is a time in which one organisation sends a multiple of its rate.
+type Flood struct {
+	Organisation string  `json:"organisation"`
+	TimesRate    float64 `json:"times_rate"`
+	FromS        float64 `json:"from_s"`
+	ToS          float64 `json:"to_s"`
+}
+
+// Workload describes a site and its demand.
+type Workload struct {
+	Name             string         `json:"name"`
+	Zones            int            `json:"zones"`
+	ZoneRoundTripUS  int            `json:"zone_round_trip_us"`
+	Instances        int            `json:"instances"`
+	Servers          int            `json:"servers"`
+	ModelsPerServer  int            `json:"models_per_server"`
+	Models           int            `json:"models"`
+	Adapters         int            `json:"adapters"`
+	AdapterLoadUS    int            `json:"adapter_load_us"`
+	StoreLoadsPerS   float64        `json:"store_loads_per_s"`
+	StoreLoadsAtOnce int            `json:"store_loads_at_once"`
+	Seconds          float64        `json:"seconds"`
+	RequestsPerS     float64        `json:"requests_per_s"`
+	DemandPeriodS    float64        `json:"demand_period_s"`
+	BurstEveryS      float64        `json:"burst_every_s"`
+	BurstSeconds     float64        `json:"burst_seconds"`
+	BurstFactor      float64        `json:"burst_factor"`
+	BatchPercent     int            `json:"batch_percent"`
+	PromptTokens     int            `json:"prompt_tokens"`
+	PrefixPercent    int            `json:"prefix_percent"`
+	PrefixesPerModel int            `json:"prefixes_per_model"`
+	OutputTokens     int            `json:"output_tokens"`
+	BatchOutput      int            `json:"batch_output_tokens"`
+	RateHeadroom     float64        `json:"rate_headroom"`
+	BurstTokensS     float64        `json:"burst_tokens_s"`
+	Organisations    []Organisation `json:"organisations"`
+	Flood            Flood          `json:"flood"`
+}
+
+// ReadWorkload reads a HuJSON file.
+func ReadWorkload(path string) (*Workload, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("evaluate: read workload: %w", err)
+	}
+	plain, err := hujson.Standardize(raw)
+	if err != nil {
+		return nil, fmt.Errorf("evaluate: parse %s: %w", path, err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(plain))
+	decoder.DisallowUnknownFields()
+	w := &Workload{}
+	if err := decoder.Decode(w); err != nil {
+		return nil, fmt.Errorf("evaluate: decode %s: %w", path, err)
+	}
+	return w, nil
+}
+
+// meanTokens is the mean of the prompt and output tokens of a request.
+func (w *Workload) meanTokens() float64 {
+	batch := float64(w.BatchPercent) / 100
+	return float64(w.PromptTokens) + (1-batch)*float64(w.OutputTokens) + batch*float64(w.BatchOutput)
+}
+
+// rate is an organisation's rate in tokens per second.
+func (w *Workload) rate(org int) float64 {
+	return w.Organisations[org].Share * w.RequestsPerS * w.meanTokens() * w.RateHeadroom
+}
+
+// burst is an organisation's burst in tokens.
+func (w *Workload) burst(org int) float64 { return w.rate(org) * w.BurstTokensS }
+
+// job is one request of a trace, and what became of it in one run.
+type job struct {
+	id         uint64
+	at         time.Duration
+	org, model int
+	adapter    int
+	class      fair.Class
+	prompt     int
+	output     int
+	prefix     uint64
+	prefixSize int
+	instance   int
+	within     bool // within the organisation's rate and burst
+
+	attempts          int
+	server            int
+	sent              time.Duration
+	prefilled, tokens int
+	first, last       time.Duration
+	end               outcome
+	queued            fair.Request
+}
+
+type outcome uint8
+
+const (
+	pending outcome = iota
+	answered
+	limited // refused for the organisation's rate
+	refused // refused early, or no upstream
+	cut     // its upstream died
+)
+
+// trace draws the requests of a workload, in order of arrival.
+func (w *Workload) trace(seed uint64) []job {
+	random := rand.New(rand.NewPCG(seed, 1))
+	oracle := newExactLimiter(w)
+	var jobs []job
+	flooder, extra := -1, 0.0
+	for i, o := range w.Organisations {
+		if o.Name == w.Flood.Organisation {
+			flooder, extra = i, w.Flood.TimesRate*w.RateHeadroom
+		}
+	}
+	phase := make([]float64, w.Models)
+	for i := range phase {
+		phase[i] = random.Float64() * 2 * math.Pi
+	}
+	burst, burstEnds := -1, 0.0
+	nextBurst := w.BurstEveryS
+	for t := 0.0; t < w.Seconds; {
+		if t >= nextBurst {
+			burst, burstEnds = random.IntN(w.Models), t+w.BurstSeconds
+			nextBurst += w.BurstEveryS
+		}
+		weights := make([]float64, w.Models)
+		plain, total := 0.0, 0.0
+		for i := range weights {
+			weights[i] = math.Pow(10, 0.5+0.5*math.Sin(2*math.Pi*t/w.DemandPeriodS+phase[i]))
+			plain += weights[i]
+			if i == burst && t < burstEnds {
+				weights[i] *= w.BurstFactor
+			}
+			total += weights[i]
+		}
+		orgs := make([]float64, len(w.Organisations))
+		shares := 0.0
+		for i, o := range w.Organisations {
+			orgs[i] = o.Share
+			if i == flooder && t >= w.Flood.FromS && t < w.Flood.ToS {
+				orgs[i] *= extra
+			}
+			shares += orgs[i]
+		}
+		t += random.ExpFloat64() / (w.RequestsPerS * shares * total / plain)
+		j := job{id: uint64(len(jobs) + 1), at: seconds(t), org: draw(random, orgs), model: draw(random, weights), server: -1}
+		w.fill(&j, random)
+		j.within = oracle.Admit(j.at, 0, j.org, j.prompt+j.output)
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+func (w *Workload) fill(j *job, random *rand.Rand) {
+	j.instance = random.IntN(w.Instances)
+	j.adapter = random.IntN(w.Adapters)
+	output := w.OutputTokens
+	if random.IntN(100) < w.BatchPercent {
+		j.class = fair.Batch
+		output = w.BatchOutput
+	}
+	j.prompt = w.PromptTokens/2 + random.IntN(w.PromptTokens)
+	j.output = 1 + output/2 + random.IntN(output)
+	j.prefixSize = j.prompt * w.PrefixPercent / 100
+	j.prefix = uint64(j.model*w.PrefixesPerModel+random.IntN(w.PrefixesPerModel)) + 1
+}
+
+func draw(random *rand.Rand, weights []float64) int {
+	total := 0.0
+	for _, x := range weights {
+		total += x
+	}
+	at := random.Float64() * total
+	for i, x := range weights {
+		if at -= x; at < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -18,6 +18,8 @@
 	Distance func(zone string) time.Duration
 	// AdapterLoad is how long an upstream takes to load an adapter.
 	AdapterLoad time.Duration
+	// NoEjection keeps failing upstreams among the candidates, as a baseline.
+	NoEjection bool
 }
 
 // upstream is what the instance knows of one upstream.
@@ -79,9 +81,13 @@
 		opts.Distance = func(string) time.Duration { return 0 }
 	}
 	h := &hints{}
+	filters := []Filter{filterResident{}, filterLeaving{}}
+	if !opts.NoEjection {
+		filters = append(filters, filterSuspect{})
+	}
 	return &Table{
 		opts:      opts,
-		filters:   []Filter{filterResident{}, filterLeaving{}, filterSuspect{}},
+		filters:   filters,
 		scores:    []Score{scoreQueue{}, scorePrefill{hints: h}, scoreAdapter{load: opts.AdapterLoad}, scoreDistance{}},
 		upstreams: map[string]*upstream{},
 		models:    map[string][]*Candidate{},
