route, fair: keep room for live requests beside batch requests

Batch requests filled the engines' sequences; priorities in the engine order its queue, but not what already runs.

Change: a batch request is sent only while an upstream runs at most half of its sequences (Request.RoomPercent), unless the least share of the batch class is due (Queue.BatchOwed); batch service always spends the credit. An instance sends from its queue on arrival, not at the next tick only.

--- a/internal/evaluate/evaluate.go
+++ b/internal/evaluate/evaluate.go
@@ -13,6 +13,10 @@
 // of the workload's time.
 const killShare = 0.25
 
+// batchRoom is the percentage of an upstream's sequences that batch requests
+// may fill unless their least share is due.
+const batchRoom = 50
+
 // Baseline returns static placement, round robin, first come first served and
 // equal static division of the rates.
 func Baseline() Policies {
@@ -40,6 +44,7 @@
 		Queue:      true,
 		Fair:       fair.TokenCounters,
 		Priorities: true,
+		BatchRoom:  batchRoom,
 		Ejection:   true,
 		Limiter:    func(w *Workload) Limiter { return newExactLimiter(w) },
 		Planner:    func(*Workload) Planner { return staticPlanner{} },
@@ -66,13 +71,17 @@
 // Ablate prints the attainment of the project's policies with one of them put
 // back to its baseline at a time: workload, policy, without, with and ratio.
 func Ablate(out io.Writer, w *Workload, seed uint64) {
-	names := []string{"routing", "queue", "counters", "priorities", "limiter"}
-	runs := []Policies{Ours(), Ours(), Ours(), Ours(), Ours(), Ours()}
+	names := []string{"routing", "queue", "counters", "priorities", "limiter", "batch_room"}
+	runs := []Policies{Ours()}
+	for range names {
+		runs = append(runs, Ours())
+	}
 	runs[1].Route = Baseline().Route
 	runs[2].Queue = false
 	runs[3].Fair = fair.FirstComeFirstServed
 	runs[4].Priorities = false
 	runs[5].Limiter = Baseline().Limiter
+	runs[6].BatchRoom = Baseline().BatchRoom
 	m := runAll(w, seed, runs...)
 	for i, name := range names {
 		without, with := m[i+1], m[0]
--- a/internal/evaluate/instance.go
+++ b/internal/evaluate/instance.go
@@ -53,6 +53,9 @@
 	if i.w.policies.Queue && j.class == fair.Live {
 		r.Deadline = j.at + firstTokenDeadline
 	}
+	if j.class == fair.Batch && !i.queues[j.model].BatchOwed() {
+		r.RoomPercent = i.w.policies.BatchRoom
+	}
 	return r
 }
 
@@ -61,6 +64,7 @@
 	q := i.queues[j.model]
 	if q.Len() > 0 {
 		i.enqueue(j)
+		i.pump(j.model)
 		return
 	}
 	c, err := i.table.Pick(i.w.now, i.request(j), i.random)
--- a/internal/fair/choose.go
+++ b/internal/fair/choose.go
@@ -11,7 +11,7 @@
 		return live, Live
 	case live == nil:
 		return batch, Batch
-	case q.credit >= q.cost(&batch.waiting[Batch][0]):
+	case q.BatchOwed():
 		return batch, Batch
 	default:
 		return live, Live
@@ -19,13 +19,13 @@
 }
 
 // settle moves the credit of the batch class: live service earns it while
-// batch requests wait, batch service beside live requests spends it.
+// batch requests wait, batch service spends it.
 func (q *Queue) settle(c Class, cost float64) {
 	share := float64(q.opts.BatchPercent) / 100
 	switch {
 	case c == Live && !q.idle(Batch):
 		q.credit += cost * share / (1 - share)
-	case c == Batch && !q.idle(Live):
+	case c == Batch:
 		q.credit = max(0, q.credit-cost)
 	}
 }
--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -100,6 +100,26 @@
 	})
 }
 
+// TestBatchComesDue: a batch request comes due although no live request ever
+// has to wait, so that a caller who keeps room for live requests cannot starve
+// it.
+func TestBatchComesDue(t *testing.T) {
+	q := New(Options{})
+	must.NoError(t, q.Enqueue(0, Request{Organisation: "a", Class: Batch, Prefill: maxTokens}))
+	passed := 0
+	for !q.BatchOwed() {
+		must.NoError(t, q.Enqueue(0, Request{Organisation: "b", Prefill: 10}))
+		r, ok := q.Next(0)
+		must.True(t, ok)
+		must.Eq(t, Live, r.Class)
+		passed += r.Prefill
+		must.LessEq(t, 10*maxTokens, passed)
+	}
+	r, _ := q.Next(0)
+	must.Eq(t, Batch, r.Class)
+	must.False(t, q.BatchOwed())
+}
+
 // TestEachRequestEndsOnce drives a queue at random: each request is dispatched
 // before its deadline or refused, exactly once, the capacity holds, and the
 // queue serves whenever it can.
--- a/internal/fair/queue.go
+++ b/internal/fair/queue.go
@@ -88,6 +88,13 @@
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return q.length }
 
+// BatchOwed says whether the next batch request is due to meet the least share
+// of its class, so that it is not to wait for room that live requests keep.
+func (q *Queue) BatchOwed() bool {
+	f := q.least(Batch)
+	return f != nil && q.credit >= q.cost(&f.waiting[Batch][0])
+}
+
 // SetWeight sets an organisation's share of the service relative to others'.
 func (q *Queue) SetWeight(organisation string, weight float64) {
 	q.flow(organisation).weight = weight
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -71,7 +71,11 @@
 // saturated says whether a request would wait for others to end.
 func (c *Candidate) saturated(r *Request) bool {
 	l := &c.up.load
-	if c.up.MaxRunning > 0 && l.running() >= c.up.MaxRunning {
+	room := c.up.MaxRunning
+	if r.RoomPercent > 0 {
+		room = max(1, room*r.RoomPercent/100)
+	}
+	if room > 0 && l.running() >= room {
 		return true
 	}
 	free, ok := l.freeKV()
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -56,6 +56,10 @@
 	// Deadline is when the first token is due on the instance's monotonic
 	// clock, 0 for never.
 	Deadline time.Duration
+	// RoomPercent is the part of an upstream's sequences that may run before
+	// the request counts as having to wait; 0 stands for all of them. It keeps
+	// room for requests with a deadline.
+	RoomPercent int
 }
 
 // Choice is the upstream that gets a request.
