route: learn the pace of upstreams from first tokens

Change: the time of a prompt token is multiplied by a pace, the quotient of the moving averages of times taken and expected, bounded to 0.5 to 4.

Tried first and dropped: the moving average of the quotients.

Proof: with the pace off, TestPaceLearnsRate fails.

--- a/internal/evaluate/engine.go
+++ b/internal/evaluate/engine.go
@@ -110,6 +110,7 @@
 			}
 			e.store(j)
 			j.first = e.w.now
+			e.w.instances[j.instance].firstToken(j)
 		}
 		j.tokens++
 		j.last = e.w.now
--- a/internal/evaluate/evaluate.go
+++ b/internal/evaluate/evaluate.go
@@ -13,6 +13,10 @@
 // of the workload's time.
 const killShare = 0.25
 
+// describedRate is the prompt rate of an engine beside decoding, in tokens per
+// second.
+const describedRate = 6000
+
 // batchRoom is the percentage of an upstream's sequences that batch requests
 // may fill unless their least share is due.
 const batchRoom = 50
@@ -21,10 +25,11 @@
 // equal static division of the rates.
 func Baseline() Policies {
 	return Policies{
-		Route:   func() route.Policy { return &route.RoundRobin{} },
-		Fair:    fair.FirstComeFirstServed,
-		Limiter: func(w *Workload) Limiter { return newDividedLimiter(w) },
-		Planner: func(*Workload) Planner { return staticPlanner{} },
+		DescribedRate: describedRate,
+		Route:         func() route.Policy { return &route.RoundRobin{} },
+		Fair:          fair.FirstComeFirstServed,
+		Limiter:       func(w *Workload) Limiter { return newDividedLimiter(w) },
+		Planner:       func(*Workload) Planner { return staticPlanner{} },
 	}
 }
 
@@ -40,14 +45,16 @@
 // planner static until the packages limit and placement take their places.
 func Ours() Policies {
 	return Policies{
-		Route:      func() route.Policy { return route.ExpectedFirstToken{} },
-		Queue:      true,
-		Fair:       fair.TokenCounters,
-		Priorities: true,
-		BatchRoom:  batchRoom,
-		Ejection:   true,
-		Limiter:    func(w *Workload) Limiter { return newExactLimiter(w) },
-		Planner:    func(*Workload) Planner { return staticPlanner{} },
+		Route:         func() route.Policy { return route.ExpectedFirstToken{} },
+		DescribedRate: describedRate,
+		Queue:         true,
+		Fair:          fair.TokenCounters,
+		Priorities:    true,
+		Pace:          true,
+		BatchRoom:     batchRoom,
+		Ejection:      true,
+		Limiter:       func(w *Workload) Limiter { return newExactLimiter(w) },
+		Planner:       func(*Workload) Planner { return staticPlanner{} },
 	}
 }
 
@@ -71,7 +78,7 @@
 // Ablate prints the attainment of the project's policies with one of them put
 // back to its baseline at a time: workload, policy, without, with and ratio.
 func Ablate(out io.Writer, w *Workload, seed uint64) {
-	names := []string{"routing", "queue", "counters", "priorities", "limiter", "batch_room"}
+	names := []string{"routing", "queue", "counters", "priorities", "limiter", "batch_room", "pace"}
 	runs := []Policies{Ours()}
 	for range names {
 		runs = append(runs, Ours())
@@ -82,6 +89,7 @@
 	runs[4].Priorities = false
 	runs[5].Limiter = Baseline().Limiter
 	runs[6].BatchRoom = Baseline().BatchRoom
+	runs[7].Pace = false
 	m := runAll(w, seed, runs...)
 	for i, name := range names {
 		without, with := m[i+1], m[0]
@@ -113,6 +121,7 @@
 	line("attainment_on_demand", demand.Attainment, ours.Attainment)
 	line("model_moves_on_demand", float64(demand.Moves), float64(ours.Moves))
 	line("worst_over_best_organisation", base.Worst/base.Best, ours.Worst/ours.Best)
+	line("worst_over_best_of_the_others", base.WorstOther/base.BestOther, ours.WorstOther/ours.BestOther)
 	line("worst_organisation", base.Worst, ours.Worst)
 	line("late_first_token", base.LateFirst, ours.LateFirst)
 	line("late_between_tokens", base.LateGap, ours.LateGap)
--- a/internal/evaluate/instance.go
+++ b/internal/evaluate/instance.go
@@ -26,6 +26,7 @@
 		Policy:      w.policies.Route(),
 		AdapterLoad: time.Duration(w.load.AdapterLoadUS) * time.Microsecond,
 		NoEjection:  !w.policies.Ejection,
+		NoPace:      !w.policies.Pace,
 		Distance: func(z string) time.Duration {
 			if z == zoneName(zone) {
 				return 0
@@ -35,7 +36,7 @@
 	})
 	for _, e := range w.engines {
 		i.table.SetUpstream(route.Upstream{
-			Name: serverName(e.id), Zone: zoneName(e.zone), PrefillRate: prefillRate, MaxRunning: maxRunning,
+			Name: serverName(e.id), Zone: zoneName(e.zone), PrefillRate: w.policies.DescribedRate, MaxRunning: maxRunning,
 		})
 		i.table.SetResident(serverName(e.id), resident(e.homes, nil))
 	}
@@ -86,7 +87,7 @@
 		ID: j.id, Organisation: i.w.load.Organisations[j.org].Name, Class: j.class, Prefill: j.prompt, Decode: j.output,
 	}
 	if j.class == fair.Live {
-		own := time.Duration(j.prompt) * time.Second / prefillRate
+		own := seconds(float64(j.prompt) / i.w.policies.DescribedRate)
 		j.queued.Deadline = j.at + firstTokenDeadline - own
 	}
 	if i.queues[j.model].Enqueue(i.w.now, j.queued) != nil {
@@ -134,7 +135,7 @@
 	}
 	e := i.w.engines[server]
 	j.attempts++
-	j.server, j.sent = server, i.w.now
+	j.server, j.sent, j.expected = server, i.w.now, c.Expected
 	i.table.Started(i.w.now, route.Started{
 		Upstream: c.Upstream, Prefill: j.prompt - c.Hit, Prefix: j.prefix, PrefixTokens: j.prefixSize, KV: j.prompt + j.output,
 	})
@@ -151,6 +152,12 @@
 	})
 }
 
+func (i *instance) firstToken(j *job) {
+	if j.class == fair.Live {
+		i.table.FirstToken(route.FirstToken{Upstream: serverName(j.server), Expected: j.expected, Took: i.w.now - j.sent})
+	}
+}
+
 func (i *instance) finished(j *job) {
 	i.table.Finished(i.w.now, route.Finished{Upstream: serverName(j.server), Ran: i.w.now - j.sent, KV: j.prompt + j.output})
 	if j.queued.ID != 0 {
--- a/internal/evaluate/measure.go
+++ b/internal/evaluate/measure.go
@@ -11,6 +11,8 @@
 	// Attainment is the share of live requests within rate that met both
 	// deadlines, Worst and Best those of organisations, while one floods.
 	Attainment, Worst, Best float64
+	// WorstOther and BestOther leave out the organisation that floods.
+	WorstOther, BestOther float64
 	// LateFirst and LateGap are the shares of live requests within rate that
 	// were answered but missed the first token's deadline, or only the one
 	// between tokens.
@@ -51,7 +53,7 @@
 func (r ratio) value() float64 { return float64(r.n) / float64(max(1, r.of)) }
 
 func (x *world) measure() Measures {
-	m := Measures{Moves: x.moves, Worst: 1}
+	m := Measures{Moves: x.moves, Worst: 1, WorstOther: 1}
 	var all, batch, limitedOnes, refusedOnes, attempts, lateFirst, lateGap ratio
 	orgs := make([]ratio, len(x.load.Organisations))
 	from, to := seconds(x.load.Flood.FromS), seconds(x.load.Flood.ToS)
@@ -82,9 +84,13 @@
 			orgs[j.org].add(j.attained())
 		}
 	}
-	for _, o := range orgs {
+	for i, o := range orgs {
 		m.Worst = min(m.Worst, o.value())
 		m.Best = max(m.Best, o.value())
+		if x.load.Organisations[i].Name != x.load.Flood.Organisation {
+			m.WorstOther = min(m.WorstOther, o.value())
+			m.BestOther = max(m.BestOther, o.value())
+		}
 	}
 	m.Attainment, m.BatchDone = all.value(), batch.value()
 	m.Limited, m.Refused = limitedOnes.value(), refusedOnes.value()
--- a/internal/evaluate/workload.go
+++ b/internal/evaluate/workload.go
@@ -111,7 +111,7 @@
 
 	attempts          int
 	server            int
-	sent              time.Duration
+	sent, expected    time.Duration
 	prefilled, tokens int
 	first, last       time.Duration
 	end               outcome
--- a/internal/evaluate/world.go
+++ b/internal/evaluate/world.go
@@ -30,10 +30,6 @@
 // maxAttempts bounds the attempts of a request without a retry budget.
 const maxAttempts = 4
 
-// prefillRate is what instances take an engine's prompt rate to be, in tokens
-// per second, beside decoding.
-const prefillRate = 6000
-
 // Policies are what a run measures; each field has a baseline.
 type Policies struct {
 	// Route makes the routing policy of one instance.
@@ -46,6 +42,11 @@
 	// BatchRoom is the percentage of an upstream's sequences up to which batch
 	// requests are sent, 0 for all.
 	BatchRoom int
+	// DescribedRate is what instances take an engine's prompt rate to be, in
+	// tokens per second.
+	DescribedRate float64
+	// Pace corrects the expectations of routing by the first tokens seen.
+	Pace bool
 	// Ejection spares upstreams that fail.
 	Ejection bool
 	Limiter  func(*Workload) Limiter
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -33,6 +33,13 @@
 	pending int   // sum of count over recent
 	kv      int64 // sum of kv over recent
 
+	describedTime float64 // tokenTime by the described rate
+	pace          float64 // tokenTime over describedTime, 0 before any answer
+
+	// Moving averages in nanoseconds: expected times to the first token, and
+	// the times taken, multiplied by the pace that they were expected at.
+	meanExpected, meanTook float64
+
 	meanRun time.Duration // moving average of the time an attempt takes
 }
 
@@ -41,6 +48,47 @@
 	runWeight  = 8 // a new run has 1/runWeight of the average
 )
 
+// Bounds of the pace, and the weight of a new observation.
+const (
+	minPace    = 0.5
+	maxPace    = 4
+	paceWeight = 1.0 / 32
+	firstMean  = 500 * time.Millisecond // time to the first token before any answer
+)
+
+// describe takes the described prefill rate in tokens per second.
+func (l *load) describe(rate float64) {
+	l.describedTime = 0
+	if rate > 0 {
+		l.describedTime = float64(time.Second) / rate
+	}
+	l.setPace(l.pace)
+}
+
+func (l *load) setPace(pace float64) {
+	l.pace = pace
+	l.tokenTime = l.describedTime
+	if pace > 0 {
+		l.tokenTime *= pace
+	}
+}
+
+// firstToken moves the pace towards the one at which the expectations would
+// have been right on average. It compares averages, since the average of the
+// quotients is drawn up by short expectations.
+func (l *load) firstToken(expected, took time.Duration) {
+	if expected <= 0 || l.describedTime == 0 {
+		return
+	}
+	if l.pace == 0 {
+		l.setPace(1)
+		l.meanExpected, l.meanTook = float64(firstMean), float64(firstMean)
+	}
+	l.meanTook += paceWeight * (float64(took)*l.pace - l.meanTook)
+	l.meanExpected += paceWeight * (float64(expected) - l.meanExpected)
+	l.setPace(min(maxPace, max(minPace, l.meanTook/l.meanExpected)))
+}
+
 // report takes the state as of now-r.Age and replays own later events on it. A
 // report that was overtaken by a later one is dropped: the events that it lacks
 // are gone.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -200,6 +200,25 @@
 	must.False(t, homes[c.Upstream])
 }
 
+// TestPaceLearnsRate: the expectation approaches the time that an upstream
+// really takes, whatever rate is described.
+func TestPaceLearnsRate(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		tab := table(1, Options{})
+		slower := rapid.Float64Range(0.6, 3.5).Draw(t, "slower")
+		rnd := random(1)
+		truth := time.Duration(0)
+		var c Choice
+		for i := range 300 {
+			prompt := 100 + i*37%1500
+			c, _ = tab.Pick(0, Request{Model: "m", PromptTokens: prompt}, rnd)
+			truth = time.Duration(slower * float64(prompt) * float64(100*time.Microsecond))
+			tab.FirstToken(FirstToken{Upstream: "u0", Expected: c.Expected, Took: truth})
+		}
+		must.Between(t, truth*9/10, c.Expected, truth*11/10)
+	})
+}
+
 // TestHintsDecay: hints lose weight with age and gaps, and go with evictions.
 func TestHintsDecay(t *testing.T) {
 	tab := table(1, Options{})
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -20,6 +20,8 @@
 	AdapterLoad time.Duration
 	// NoEjection keeps failing upstreams among the candidates, as a baseline.
 	NoEjection bool
+	// NoPace trusts the described prefill rate, as a baseline.
+	NoPace bool
 }
 
 // upstream is what the instance knows of one upstream.
@@ -106,10 +108,7 @@
 	}
 	known.Upstream = u
 	known.distance = t.opts.Distance(u.Zone)
-	known.load.tokenTime = 0
-	if u.PrefillRate > 0 {
-		known.load.tokenTime = float64(time.Second) / u.PrefillRate
-	}
+	known.load.describe(u.PrefillRate)
 }
 
 // RemoveUpstream forgets an upstream.
@@ -192,6 +191,13 @@
 	}
 }
 
+// FirstToken corrects the pace of an upstream.
+func (t *Table) FirstToken(f FirstToken) {
+	if u, ok := t.upstreams[f.Upstream]; ok && !t.opts.NoPace {
+		u.load.firstToken(f.Expected, f.Took)
+	}
+}
+
 // Finished counts an attempt as answered.
 func (t *Table) Finished(now time.Duration, f Finished) {
 	u, ok := t.upstreams[f.Upstream]
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -88,6 +88,14 @@
 	KV int
 }
 
+// FirstToken says that the first token of an attempt came.
+type FirstToken struct {
+	Upstream string
+	// Expected is that of the Choice, Took the time since Started.
+	Expected time.Duration
+	Took     time.Duration
+}
+
 // Finished says that an upstream answered an attempt.
 type Finished struct {
 	Upstream string
