route: refuse early only beyond a margin

Cause: an expectation is right on average only, so that half of the requests at the edge were refused although they would have been in time.

Change: Options.RefusalMargin, the percentage by which the expected time to the first token may exceed the time left; the evaluation uses 50.

--- a/internal/evaluate/evaluate.go
+++ b/internal/evaluate/evaluate.go
@@ -17,6 +17,10 @@
 // second.
 const describedRate = 6000
 
+// refusalMargin is the percentage by which the expected time to the first token
+// may exceed the time left.
+const refusalMargin = 50
+
 // batchRoom is the percentage of an upstream's sequences that batch requests
 // may fill unless their least share is due.
 const batchRoom = 50
@@ -51,6 +55,7 @@
 		Fair:          fair.TokenCounters,
 		Priorities:    true,
 		Pace:          true,
+		RefusalMargin: refusalMargin,
 		BatchRoom:     batchRoom,
 		Ejection:      true,
 		Limiter:       func(w *Workload) Limiter { return newExactLimiter(w) },
@@ -78,7 +83,7 @@
 // Ablate prints the attainment of the project's policies with one of them put
 // back to its baseline at a time: workload, policy, without, with and ratio.
 func Ablate(out io.Writer, w *Workload, seed uint64) {
-	names := []string{"routing", "queue", "counters", "priorities", "limiter", "batch_room", "pace"}
+	names := []string{"routing", "queue", "counters", "priorities", "limiter", "batch_room", "pace", "refusal_margin"}
 	runs := []Policies{Ours()}
 	for range names {
 		runs = append(runs, Ours())
@@ -90,11 +95,13 @@
 	runs[5].Limiter = Baseline().Limiter
 	runs[6].BatchRoom = Baseline().BatchRoom
 	runs[7].Pace = false
+	runs[8].RefusalMargin = 0
 	m := runAll(w, seed, runs...)
 	for i, name := range names {
 		without, with := m[i+1], m[0]
 		fmt.Fprintf(out, "%s attainment_without_%s %.4g %.4g %.3f\n", w.Name, name,
 			without.Attainment, with.Attainment, with.Attainment/without.Attainment)
+		fmt.Fprintf(out, "%s refused_without_%s %.4g %.4g\n", w.Name, name, without.Refused, with.Refused)
 		fmt.Fprintf(out, "%s worst_over_best_without_%s %.4g %.4g %.3f\n", w.Name, name,
 			without.Worst/without.Best, with.Worst/with.Best, with.Worst/with.Best/(without.Worst/without.Best))
 	}
--- a/internal/evaluate/instance.go
+++ b/internal/evaluate/instance.go
@@ -23,10 +23,11 @@
 	zone := id % w.load.Zones
 	i := &instance{w: w, id: id, random: rand.New(rand.NewPCG(uint64(id), 3))}
 	i.table = route.New(route.Options{
-		Policy:      w.policies.Route(),
-		AdapterLoad: time.Duration(w.load.AdapterLoadUS) * time.Microsecond,
-		NoEjection:  !w.policies.Ejection,
-		NoPace:      !w.policies.Pace,
+		Policy:        w.policies.Route(),
+		AdapterLoad:   time.Duration(w.load.AdapterLoadUS) * time.Microsecond,
+		NoEjection:    !w.policies.Ejection,
+		RefusalMargin: w.policies.RefusalMargin,
+		NoPace:        !w.policies.Pace,
 		Distance: func(z string) time.Duration {
 			if z == zoneName(zone) {
 				return 0
--- a/internal/evaluate/world.go
+++ b/internal/evaluate/world.go
@@ -47,6 +47,8 @@
 	DescribedRate float64
 	// Pace corrects the expectations of routing by the first tokens seen.
 	Pace bool
+	// RefusalMargin is that of routing.
+	RefusalMargin int
 	// Ejection spares upstreams that fail.
 	Ejection bool
 	Limiter  func(*Workload) Limiter
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -25,7 +25,9 @@
 	c := t.opts.Policy.Choose(&t.request, t.feasible, random)
 	if r.Deadline > 0 && now+c.cost > r.Deadline {
 		c = cheapest(t.feasible)
-		if late := now + c.cost - r.Deadline; late > 0 {
+		left := max(0, r.Deadline-now)
+		allowed := left + left*time.Duration(t.opts.RefusalMargin)/100
+		if late := c.cost - allowed; late > 0 {
 			return Choice{}, &OverloadedError{RetryAfter: late}
 		}
 	}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -18,6 +18,10 @@
 	Distance func(zone string) time.Duration
 	// AdapterLoad is how long an upstream takes to load an adapter.
 	AdapterLoad time.Duration
+	// RefusalMargin is by how many percent of the time left the expected time
+	// to the first token may exceed it before Pick refuses; an expectation is
+	// right on average only.
+	RefusalMargin int
 	// NoEjection keeps failing upstreams among the candidates, as a baseline.
 	NoEjection bool
 	// NoPace trusts the described prefill rate, as a baseline.
