evaluate: count a flood's admitted requests, isolate the counters

Cause: which requests of a flood are within rate depends on the limiter, but the oracle's choice was counted.

Change: of a flood, the admitted requests count, and the admitted tokens are printed over those of the exact limiter. The policy LiveFirst (classes, but no organisations) and a limiter that admits all show what the counters do.

--- a/internal/evaluate/evaluate.go
+++ b/internal/evaluate/evaluate.go
@@ -90,13 +90,21 @@
 	}
 	runs[1].Route = Baseline().Route
 	runs[2].Queue = false
-	runs[3].Fair = fair.FirstComeFirstServed
+	runs[3].Fair = fair.LiveFirst
 	runs[4].Priorities = false
 	runs[5].Limiter = Baseline().Limiter
 	runs[6].BatchRoom = Baseline().BatchRoom
 	runs[7].Pace = false
 	runs[8].RefusalMargin = 0
+	unlimited := Ours()
+	unlimited.Limiter = func(*Workload) Limiter { return openLimiter{} }
+	unlimitedBlind := unlimited
+	unlimitedBlind.Fair = fair.LiveFirst
+	runs = append(runs, unlimitedBlind, unlimited)
 	m := runAll(w, seed, runs...)
+	blind, open := m[len(m)-2], m[len(m)-1]
+	fmt.Fprintf(out, "%s worst_other_unlimited_without_counters %.4g %.4g %.3f\n", w.Name,
+		blind.WorstOther, open.WorstOther, open.WorstOther/blind.WorstOther)
 	for i, name := range names {
 		without, with := m[i+1], m[0]
 		fmt.Fprintf(out, "%s attainment_without_%s %.4g %.4g %.3f\n", w.Name, name,
@@ -133,6 +141,7 @@
 	line("late_first_token", base.LateFirst, ours.LateFirst)
 	line("late_between_tokens", base.LateGap, ours.LateGap)
 	line("batch_answered", base.BatchDone, ours.BatchDone)
+	line("flood_tokens_admitted_over_exact", base.FloodShare, ours.FloodShare)
 	line("limited_within_rate", base.Limited, ours.Limited)
 	line("refused_for_overload", base.Refused, ours.Refused)
 	line("tokens_beyond_rate_and_burst", float64(base.Beyond), float64(ours.Beyond))
--- a/internal/evaluate/limiter.go
+++ b/internal/evaluate/limiter.go
@@ -64,3 +64,9 @@
 func (l *dividedLimiter) Admit(now time.Duration, instance, org, tokens int) bool {
 	return l.buckets[instance][org].take(now, float64(tokens))
 }
+
+// openLimiter admits everything, as when the limits have failed.
+type openLimiter struct{}
+
+// Admit implements Limiter.
+func (openLimiter) Admit(time.Duration, int, int, int) bool { return true }
--- a/internal/evaluate/measure.go
+++ b/internal/evaluate/measure.go
@@ -13,6 +13,9 @@
 	Attainment, Worst, Best float64
 	// WorstOther and BestOther leave out the organisation that floods.
 	WorstOther, BestOther float64
+	// FloodShare is the number of tokens admitted of the flood over those that
+	// the exact limiter admits.
+	FloodShare float64
 	// LateFirst and LateGap are the shares of live requests within rate that
 	// were answered but missed the first token's deadline, or only the one
 	// between tokens.
@@ -21,8 +24,8 @@
 	BatchDone float64
 	// Moves is the number of model loads.
 	Moves int
-	// Limited is the share of requests within rate that were refused for the
-	// rate, Refused the share refused for overload.
+	// Limited is the share of requests within rate, those of the flood left out,
+	// that were refused for the rate; Refused is the share refused for overload.
 	Limited, Refused float64
 	// Beyond is the number of tokens admitted beyond rate and burst.
 	Beyond int
@@ -41,6 +44,23 @@
 	return j.tokens < 2 || (j.last-j.first)/time.Duration(j.tokens-1) <= tokenGapDeadline
 }
 
+// floods says whether a request belongs to the organisation that floods, while
+// it does.
+func (x *world) floods(j *job) bool {
+	f := &x.load.Flood
+	return x.load.Organisations[j.org].Name == f.Organisation && j.at >= seconds(f.FromS) && j.at < seconds(f.ToS)
+}
+
+// counts says whether a request has a claim to be served: it is within rate.
+// Which requests of a flood are within rate depends on the limiter, so that of
+// those the admitted ones count.
+func (x *world) counts(j *job) bool {
+	if x.floods(j) {
+		return j.end != limited
+	}
+	return j.within
+}
+
 type ratio struct{ n, of int }
 
 func (r *ratio) add(yes bool) {
@@ -54,7 +74,7 @@
 
 func (x *world) measure() Measures {
 	m := Measures{Moves: x.moves, Worst: 1, WorstOther: 1}
-	var all, batch, limitedOnes, refusedOnes, attempts, lateFirst, lateGap ratio
+	var all, batch, limitedOnes, refusedOnes, attempts, lateFirst, lateGap, flood ratio
 	orgs := make([]ratio, len(x.load.Organisations))
 	from, to := seconds(x.load.Flood.FromS), seconds(x.load.Flood.ToS)
 	oracle := newExactLimiter(x.load)
@@ -63,14 +83,22 @@
 		if j.end != limited && !oracle.Admit(j.at, 0, j.org, j.prompt+j.output) {
 			m.Beyond += j.prompt + j.output
 		}
+		if x.floods(j) && j.end != limited {
+			flood.n += j.prompt + j.output
+		}
+		if x.floods(j) && j.within {
+			flood.of += j.prompt + j.output
+		}
 		if j.attempts > 0 && j.at >= x.policies.Kill {
 			attempts.n += j.attempts
 			attempts.of++
 		}
-		if !j.within {
+		if !x.counts(j) {
 			continue
 		}
-		limitedOnes.add(j.end == limited)
+		if !x.floods(j) {
+			limitedOnes.add(j.end == limited)
+		}
 		refusedOnes.add(j.end == refused)
 		if j.class == fair.Batch {
 			batch.add(j.end == answered)
@@ -95,6 +123,7 @@
 	m.Attainment, m.BatchDone = all.value(), batch.value()
 	m.Limited, m.Refused = limitedOnes.value(), refusedOnes.value()
 	m.LateFirst, m.LateGap = lateFirst.value(), lateGap.value()
+	m.FloodShare = flood.value()
 	m.Attempts = attempts.value()
 	for _, s := range x.skew {
 		m.Skew += s / float64(len(x.skew))
--- a/internal/fair/choose.go
+++ b/internal/fair/choose.go
@@ -35,17 +35,20 @@
 func (q *Queue) least(c Class) *flow {
 	var best *flow
 	for _, f := range q.flows {
-		if len(f.waiting[c]) == 0 {
-			continue
-		}
-		if best == nil || f.counter[c] < best.counter[c] ||
-			f.counter[c] == best.counter[c] && f.waiting[c][0].seq < best.waiting[c][0].seq {
+		if len(f.waiting[c]) > 0 && (best == nil || q.ahead(f, best, c)) {
 			best = f
 		}
 	}
 	return best
 }
 
+func (q *Queue) ahead(a, b *flow, c Class) bool {
+	if q.opts.Policy == TokenCounters && a.counter[c] != b.counter[c] {
+		return a.counter[c] < b.counter[c]
+	}
+	return a.waiting[c][0].seq < b.waiting[c][0].seq
+}
+
 func (q *Queue) oldest() (*flow, Class) {
 	var best *flow
 	var class Class
--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -125,7 +125,7 @@
 // queue serves whenever it can.
 func TestEachRequestEndsOnce(t *testing.T) {
 	rapidtest.Check(t, func(t *rapid.T) {
-		policy := rapid.SampledFrom([]Policy{TokenCounters, FirstComeFirstServed}).Draw(t, "policy")
+		policy := rapid.SampledFrom([]Policy{TokenCounters, FirstComeFirstServed, LiveFirst}).Draw(t, "policy")
 		q := New(Options{Policy: policy, Capacity: 8})
 		waiting := map[uint64]Request{}
 		now := time.Duration(0)
--- a/internal/fair/pace.go
+++ b/internal/fair/pace.go
@@ -46,7 +46,7 @@
 	if r.Class == Batch || q.opts.Policy == FirstComeFirstServed {
 		all += q.queued[Batch]
 	}
-	if q.opts.Policy == FirstComeFirstServed {
+	if q.opts.Policy != TokenCounters {
 		return q.pace.time(all)
 	}
 	own, weights := 0.0, f.weight
--- a/internal/fair/queue.go
+++ b/internal/fair/queue.go
@@ -19,6 +19,9 @@
 	TokenCounters Policy = iota
 	// FirstComeFirstServed is the baseline, blind to organisations and classes.
 	FirstComeFirstServed
+	// LiveFirst serves live requests ahead of batch requests, but is blind to
+	// organisations.
+	LiveFirst
 )
 
 // Options are the settings of a Queue.
