--- a/internal/fair/choose.go
+++ b/internal/fair/choose.go
@@ -11,7 +11,7 @@
 		return live, Live
 	case live == nil:
 		return batch, Batch
-	case q.credit >= q.cost(&batch.waiting[Batch][0]):
+	case q.BatchOwed():
 		return batch, Batch
 	default:
 		return live, Live
@@ -19,13 +19,13 @@
 }
 
 // settle moves the credit of the batch class: live service earns it while
-// batch requests wait, batch service beside live requests spends it.
+// batch requests wait, batch service spends it.
 func (q *Queue) settle(c Class, cost float64) {
 	share := float64(q.opts.BatchPercent) / 100
 	switch {
 	case c == Live && !q.idle(Batch):
 		q.credit += cost * share / (1 - share)
-	case c == Batch && !q.idle(Live):
+	case c == Batch:
 		q.credit = max(0, q.credit-cost)
 	}
 }
@@ -35,17 +35,20 @@
 func (q *Queue) least(c Class) *flow {
 	var best *flow
 	for _, f := range q.flows {
-		if len(f.waiting[c]) == 0 {
-			continue
-		}
-		if best == nil || f.counter[c] < best.counter[c] ||
-			f.counter[c] == best.counter[c] && f.waiting[c][0].seq < best.waiting[c][0].seq {
+		if len(f.waiting[c]) > 0 && (best == nil || q.ahead(f, best, c)) {
 			best = f
 		}
 	}
 	return best
 }
 
+func (q *Queue) ahead(a, b *flow, c Class) bool {
+	if q.opts.Policy == TokenCounters && a.counter[c] != b.counter[c] {
+		return a.counter[c] < b.counter[c]
+	}
+	return a.waiting[c][0].seq < b.waiting[c][0].seq
+}
+
 func (q *Queue) oldest() (*flow, Class) {
 	var best *flow
 	var class Class
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -25,7 +25,9 @@
 	c := t.opts.Policy.Choose(&t.request, t.feasible, random)
 	if r.Deadline > 0 && now+c.cost > r.Deadline {
 		c = cheapest(t.feasible)
-		if late := now + c.cost - r.Deadline; late > 0 {
+		left := max(0, r.Deadline-now)
+		allowed := left + left*time.Duration(t.opts.RefusalMargin)/100
+		if late := c.cost - allowed; late > 0 {
 			return Choice{}, &OverloadedError{RetryAfter: late}
 		}
 	}
@@ -71,7 +73,11 @@
 // saturated says whether a request would wait for others to end.
 func (c *Candidate) saturated(r *Request) bool {
 	l := &c.up.load
-	if c.up.MaxRunning > 0 && l.running() >= c.up.MaxRunning {
+	room := c.up.MaxRunning
+	if r.RoomPercent > 0 {
+		room = max(1, room*r.RoomPercent/100)
+	}
+	if room > 0 && l.running() >= room {
 		return true
 	}
 	free, ok := l.freeKV()
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -18,6 +18,14 @@
 	Distance func(zone string) time.Duration
 	// AdapterLoad is how long an upstream takes to load an adapter.
 	AdapterLoad time.Duration
+	// RefusalMargin is by how many percent of the time left the expected time
+	// to the first token may exceed it before Pick refuses; an expectation is
+	// right on average only.
+	RefusalMargin int
+	// NoEjection keeps failing upstreams among the candidates, as a baseline.
+	NoEjection bool
+	// NoPace trusts the described prefill rate, as a baseline.
+	NoPace bool
 }
 
 // upstream is what the instance knows of one upstream.
@@ -79,9 +87,13 @@
 		opts.Distance = func(string) time.Duration { return 0 }
 	}
 	h := &hints{}
+	filters := []Filter{filterResident{}, filterLeaving{}}
+	if !opts.NoEjection {
+		filters = append(filters, filterSuspect{})
+	}
 	return &Table{
 		opts:      opts,
-		filters:   []Filter{filterResident{}, filterLeaving{}, filterSuspect{}},
+		filters:   filters,
 		scores:    []Score{scoreQueue{}, scorePrefill{hints: h}, scoreAdapter{load: opts.AdapterLoad}, scoreDistance{}},
 		upstreams: map[string]*upstream{},
 		models:    map[string][]*Candidate{},
@@ -100,10 +112,7 @@
 	}
 	known.Upstream = u
 	known.distance = t.opts.Distance(u.Zone)
-	known.load.tokenTime = 0
-	if u.PrefillRate > 0 {
-		known.load.tokenTime = float64(time.Second) / u.PrefillRate
-	}
+	known.load.describe(u.PrefillRate)
 }
 
 // RemoveUpstream forgets an upstream.
@@ -186,6 +195,13 @@
 	}
 }
 
+// FirstToken corrects the pace of an upstream.
+func (t *Table) FirstToken(f FirstToken) {
+	if u, ok := t.upstreams[f.Upstream]; ok && !t.opts.NoPace {
+		u.load.firstToken(f.Expected, f.Took)
+	}
+}
+
 // Finished counts an attempt as answered.
 func (t *Table) Finished(now time.Duration, f Finished) {
 	u, ok := t.upstreams[f.Upstream]
