placement: search longer for lost homes, prove room without budget

Cause: since the number of replicas that leave at one time is bounded, the random search no longer met a designating write that is in doubt within 400 steps; only the directed test caught it switched off. Resume had no test.

--- a/internal/placement/ledger/ledger_test.go
+++ b/internal/placement/ledger/ledger_test.go
@@ -178,3 +178,24 @@
 		must.Eq(t, 60, c.Ledger().Committed())
 	}
 }
+
+func BenchmarkIdleStep(b *testing.B) {
+	c := NewController(Options{
+		Upstream: "u", Writer: "w", Owner: 1, MemoryMB: 100, Promise: Promise{DurableFence: true},
+		SendWindow: time.Second, RetryAfter: time.Hour, PollEvery: time.Hour, CallTimeout: time.Hour,
+	})
+	report := engine.Report{Boot: "1"}
+	var want []Want
+	for _, m := range []string{"a", "b", "c", "d"} {
+		report.Resident = append(report.Resident, engine.Resident{Model: m, MemoryMB: 20, State: engine.ResidencyReady})
+		want = append(want, Want{Key: Key{Model: m}, MemoryMB: 20})
+	}
+	c.Step(0, Wanted{Want: want})
+	actions := c.Step(0, ReadDone{ID: 1, Err: platform.ErrNotFound})
+	actions = c.Step(0, WriteDone{Attempt: actions[0].(WriteObject).Attempt, Version: 1})
+	c.Step(0, PollDone{ID: actions[0].(PollReport).ID, Report: report})
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Step(1, Tick{})
+	}
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -72,7 +72,7 @@
 	rapidtest.Check(t, func(rt *rapid.T) {
 		f := newFleet(rt, restless(), 2*modelSize)
 		f.settle()
-		for range rapid.IntRange(50, 400).Draw(rt, "steps") {
+		for range rapid.IntRange(200, 1500).Draw(rt, "steps") {
 			f.disturb()
 		}
 		f.settle()
@@ -122,12 +122,29 @@
 		in.Upstreams[0].Replicas[0].Draining = true
 		in.Upstreams[0].Replicas[0].InFlight = 1
 		must.SliceEmpty(t, Demand{Options: DefaultDemandOptions()}.Plan(in))
+		in.Models[0].Elsewhere = 0
+		moves = Demand{Options: DefaultDemandOptions()}.Plan(in)
+		must.Eq(t, Move{Kind: Resume, Model: "held", Upstream: "u", Reason: "no other home"}, moves[0])
+		in.Models[0].Elsewhere = 1
 		in.Upstreams[0].Replicas[0].InFlight = 0
 		moves = Demand{Options: DefaultDemandOptions()}.Plan(in)
 		must.Eq(t, []Move{{Kind: Unload, Model: "held", Upstream: "u", Reason: "drained"}}, moves)
 	}
 }
 
+// A home given up for another model is not taken back while the budget of
+// loads is spent.
+func TestRoomIsMadeWithoutBudget(t *testing.T) {
+	in := Input{Zone: "a", Zones: []string{"a", "b"}, Models: []Model{
+		{Name: "held", MemoryMB: 60, Elsewhere: 1},
+		{Name: "homeless", MemoryMB: 60, Designated: true, Lost: true},
+	}, Upstreams: []Upstream{{Name: "u", MemoryMB: 60, CommittedMB: 60, Live: true, Replicas: []Replica{
+		{Model: 0, State: Ready},
+	}}}}
+	moves := Demand{Options: DefaultDemandOptions()}.Plan(in)
+	must.Eq(t, []Move{{Kind: Drain, Model: "held", Upstream: "u", Reason: "home"}}, moves)
+}
+
 func TestAdapterVictims(t *testing.T) {
 	resident := []Adapter{
 		{Name: "busy", MemoryMB: 5, InFlight: 1, Idle: time.Hour},
