Charge organisations' limits by escrowed shares

Cause: nothing bounded what an organisation received.

Change: each instance admits from its shares; it asks the holder of its zone's lease, whose reply is the grant. A charge that a loan may cover waits for one request at most, and refused charges of a flood share that request. A prompt's tokens are only estimated before it runs: what the engine counts beyond the charge leaves a debt in the bucket, which later charges wait for, instead of tokens that nobody paid.

--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -69,6 +69,11 @@
 	return err
 }
 
+// mayHaveRun reports whether an attempt ran or may have.
+func mayHaveRun(outcome once.Outcome) bool {
+	return outcome == once.Answered || outcome == once.Unknown
+}
+
 // release gives a slot back after an attempt.
 func release(slot *dispatch.Slot, outcome once.Outcome, outputTokens int) {
 	switch outcome {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -9,6 +9,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
 	"github.com/eelgrassbay/eelgrassbay/internal/fair"
 	"github.com/eelgrassbay/eelgrassbay/internal/keys"
+	"github.com/eelgrassbay/eelgrassbay/internal/limit"
 	"github.com/eelgrassbay/eelgrassbay/internal/metrics"
 	"github.com/eelgrassbay/eelgrassbay/internal/replica"
 	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
@@ -27,6 +28,7 @@
 	class    fair.Class
 	keyAge   time.Duration // age of the knowledge of keys
 	tokens   int           // tokens of the answer that reached the caller
+	receipt  limit.Receipt // of what was charged to the organisation
 	flow     *metrics.Flow
 	cut      Code // set if the answer broke off after it had begun
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -45,7 +45,7 @@
 	}
 	c.class = classOf(r.Header, req.tier)
 	charge := int64(req.prompt + req.maxTokens)
-	if err := s.admit(c, charge); err != nil {
+	if err := s.admit(r.Context(), c, charge); err != nil {
 		return err
 	}
 	m := &modelCall{server: s, call: c, req: req, sink: newSink(w, req), charge: charge}
@@ -136,7 +136,7 @@
 	st := &stream{call: m, attempt: id, address: address, body: body}
 	outcome := st.run(ctx)
 	m.server.flow(m.call).Attempt(string(outcome))
-	m.ran = m.ran || outcome == once.Answered || outcome == once.Unknown
+	m.ran = m.ran || mayHaveRun(outcome)
 	return outcome
 }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -18,6 +18,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/peer"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/eelgrassbay/eelgrassbay/internal/quota"
 	"github.com/eelgrassbay/eelgrassbay/internal/replica"
 	"github.com/eelgrassbay/eelgrassbay/internal/route"
 	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
@@ -43,6 +44,7 @@
 	replica   *replica.Duty
 	inventory *inventory.Duty
 	dispatch  *dispatch.Duty
+	quota     *quota.Duty
 	table     *tableFeed
 	server    *Server
 }
@@ -139,10 +141,17 @@
 		Apply: n.table.report, Now: n.now, Log: n.log,
 	})
 	n.table.latest = n.inventory.Entry
+	n.quota = quota.New(quota.Options{
+		Self: n.self, Replica: n.replica, Leader: n.leader, Store: n.platform, Peers: n.peers, Now: n.now, Log: n.log,
+	})
 	n.server = NewServer(ServerOptions{
 		Name: n.settings.Name, Requests: n.settings.Requests, Replica: n.replica, Dispatch: n.dispatch,
 		Upstream: upstream.NewClient(), Budget: once.NewBudget(n.now(), once.BudgetOptions{}, rand.New(rand.NewPCG(rand.Uint64(), 0))),
-		Metrics: n.metrics, Now: n.now, Log: n.log,
+		Limiter: n.quota, Metrics: n.metrics, Now: n.now, Log: n.log,
+		Prepared: func() bool {
+			limited := len(n.replica.Snapshot().Services) > 0
+			return n.inventory.Swept() && (n.quota.Granted() || !limited)
+		},
 	})
 }
 
@@ -164,6 +173,7 @@
 		{n.replica, peerpb.DRPCSyncDescription{}},
 		{n.leader, peerpb.DRPCLeasesDescription{}},
 		{n.inventory, peerpb.DRPCInventoryDescription{}},
+		{n.quota, peerpb.DRPCLimitsDescription{}},
 	} {
 		if err := n.peerSrv.Register(s.impl, s.desc); err != nil {
 			return err
@@ -183,7 +193,7 @@
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context) error{
-		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.feedTable, n.announce,
+		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.quota.Run, n.feedTable, n.announce,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
@@ -270,6 +280,7 @@
 func (n *Node) release() {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
+	n.quota.Stop(ctx)
 	n.leader.Release(ctx)
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -28,7 +28,10 @@
 	Dispatch *dispatch.Duty
 	Upstream *upstream.Client
 	Budget   *once.Budget
+	Limiter  Limiter
 	Metrics  *metrics.Metrics
+	// Prepared reports whether the duties have what a first request needs.
+	Prepared func() bool
 	Now      func() time.Duration
 	Log      *slog.Logger
 }
@@ -146,14 +149,27 @@
 		"code", string(err.Code), "ran", string(err.Ran), "message", err.Message)
 }
 
+// readyPatience is how long readiness waits for shares and reports once there
+// are documents. An instance that starts while the platform is away is ready
+// after it, with what it has.
+const readyPatience = 5 * time.Second
+
 func (s *Server) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if s.refusing.Load() || !s.opts.Replica.Snapshot().Ready {
+	if !s.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+func (s *Server) ready() bool {
+	known := s.opts.Replica.Snapshot()
+	if s.refusing.Load() || !known.Ready {
+		return false
+	}
+	return s.opts.Prepared() || s.opts.Now() > readyPatience
+}
+
 // Refuse makes the server refuse new requests as not run.
 func (s *Server) Refuse() { s.refusing.Store(true) }
 
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -40,10 +40,11 @@
 	if err := c.checkLeak(r, body); err != nil {
 		return err
 	}
-	if err := s.admit(c, rt.CostTokens); err != nil {
+	if err := s.admit(r.Context(), c, rt.CostTokens); err != nil {
 		return err
 	}
 	p := &plainCall{server: s, call: c, route: rt, body: body, path: path, request: r}
+	defer p.settle()
 	if r.URL.RawQuery != "" {
 		p.path += "?" + r.URL.RawQuery
 	}
@@ -106,6 +107,16 @@
 	body    []byte
 	path    string
 	request *http.Request
+	ran     bool // an attempt may have run
+}
+
+// settle refunds the charge of a call that has not run.
+func (p *plainCall) settle() {
+	used := p.route.CostTokens
+	if !p.ran {
+		used = 0
+	}
+	p.server.opts.Limiter.Refund(p.call.receipt, used)
 }
 
 // plainAnswer is a whole answer that has not reached the caller yet.
@@ -130,6 +141,7 @@
 	err := p.server.attempts(ctx, req, acquire, func(id string, slot *dispatch.Slot) (outcome once.Outcome) {
 		answer, outcome = p.attempt(ctx, id, slot)
 		p.server.flow(p.call).Attempt(string(outcome))
+		p.ran = p.ran || mayHaveRun(outcome)
 		release(slot, outcome, 0)
 		return outcome
 	})
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -42,8 +42,9 @@
 // RequestSettings bound what callers send.
 type RequestSettings struct {
 	MaxBodyBytes int64 `json:"max_body_bytes"`
-	// BytesPerToken estimates the tokens of a prompt before it runs; the
-	// engine's count corrects the charge afterwards.
+	// BytesPerToken estimates the tokens of a prompt before it runs. The
+	// engine's count corrects the charge afterwards: what was charged too much
+	// is refunded, what was charged too little is owed.
 	BytesPerToken int64 `json:"bytes_per_token"`
 	MaxConcurrent int   `json:"max_concurrent"`
 }
@@ -89,7 +90,7 @@
 			Timeout:      settings.Duration(2 * time.Second),
 			WatchTimeout: settings.Duration(15 * time.Second),
 		},
-		Requests: RequestSettings{MaxBodyBytes: 1 << 20, BytesPerToken: 4, MaxConcurrent: 4096},
+		Requests: RequestSettings{MaxBodyBytes: 1 << 20, BytesPerToken: 2, MaxConcurrent: 4096},
 		Stop: StopSettings{
 			LameDuck: settings.Duration(3 * time.Second),
 			Drain:    settings.Duration(2 * time.Minute),
--- a/internal/inventory/duty.go
+++ b/internal/inventory/duty.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
@@ -62,6 +63,7 @@
 	opts  Options
 	mu    sync.Mutex
 	state *State
+	swept atomic.Bool
 }
 
 // NewDuty returns a duty without reports.
@@ -74,6 +76,10 @@
 	return d.state.Entries()
 }
 
+// Swept reports whether the reports that fall to this instance have been read
+// once.
+func (d *Duty) Swept() bool { return d.swept.Load() }
+
 // Entry returns the latest report of an upstream.
 func (d *Duty) Entry(upstream string) (Entry, bool) {
 	d.mu.Lock()
@@ -90,6 +96,9 @@
 		d.retain(targets)
 		mine, period := d.due(known, targets)
 		d.readAll(ctx, known, mine)
+		if known.Ready {
+			d.swept.Store(true)
+		}
 		if now := d.opts.Now(); now-lastPull >= pullPeriod {
 			lastPull = now
 			d.pull(ctx, known)
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -113,6 +113,10 @@
 	b.closed = false
 }
 
+// overrun takes what a request used beyond its charge; the level may fall below
+// zero.
+func (b *bucket) overrun(amount micro) { b.level -= amount }
+
 // settle ends a charge and refunds its unused part as far as it is still owed.
 // It returns what was refunded.
 func (b *bucket) settle(number uint64, charged, unused micro) micro {
--- a/internal/limit/instance.go
+++ b/internal/limit/instance.go
@@ -144,12 +144,17 @@
 // Refund ends an admitted request that used the given number of tokens and
 // gives the rest of its charge back, as far as the bucket has not refilled in
 // its place. Call it once for each receipt. It returns the most, in millionths
-// of a token, that is given back; what was lent goes back to the zone.
+// of a token, that is given back; what was lent goes back to the zone. A
+// request that used more than its charge, because its prompt was estimated too
+// low, leaves a debt that later charges wait for.
 func (in *Instance) Refund(now time.Duration, r Receipt, used int64) int64 {
 	if r.org == nil {
 		return 0
 	}
 	in.advance(now, r.org)
+	if over := used*PPM - r.charged - r.borrowed; over > 0 {
+		r.org.bucket.overrun(over)
+	}
 	unused := max(0, r.charged+r.borrowed-used*PPM)
 	own := min(r.charged, unused)
 	refunded := r.org.bucket.settle(r.generation, r.charged, own)
--- /dev/null
+++ b/internal/quota/duty.go
@@ -0,0 +1,261 @@
+// Package quota drives the limits of organisations in one instance: it admits
+// charges against the instance's shares, asks the zone's duty holder for more
+// and, while this instance is the duty holder, shares out the zone's claim.
+package quota
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/limit"
+	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/eelgrassbay/eelgrassbay/internal/replica"
+	"golang.org/x/sync/singleflight"
+	"storj.io/drpc"
+)
+
+const (
+	tickPeriod  = 200 * time.Millisecond
+	callTimeout = time.Second
+	// borrowTimeout bounds how long a charge waits for a loan.
+	borrowTimeout = 250 * time.Millisecond
+	// borrowPause is the least time between two requests for loans, so that a
+	// flood of refused charges makes no flood of requests.
+	borrowPause = 10 * time.Millisecond
+)
+
+// Caller calls peers; peer.Client implements it.
+type Caller interface {
+	Call(ctx context.Context, address string, call func(context.Context, drpc.Conn) error) error
+}
+
+// Leader tells who holds the zone's duty; leader.Duty implements it.
+type Leader interface {
+	Held() (fence uint64, ok bool)
+	Holder() string
+}
+
+// Options configure a Duty.
+type Options struct {
+	Self    platform.Instance
+	Limit   limit.Options
+	Replica *replica.Duty
+	Leader  Leader
+	Store   platform.Store
+	Peers   Caller
+	Now     func() time.Duration
+	Log     *slog.Logger
+}
+
+// Duty owns this instance's part and the zone's part of the limits. Steps are
+// short and come from handlers, peers and the loop; a mutex guards each part.
+type Duty struct {
+	opts     Options
+	borrow   singleflight.Group
+	mu       sync.Mutex
+	instance *limit.Instance
+	zoneMu   sync.Mutex
+	zone     *limit.Zone
+	limits   *replica.Snapshot // the documents that the limits were taken from
+	version  uint64            // counts changes of the limits in this process
+	granted  atomic.Bool
+}
+
+// held adapts a Leader to limit.Duty. The lease is checked on its own clock.
+type held struct{ Leader }
+
+// Held implements limit.Duty.
+func (h held) Held(time.Duration) (fence uint64, ok bool) { return h.Leader.Held() }
+
+// New returns a duty without shares.
+func New(opts Options) *Duty {
+	return &Duty{
+		opts:     opts,
+		instance: limit.NewInstance(opts.Limit, opts.Self.Name, opts.Self.Incarnation),
+		zone:     limit.NewZone(opts.Limit, opts.Self.Zone, held{opts.Leader}),
+	}
+}
+
+// Admit takes a charge in tokens from an organisation's limits. A charge that
+// a loan from the zone may cover waits for it, briefly.
+func (d *Duty) Admit(ctx context.Context, org string, charge int64) limit.Decision {
+	decision := d.admit(org, charge)
+	if decision.Admitted || !decision.Borrowing {
+		return decision
+	}
+	_, _, _ = d.borrow.Do("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+		defer cancel()
+		d.stepInstance(ctx, limit.Tick{})
+		pause(ctx, borrowPause)
+		return nil, nil
+	})
+	return d.admit(org, charge)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (d *Duty) admit(org string, charge int64) limit.Decision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.instance.Admit(d.opts.Now(), org, charge)
+}
+
+// Refund ends an admitted request that used so many tokens.
+func (d *Duty) Refund(r limit.Receipt, used int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.instance.Refund(d.opts.Now(), r, used)
+}
+
+// Granted reports whether this instance was ever granted shares.
+func (d *Duty) Granted() bool { return d.granted.Load() }
+
+// Run drives both parts until ctx ends.
+func (d *Duty) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		d.takeLimits(ctx)
+		d.stepInstance(ctx, limit.Tick{})
+		d.stepZone(ctx, limit.Tick{})
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Stop returns all shares to the zone's duty holder.
+func (d *Duty) Stop(ctx context.Context) { d.stepInstance(ctx, limit.Stop{}) }
+
+// takeLimits passes the organisations of newly accepted documents on.
+func (d *Duty) takeLimits(ctx context.Context) {
+	known := d.opts.Replica.Snapshot()
+	if !known.Ready || d.limits != nil && d.limits.Hash == known.Hash {
+		return
+	}
+	d.limits = known
+	d.version++
+	orgs := map[string]limit.Limit{}
+	for _, doc := range known.Services {
+		for _, o := range doc.Organisations {
+			orgs[doc.Service+"/"+o.Name] = limit.Limit{Rate: o.RateTokensPerS, Burst: o.BurstTokens}
+		}
+	}
+	d.stepInstance(ctx, limit.Limits{Version: d.version, Orgs: orgs})
+	d.stepZone(ctx, limit.Limits{Version: d.version, Orgs: orgs})
+}
+
+// stepInstance steps this instance's part and sends what it asks for.
+func (d *Duty) stepInstance(ctx context.Context, msg limit.Message) {
+	d.mu.Lock()
+	actions := d.instance.Step(d.opts.Now(), msg)
+	d.mu.Unlock()
+	for _, a := range actions {
+		if send, ok := a.(limit.SendRequest); ok {
+			d.ask(ctx, send.Request)
+		}
+	}
+}
+
+// ask sends a request to the duty holder and applies the grant.
+func (d *Duty) ask(ctx context.Context, r limit.Request) {
+	grant, err := d.askHolder(ctx, requestToWire(r))
+	if err != nil {
+		d.opts.Log.Debug("ask for shares", "error", err)
+		return
+	}
+	if grant != nil {
+		d.granted.Store(true)
+		d.stepInstance(ctx, grantFromWire(grant))
+	}
+}
+
+// errNoHolder means that no duty holder of the zone is known.
+var errNoHolder = errors.New("quota: no duty holder is known")
+
+func (d *Duty) askHolder(ctx context.Context, r *peerpb.ShareRequest) (*peerpb.ShareGrant, error) {
+	holder := d.opts.Leader.Holder()
+	if holder == d.opts.Self.Name {
+		reply, err := d.Ask(ctx, r)
+		return reply.GetGrant(), err
+	}
+	for _, p := range d.opts.Replica.Snapshot().ZonePeers(d.opts.Self.Zone) {
+		if p.Name != holder {
+			continue
+		}
+		var reply *peerpb.ShareReply
+		err := d.opts.Peers.Call(ctx, p.PeerAddress, func(ctx context.Context, conn drpc.Conn) (err error) {
+			reply, err = peerpb.NewDRPCLimitsClient(conn).Ask(ctx, r)
+			return err
+		})
+		return reply.GetGrant(), err
+	}
+	return nil, errNoHolder
+}
+
+// Ask implements peerpb.DRPCLimitsServer.
+func (d *Duty) Ask(ctx context.Context, r *peerpb.ShareRequest) (*peerpb.ShareReply, error) {
+	reply := &peerpb.ShareReply{}
+	if g := d.stepZone(ctx, requestFromWire(r)); g != nil {
+		reply.Grant = grantToWire(*g)
+	}
+	return reply, nil
+}
+
+// stepZone steps the zone's part and returns the grant that it made, if any.
+func (d *Duty) stepZone(ctx context.Context, msg limit.Message) *limit.Grant {
+	d.zoneMu.Lock()
+	actions := d.zone.Step(d.opts.Now(), msg)
+	d.zoneMu.Unlock()
+	var grant *limit.Grant
+	for _, a := range actions {
+		switch a := a.(type) {
+		case limit.SendGrant:
+			grant = &a.Grant
+		case limit.Get:
+			go d.get(a)
+		case limit.Put:
+			go d.put(a)
+		}
+	}
+	return grant
+}
+
+func (d *Duty) get(a limit.Get) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	obj, err := d.opts.Store.Get(ctx, platform.KindShare, a.Name)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		obj, err = platform.Object{Kind: platform.KindShare, Name: a.Name}, nil
+	case err != nil:
+		d.stepZone(ctx, limit.WriteFailed{Name: a.Name})
+		return
+	}
+	d.stepZone(ctx, limit.Read{Object: obj})
+}
+
+func (d *Duty) put(a limit.Put) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	obj, err := d.opts.Store.Put(ctx, platform.Object{Kind: platform.KindShare, Name: a.Name, Version: a.ExpectedVersion, Value: a.Value})
+	if err != nil {
+		d.opts.Log.Debug("write shares", "object", a.Name, "error", err)
+		d.stepZone(ctx, limit.WriteFailed{Name: a.Name})
+		return
+	}
+	d.stepZone(ctx, limit.Written{Object: obj})
+}
--- a/internal/replica/duty.go
+++ b/internal/replica/duty.go
@@ -64,6 +64,7 @@
 	Peers     []platform.Instance // entry instances other than this one, not leaving
 	Leaving   map[string]bool     // addresses of upstreams that are leaving
 	Instances []platform.Instance // the platform's list as last read
+	Hash      uint64              // equal for equal versions
 	Ready     bool                // documents have been read from some source
 	Complete  uint64              // all documents up to this revision are known
 }
@@ -208,6 +209,7 @@
 		next.Services[doc.Service] = doc
 	}
 	next.Versions = d.state.set.Versions()
+	next.Hash = d.state.set.Hash()
 	next.Rejected = d.state.set.Rejected()
 	next.Keys = keys.NewDirectory(docs)
 }
