--- /dev/null
+++ b/internal/claims/duty_test.go
@@ -0,0 +1,104 @@
+package claims
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/once"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/shoenig/test/must"
+)
+
+// start runs a duty over a store; stop ends it like a crash.
+func start(store platform.Store, writer string) (d *Duty, stop func()) {
+	began := time.Now()
+	d = New(Options{Writer: writer, Store: store, Now: func() time.Duration { return time.Since(began) }, Log: slog.New(slog.DiscardHandler)})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = d.Run(ctx) }()
+	return d, cancel
+}
+
+func key(t *testing.T, value string) once.Key {
+	k, err := once.ParseKey("s", "o", value, 0, once.KeyOptions{})
+	must.NoError(t, err)
+	return k
+}
+
+func TestSecondInstanceReplaysTheResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		store := platform.NewMemory(0)
+		a, stopA := start(store, "a")
+		defer stopA()
+		b, stopB := start(store, "b")
+		defer stopB()
+		holder, reply, err := a.Claim(ctx, key(t, "k"), 1)
+		must.NoError(t, err)
+		must.True(t, reply.Granted)
+		_, reply, err = b.Claim(ctx, key(t, "k"), 1)
+		must.NoError(t, err)
+		must.Eq(t, once.DenialInProgress, reply.Denial)
+
+		result := &once.Result{Status: http.StatusOK, Body: []byte("done")}
+		a.Settle(ctx, once.Settle{Key: key(t, "k").Digest, Holder: holder, State: once.StateDone, Result: result})
+		a.Flush(ctx)
+		_, reply, err = b.Claim(ctx, key(t, "k"), 1)
+		must.NoError(t, err)
+		must.Eq(t, once.DenialReplay, reply.Denial)
+		must.Eq(t, result, reply.Result)
+		_, reply, err = b.Claim(ctx, key(t, "k"), 2)
+		must.NoError(t, err)
+		must.Eq(t, once.DenialMismatch, reply.Denial)
+	})
+}
+
+func TestCrashedHolderCountsAsUnknownAndOutageAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		store := platform.NewMemory(0)
+		a, stopA := start(store, "a")
+		_, reply, err := a.Claim(ctx, key(t, "k"), 1)
+		must.NoError(t, err)
+		must.True(t, reply.Granted)
+		stopA()
+		b, stopB := start(store, "b")
+		defer stopB()
+		_, reply, err = b.Claim(ctx, key(t, "k"), 1)
+		must.NoError(t, err)
+		must.False(t, reply.Granted)
+		time.Sleep(once.DefaultMaxRun + time.Minute)
+		_, reply, err = b.Claim(ctx, key(t, "k"), 1)
+		must.NoError(t, err)
+		must.Eq(t, once.DenialUnknown, reply.Denial)
+
+		store.SetFaults(platform.Faults{Outage: true})
+		_, reply, err = b.Claim(ctx, key(t, "other"), 1)
+		must.NoError(t, err)
+		must.False(t, reply.Granted)
+		must.Eq(t, once.DenialNone, reply.Denial)
+		must.NotEq(t, "", string(reply.Reason))
+	})
+}
+
+// TestClaimOfACallerThatLeftIsGivenBack: the caller leaves while the claim is
+// being written; its retry must not find the key taken.
+func TestClaimOfACallerThatLeftIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platform.NewMemory(0)
+		store.SetFaults(platform.Faults{Latency: 200 * time.Millisecond})
+		a, stop := start(store, "a")
+		defer stop()
+		ctx, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
+		defer cancel()
+		_, _, err := a.Claim(ctx, key(t, "k"), 1)
+		must.ErrorIs(t, err, context.DeadlineExceeded)
+		time.Sleep(5 * time.Second)
+		_, reply, err := a.Claim(context.Background(), key(t, "k"), 1)
+		must.NoError(t, err)
+		must.True(t, reply.Granted)
+	})
+}
