once: outcomes, retry budget and claims on idempotency keys

Cause: a caller's own retry through another instance, a crash between claim and run, or a lost reply can run a non-idempotent request twice. Ruled out: one object a key (two writes a request); one object a shard, rewritten whole (hundreds of KB a write); refusing by a key's age on the instance's clock (compares wall clocks).

--- /dev/null
+++ b/internal/once/key.go
@@ -0,0 +1,108 @@
+package once
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+)
+
+// Bounds of idempotency keys.
+const (
+	MaxKeyBytes = 255
+	// MaxKeyAhead is how far the time inside a key may lie ahead of the
+	// instance's wall clock. It protects other callers' keys from one caller
+	// with a wrong clock; at-most-once does not depend on it.
+	MaxKeyAhead = time.Minute
+)
+
+// Errors of ParseKey.
+var (
+	ErrKeyMalformed = errors.New("once: Idempotency-Key malformed")
+	ErrKeyUntimed   = errors.New("once: Idempotency-Key carries no time")
+	ErrKeyAhead     = errors.New("once: Idempotency-Key lies in the future")
+)
+
+// digestBytes is the length of a Digest: 128 bits of SHA-256.
+const digestBytes = 16
+
+// Digest identifies an idempotency key within its service and organisation.
+type Digest [digestBytes]byte
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Digest) MarshalText() ([]byte, error) {
+	return base64.RawURLEncoding.AppendEncode(nil, d[:]), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Digest) UnmarshalText(text []byte) error {
+	raw, err := base64.RawURLEncoding.DecodeString(string(text))
+	if err != nil || len(raw) != digestBytes {
+		return fmt.Errorf("once: digest %q: not %d bytes in base64url", text, digestBytes)
+	}
+	copy(d[:], raw)
+	return nil
+}
+
+// Key is a caller's idempotency key in its scope.
+type Key struct {
+	Digest Digest
+	// TimeMS is the Unix time in milliseconds that a UUIDv7 carries, 0 for
+	// any other key. It is compared with the times of other keys only.
+	TimeMS int64
+}
+
+// KeyOptions say which keys a service takes.
+type KeyOptions struct {
+	// RequireTimed refuses keys other than UUIDv7. Without it, a key that
+	// carries no time is remembered for the window and no longer.
+	RequireTimed bool
+}
+
+// ParseKey checks the value of an Idempotency-Key header. wallMS is the
+// instance's wall clock in Unix milliseconds.
+func ParseKey(service, organisation, value string, wallMS int64, opts KeyOptions) (Key, error) {
+	if value == "" || len(value) > MaxKeyBytes {
+		return Key{}, fmt.Errorf("%w: want 1 to %d bytes, got %d", ErrKeyMalformed, MaxKeyBytes, len(value))
+	}
+	key := Key{Digest: digest(service, organisation, value)}
+	id, err := uuid.Parse(value)
+	if err != nil || id.Version() != 7 {
+		if opts.RequireTimed {
+			return Key{}, fmt.Errorf("%w: want a UUID of version 7", ErrKeyUntimed)
+		}
+		return key, nil
+	}
+	key.Digest = digest(service, organisation, id.String())
+	key.TimeMS = uuidMillis(id)
+	if key.TimeMS > wallMS+MaxKeyAhead.Milliseconds() {
+		return Key{}, fmt.Errorf("%w: more than %v ahead", ErrKeyAhead, MaxKeyAhead)
+	}
+	return key, nil
+}
+
+func digest(parts ...string) Digest {
+	h := sha256.New()
+	for _, p := range parts {
+		fmt.Fprintf(h, "%d:%s", len(p), p)
+	}
+	return Digest(h.Sum(nil)[:digestBytes])
+}
+
+// uuidMillis reads the first 48 bits, the time of a UUIDv7 (RFC 9562).
+func uuidMillis(id uuid.UUID) int64 {
+	var ms int64
+	for _, b := range id[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return ms
+}
+
+// Shard returns the shard of a key, from 0 to shards-1.
+func (d Digest) Shard(shards int) int {
+	return int(xxhash.Sum64(d[:]) % uint64(shards))
+}
--- /dev/null
+++ b/internal/once/request_test.go
@@ -0,0 +1,121 @@
+package once
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/engine"
+	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
+)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestClassify(t *testing.T) {
+	for name, c := range map[string]struct {
+		e    Evidence
+		want Outcome
+	}{
+		"nothing sent":           {Evidence{}, NotSent},
+		"sent, silence":          {Evidence{Sent: true}, Unknown},
+		"refused":                {Evidence{Sent: true, Whole: true, Status: http.StatusTooManyRequests, Ran: engine.RanNo}, RefusedBeforeRun},
+		"refusal cut short":      {Evidence{Sent: true, Status: http.StatusTooManyRequests, Ran: engine.RanNo}, Unknown},
+		"success that says no":   {Evidence{Sent: true, Whole: true, Status: http.StatusOK, Ran: engine.RanNo}, Answered},
+		"503 without a word":     {Evidence{Sent: true, Whole: true, Status: http.StatusServiceUnavailable}, Unknown},
+		"500 without a word":     {Evidence{Sent: true, Whole: true, Status: http.StatusInternalServerError}, Answered},
+		"whole answer":           {Evidence{Sent: true, Whole: true, Status: http.StatusOK}, Answered},
+		"answer of another (no)": {Evidence{Sent: true, Whole: false, Status: http.StatusOK}, Unknown},
+	} {
+		t.Run(name, func(t *testing.T) { must.EqOp(t, c.want, Classify(c.e)) })
+	}
+}
+
+// A request may be attempted again only if it is idempotent or none of its
+// attempts can have run; the error says "not run" exactly if none can have.
+func TestRequestRetries(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		budget := NewBudget(0, BudgetOptions{}, newRand())
+		r := NewRequest(RequestOptions{Idempotent: idempotent, Deadline: time.Second}, budget)
+		mayHaveRun, now := false, time.Duration(0)
+		for i := 0; ; i++ {
+			attempt := string(rune('a' + i))
+			must.True(t, r.Start(attempt))
+			outcome := rapid.SampledFrom([]Outcome{NotSent, RefusedBeforeRun, Answered, Unknown}).Draw(t, "outcome")
+			late := r.State()
+			r.Done(now, "another", Answered)
+			must.EqOp(t, late, r.State())
+			mayHaveRun = mayHaveRun || outcome == Unknown
+			d := r.Done(now, attempt, outcome)
+			now += d.Wait
+			if d.Verdict == VerdictStart {
+				must.True(t, idempotent || !mayHaveRun)
+				continue
+			}
+			must.EqOp(t, outcome == Answered, d.Verdict == VerdictAnswer)
+			if d.Verdict == VerdictFail {
+				must.EqOp(t, mayHaveRun, d.Ran == RanUnknown)
+			}
+			must.False(t, r.Start("after the end"))
+			must.EqOp(t, d, r.GiveUp())
+			return
+		}
+	})
+}
+
+// While an upstream or a zone is away the attempts per request stay bounded.
+func TestBudgetBoundsAttempts(t *testing.T) {
+	const requests, perSecond = 5_000, 200
+	for name, failing := range map[string]float64{"one upstream of four": 0.25, "zone": 0.5, "all": 1} {
+		t.Run(name, func(t *testing.T) {
+			rng := newRand()
+			budget := NewBudget(0, BudgetOptions{}, rng)
+			attempts := 0
+			for i := range requests {
+				now := time.Duration(i) * time.Second / perSecond
+				r := NewRequest(RequestOptions{Idempotent: true, Deadline: now + 10*time.Second}, budget)
+				for d := (Decision{Verdict: VerdictStart}); d.Verdict == VerdictStart; {
+					must.True(t, r.Start("a"))
+					attempts++
+					outcome := Answered
+					if rng.Float64() < failing {
+						outcome = Unknown
+					}
+					d = r.Done(now, "a", outcome)
+				}
+			}
+			ratio := float64(attempts) / requests
+			t.Logf("failing share %.2f: %.4f attempts a request", failing, ratio)
+			must.LessEq(t, 1.1, ratio)
+		})
+	}
+}
+
+func TestBackoffIsJitteredAndCapped(t *testing.T) {
+	b := NewBudget(0, BudgetOptions{}, newRand())
+	for n := 1; n < 100; n++ {
+		bound := min(DefaultBackoffMax, DefaultBackoffBase<<min(n-1, 20))
+		must.Between(t, 0, b.Backoff(n), bound)
+	}
+}
+
+func TestParseKey(t *testing.T) {
+	const at = int64(1_796_000_000_000)
+	timed := "019ae726-0400-7000-8000-000000000001"
+	key, err := ParseKey("s", "o", timed, at, KeyOptions{RequireTimed: true})
+	must.NoError(t, err)
+	must.Positive(t, key.TimeMS)
+	other, err := ParseKey("s", "other", timed, at, KeyOptions{})
+	must.NoError(t, err)
+	must.NotEq(t, key.Digest, other.Digest)
+	_, err = ParseKey("s", "o", timed, key.TimeMS-2*MaxKeyAhead.Milliseconds(), KeyOptions{})
+	must.ErrorIs(t, err, ErrKeyAhead)
+	_, err = ParseKey("s", "o", "opaque", at, KeyOptions{RequireTimed: true})
+	must.ErrorIs(t, err, ErrKeyUntimed)
+	_, err = ParseKey("s", "o", "", at, KeyOptions{})
+	must.ErrorIs(t, err, ErrKeyMalformed)
+}
