--- a/internal/once/claimer.go
+++ b/internal/once/claimer.go
@@ -20,7 +20,7 @@
 	DefaultRetryAfter   = time.Second
 	DefaultAwayMax      = 5 * time.Second
 
-	DefaultSegmentBytes = 16 << 10
+	DefaultSegmentBytes = 32 << 10
 	DefaultBatchBytes   = 256 << 10
 	DefaultMaxSegments  = 256
 	DefaultMaxPending   = 1024
