Claim idempotency keys before a non-idempotent call runs

Cause: a caller's own retry through another instance could run a call twice.

A claim that another instance held was answered from the index as it was last read: after the run was settled a second instance went on answering 'in progress' until the longest run had passed, then 'unknown', and never replayed the result (TestSecondInstanceReplaysTheResult failed: want replay, got in_progress). A claim on a key that runs elsewhere now reads the head again.

Claims go from each instance to the platform; relaying them to one holder per shard was weighed in docs/once.md and waits for the fleet to need it.

--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -13,6 +13,7 @@
 	headerRequestID  = "X-Request-Id"
 	headerRan        = "X-Request-Ran"
 	headerRetryAfter = "Retry-After"
+	headerReplayed   = "X-Idempotent-Replayed"
 )
 
 // Ran says whether a refused or failed request ran.
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/certs"
+	"github.com/eelgrassbay/eelgrassbay/internal/claims"
 	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/inventory"
@@ -45,6 +46,7 @@
 	inventory *inventory.Duty
 	dispatch  *dispatch.Duty
 	quota     *quota.Duty
+	claims    *claims.Duty
 	table     *tableFeed
 	server    *Server
 }
@@ -144,10 +146,13 @@
 	n.quota = quota.New(quota.Options{
 		Self: n.self, Replica: n.replica, Leader: n.leader, Store: n.platform, Peers: n.peers, Now: n.now, Log: n.log,
 	})
+	n.claims = claims.New(claims.Options{
+		Writer: n.self.Incarnation, Store: n.platform, Now: n.now, Log: n.log, Seed: rand.Uint64(),
+	})
 	n.server = NewServer(ServerOptions{
 		Name: n.settings.Name, Requests: n.settings.Requests, Replica: n.replica, Dispatch: n.dispatch,
 		Upstream: upstream.NewClient(), Budget: once.NewBudget(n.now(), once.BudgetOptions{}, rand.New(rand.NewPCG(rand.Uint64(), 0))),
-		Limiter: n.quota, Metrics: n.metrics, Now: n.now, Log: n.log,
+		Limiter: n.quota, Claimer: n.claims, Metrics: n.metrics, Now: n.now, Log: n.log,
 		Prepared: func() bool {
 			limited := len(n.replica.Snapshot().Services) > 0
 			return n.inventory.Swept() && (n.quota.Granted() || !limited)
@@ -193,7 +198,7 @@
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context) error{
-		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.quota.Run, n.feedTable, n.announce,
+		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.quota.Run, n.claims.Run, n.feedTable, n.announce,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
@@ -280,6 +285,7 @@
 func (n *Node) release() {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
+	n.claims.Flush(ctx)
 	n.quota.Stop(ctx)
 	n.leader.Release(ctx)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -29,6 +29,7 @@
 	Upstream *upstream.Client
 	Budget   *once.Budget
 	Limiter  Limiter
+	Claimer  Claimer
 	Metrics  *metrics.Metrics
 	// Prepared reports whether the duties have what a first request needs.
 	Prepared func() bool
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -131,14 +131,19 @@
 	ctx, cancel := context.WithTimeout(p.request.Context(), time.Duration(p.route.DeadlineMS)*time.Millisecond)
 	defer cancel()
 	req := once.NewRequest(once.RequestOptions{Idempotent: p.route.Idempotent, Deadline: deadline}, p.server.opts.Budget)
+	claim, done, err := p.claim(ctx, w, req)
+	if done || err != nil {
+		return err
+	}
 	var answer *plainAnswer
+	defer func() { p.settleClaim(claim, req, answer) }()
 	acquire := func() (*dispatch.Slot, *Error) {
 		return p.server.acquire(ctx, dispatch.Request{
 			Organisation: p.call.org.String(), Class: p.call.class,
 			Route: route.Request{Model: plainModel(p.call.service.Service), Deadline: deadline},
 		})
 	}
-	err := p.server.attempts(ctx, req, acquire, func(id string, slot *dispatch.Slot) (outcome once.Outcome) {
+	err = p.server.attempts(ctx, req, acquire, func(id string, slot *dispatch.Slot) (outcome once.Outcome) {
 		answer, outcome = p.attempt(ctx, id, slot)
 		p.server.flow(p.call).Attempt(string(outcome))
 		p.ran = p.ran || mayHaveRun(outcome)
--- a/internal/once/claimer.go
+++ b/internal/once/claimer.go
@@ -201,7 +201,9 @@
 		return
 	}
 	p := pendingClaim{Claim: m, since: now}
-	if c.answerKnown(now, p) {
+	if c.runsElsewhere(p) {
+		c.loaded = false // the run may have been settled since: read again
+	} else if c.answerKnown(now, p) {
 		return
 	}
 	switch {
@@ -214,6 +216,13 @@
 	}
 }
 
+// runsElsewhere reports that the key was claimed and not settled when the head
+// was last read.
+func (c *Claimer) runsElsewhere(p pendingClaim) bool {
+	k, ok := c.index[p.Key.Digest]
+	return ok && k.entry.State == StateClaimed && k.entry.Holder != p.Holder
+}
+
 // away reports that the last call failed and the next try is not due yet.
 func (c *Claimer) away(now time.Duration) bool { return c.failures > 0 && now < c.retryAt }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -74,9 +74,12 @@
     sed -n 's/.*"runs":\([0-9]*\).*/\1/p' | awk '{n += $1} END {print n + 0}'
 }
 
-echo "non-idempotent check-in:"
+echo "non-idempotent check-in, sent twice under one key through two instances:"
 id="checkin-$$"
-call 7201 "/services/lab/checkin/$id" -X POST || fail "check-in"
+for port in 7201 7202; do
+  call "$port" "/services/lab/checkin/$id" -X POST -H "Idempotency-Key: $id" || fail "check-in"
+  echo
+done
 runs=$(runs_of "$id")
 [ "$runs" = 1 ] || fail "the check-in ran $runs times"
 
