fair: refuse first the organisations over their share

Cause: the queue's counters protect nobody from a flood that the limits let through, since two organisations rarely wait in one instance's queue for one model. Under overload, what decides is who is refused.

Change: fair.Shares keeps a decayed account of an instance's live service by organisation and weight, over all models. A live request whose first token is expected to take half of its deadline is refused if its organisation got more than twice its share.

--- a/internal/evaluate/evaluate.go
+++ b/internal/evaluate/evaluate.go
@@ -21,6 +21,13 @@
 // may exceed the time left.
 const refusalMargin = 50
 
+// An organisation at overPercent of its share is refused requests whose first
+// token is expected to take busyPercent of the deadline.
+const (
+	overPercent = 200
+	busyPercent = 50
+)
+
 // batchRoom is the percentage of an upstream's sequences that batch requests
 // may fill unless their least share is due.
 const batchRoom = 50
@@ -56,6 +63,8 @@
 		Priorities:    true,
 		Pace:          true,
 		RefusalMargin: refusalMargin,
+		OverPercent:   overPercent,
+		BusyPercent:   busyPercent,
 		BatchRoom:     batchRoom,
 		Ejection:      true,
 		Limiter:       func(w *Workload) Limiter { return newExactLimiter(w) },
@@ -83,7 +92,7 @@
 // Ablate prints the attainment of the project's policies with one of them put
 // back to its baseline at a time: workload, policy, without, with and ratio.
 func Ablate(out io.Writer, w *Workload, seed uint64) {
-	names := []string{"routing", "queue", "counters", "priorities", "limiter", "batch_room", "pace", "refusal_margin"}
+	names := []string{"routing", "queue", "counters", "priorities", "limiter", "batch_room", "pace", "refusal_margin", "shares"}
 	runs := []Policies{Ours()}
 	for range names {
 		runs = append(runs, Ours())
@@ -96,15 +105,20 @@
 	runs[6].BatchRoom = Baseline().BatchRoom
 	runs[7].Pace = false
 	runs[8].RefusalMargin = 0
+	runs[9].OverPercent = 0
 	unlimited := Ours()
 	unlimited.Limiter = func(*Workload) Limiter { return openLimiter{} }
 	unlimitedBlind := unlimited
 	unlimitedBlind.Fair = fair.LiveFirst
-	runs = append(runs, unlimitedBlind, unlimited)
+	unlimitedOpen := unlimited
+	unlimitedOpen.OverPercent = 0
+	runs = append(runs, unlimitedBlind, unlimitedOpen, unlimited)
 	m := runAll(w, seed, runs...)
-	blind, open := m[len(m)-2], m[len(m)-1]
-	fmt.Fprintf(out, "%s worst_other_unlimited_without_counters %.4g %.4g %.3f\n", w.Name,
-		blind.WorstOther, open.WorstOther, open.WorstOther/blind.WorstOther)
+	open := m[len(m)-1].WorstOther
+	for i, name := range []string{"counters", "shares"} {
+		without := m[len(m)-3+i].WorstOther
+		fmt.Fprintf(out, "%s worst_other_unlimited_without_%s %.4g %.4g %.3f\n", w.Name, name, without, open, open/without)
+	}
 	for i, name := range names {
 		without, with := m[i+1], m[0]
 		fmt.Fprintf(out, "%s attainment_without_%s %.4g %.4g %.3f\n", w.Name, name,
--- a/internal/evaluate/evaluate_test.go
+++ b/internal/evaluate/evaluate_test.go
@@ -59,3 +59,16 @@
 	must.Positive(t, beyond)
 	must.Positive(t, batch)
 }
+
+// TestKilledServer: the attempts of a request stay below 1.1 on average after a
+// server dies, and more without ejection and budget.
+func TestKilledServer(t *testing.T) {
+	w := short(t)
+	p := Ours()
+	p.Kill = 20 * time.Second
+	ours := Run(w, p, 3)
+	p.Ejection = false
+	without := Run(w, p, 3)
+	must.LessEq(t, 1.1, ours.Attempts)
+	must.Greater(t, ours.Attempts, without.Attempts)
+}
--- a/internal/evaluate/instance.go
+++ b/internal/evaluate/instance.go
@@ -17,11 +17,13 @@
 	random *rand.Rand
 	queues []*fair.Queue // by model
 	retry  route.RetryBudget
+	shares fair.Shares
 }
 
 func newInstance(w *world, id int) *instance {
 	zone := id % w.load.Zones
 	i := &instance{w: w, id: id, random: rand.New(rand.NewPCG(uint64(id), 3))}
+	i.shares.OverPercent = w.policies.OverPercent
 	i.table = route.New(route.Options{
 		Policy:        w.policies.Route(),
 		AdapterLoad:   time.Duration(w.load.AdapterLoadUS) * time.Microsecond,
@@ -76,6 +78,8 @@
 	switch {
 	case err != nil && j.class == fair.Live:
 		j.end = refused
+	case i.overShare(j, c):
+		j.end = refused
 	case err != nil || c.Saturated && i.w.policies.Queue:
 		i.enqueue(j)
 	default:
@@ -83,6 +87,13 @@
 	}
 }
 
+// overShare says whether a live request is to give way: its upstream is busy
+// and its organisation over its share.
+func (i *instance) overShare(j *job, c route.Choice) bool {
+	busy := c.Expected > firstTokenDeadline*time.Duration(i.w.policies.BusyPercent)/100
+	return i.w.policies.OverPercent > 0 && j.class == fair.Live && busy && i.shares.Over(i.w.load.Organisations[j.org].Name)
+}
+
 func (i *instance) enqueue(j *job) {
 	j.queued = fair.Request{
 		ID: j.id, Organisation: i.w.load.Organisations[j.org].Name, Class: j.class, Prefill: j.prompt, Decode: j.output,
@@ -116,7 +127,7 @@
 			break
 		}
 		q.Next(i.w.now)
-		if err != nil {
+		if err != nil || i.overShare(j, c) {
 			j.end = refused
 			continue
 		}
@@ -136,6 +147,9 @@
 	}
 	e := i.w.engines[server]
 	j.attempts++
+	if org := i.w.load.Organisations[j.org]; j.class == fair.Live {
+		i.shares.Served(i.w.now, org.Name, org.Share, j.prompt+fair.DefaultDecodeWeight*j.output)
+	}
 	j.server, j.sent, j.expected = server, i.w.now, c.Expected
 	i.table.Started(i.w.now, route.Started{
 		Upstream: c.Upstream, Prefill: j.prompt - c.Hit, Prefix: j.prefix, PrefixTokens: j.prefixSize, KV: j.prompt + j.output,
--- a/internal/evaluate/world.go
+++ b/internal/evaluate/world.go
@@ -47,6 +47,9 @@
 	DescribedRate float64
 	// Pace corrects the expectations of routing by the first tokens seen.
 	Pace bool
+	// OverPercent is that of fair.Shares, 0 to do without. Organisations over
+	// it are refused what would take BusyPercent of the first token's deadline.
+	OverPercent, BusyPercent int
 	// RefusalMargin is that of routing.
 	RefusalMargin int
 	// Ejection spares upstreams that fail.
--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -235,3 +235,31 @@
 	second, _ := q.Next(now)
 	must.SliceContainsAll(t, []string{"a", "b"}, []string{first.Organisation, second.Organisation})
 }
+
+// TestSharesFindFlooder: an organisation that gets four times what each of the
+// others gets by weight is over its share, and no other ever is; once it is
+// served like the others, it is no longer.
+func TestSharesFindFlooder(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		s := &Shares{OverPercent: 200}
+		others := rapid.IntRange(4, 8).Draw(t, "others")
+		weight := float64(rapid.IntRange(1, 4).Draw(t, "weight"))
+		now := time.Duration(0)
+		serve := func(times int) {
+			now += 100 * time.Millisecond
+			s.Served(now, "flooder", weight, 100*times*int(weight))
+			for o := range others {
+				s.Served(now, string(rune('a'+o)), 1, 100)
+				must.False(t, s.Over(string(rune('a'+o))))
+			}
+		}
+		for range 500 {
+			serve(4)
+		}
+		must.True(t, s.Over("flooder"))
+		for range 200 {
+			serve(1)
+		}
+		must.False(t, s.Over("flooder"))
+	})
+}
