--- a/internal/evaluate/engine.go
+++ b/internal/evaluate/engine.go
@@ -1,6 +1,7 @@
 package evaluate
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -73,29 +74,43 @@
 		e.stepping = false
 		return
 	}
-	chunk := promptChunk
-	decoding := 0
+	chunks, took := e.share()
+	took += e.loading
+	e.loading = 0
+	batch := slices.Clone(e.running)
+	e.w.after(took, func() { e.finishStep(batch, chunks) })
+}
+
+// share divides the prompt tokens of one step among the running requests and
+// says how long the step takes.
+func (e *engine) share() (chunks []int, took time.Duration) {
+	chunks = make([]int, len(e.running))
+	left, decoding := promptChunk, 0
 	models := map[int]bool{}
-	chunks := make([]int, len(e.running))
-	for _, class := range []fair.Class{fair.Live, fair.Batch} {
-		for i, j := range e.running {
-			if j.class != class && e.w.policies.Priorities || !e.w.policies.Priorities && class == fair.Batch {
-				continue
-			}
-			models[j.model] = true
-			if j.prefilled < j.prompt {
-				chunks[i] = min(chunk, j.prompt-j.prefilled)
-				chunk -= chunks[i]
-				continue
-			}
+	for _, i := range e.order() {
+		j := e.running[i]
+		models[j.model] = true
+		if j.prefilled == j.prompt {
 			decoding++
+			continue
 		}
+		chunks[i] = min(left, j.prompt-j.prefilled)
+		left -= chunks[i]
 	}
-	took := e.loading + time.Duration(len(models))*stepPerModel + time.Duration(decoding)*stepPerToken +
-		time.Duration(promptChunk-chunk)*promptToken
-	e.loading = 0
-	batch := slices.Clone(e.running)
-	e.w.after(took, func() { e.finishStep(batch, chunks) })
+	took = time.Duration(len(models))*stepPerModel + time.Duration(decoding)*stepPerToken
+	return chunks, took + time.Duration(promptChunk-left)*promptToken
+}
+
+// order lists the running requests, live ones first if priorities are on.
+func (e *engine) order() []int {
+	order := make([]int, len(e.running))
+	for i := range order {
+		order[i] = i
+	}
+	if e.w.policies.Priorities {
+		slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(e.running[a].class, e.running[b].class) })
+	}
+	return order
 }
 
 func (e *engine) finishStep(batch []*job, chunks []int) {
