--- a/internal/record/flush.go
+++ b/internal/record/flush.go
@@ -1,6 +1,10 @@
 package record
 
-import "errors"
+import (
+	"cmp"
+	"errors"
+	"slices"
+)
 
 // ErrForeign means that the stored object holds another chain under the name
 // of a batch: the record was written over.
@@ -77,6 +81,18 @@
 	c.chains[origin] = held[n:]
 }
 
+// Held returns the chains of which entries are held.
+func (c *Copies) Held() []Origin {
+	origins := make([]Origin, 0, len(c.chains))
+	for o := range c.chains {
+		origins = append(origins, o)
+	}
+	slices.SortFunc(origins, func(a, b Origin) int {
+		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return origins
+}
+
 // Adopt returns what is held of a chain whose instance is gone, to be written
 // in its place, and false if nothing is held.
 func (c *Copies) Adopt(origin Origin) (Batch, bool) {
--- a/internal/record/journal.go
+++ b/internal/record/journal.go
@@ -122,6 +122,9 @@
 // Head returns the end of the chain.
 func (j *Journal) Head() Head { return Head{Origin: j.origin, Seq: j.seq, Hash: j.last} }
 
+// Stamp returns a stamp above all entries so far, to go with a message.
+func (j *Journal) Stamp(wallMS int64) HLC { return j.clock.Now(wallMS) }
+
 // Waiting returns how many entries are not flushed.
 func (j *Journal) Waiting() int { return len(j.waiting) }
 
