--- /dev/null
+++ b/internal/record/flusher_test.go
@@ -0,0 +1,112 @@
+package record
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
+)
+
+// Under lost replies, late writes, outages and a peer that adopts while the
+// instance still runs, the stored record is whole once the faults end.
+func TestFlusherStoresAWholeRecord(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		j := NewJournal(origin(0), 0, JournalOptions{BatchLimit: 5})
+		f := NewFlusher(j, FlusherOptions{})
+		copies := NewCopies(1000)
+		store := map[string]json.RawMessage{}
+		var late []Action
+		now, faults := time.Duration(0), true
+		draw := func(n int, label string) int {
+			if !faults {
+				return 0
+			}
+			return rapid.IntRange(0, n).Draw(t, label)
+		}
+		create := func(name string, value json.RawMessage) bool {
+			_, exists := store[name]
+			if !exists {
+				store[name] = value
+			}
+			return !exists
+		}
+		var handle func(actions []Action)
+		step := func(m Message) { handle(f.Step(now, m)) }
+		handle = func(actions []Action) {
+			for _, a := range actions {
+				switch a := a.(type) {
+				case Put:
+					switch fate := draw(4, "put"); {
+					case fate == 1:
+						step(Unavailable{a.Op})
+					case fate == 2:
+						late = append(late, a) // no reply; may take effect later
+					case !create(a.Name, a.Value) || fate == 3:
+						step(Doubtful{a.Op})
+					default:
+						step(Written{a.Op})
+					}
+				case Get:
+					if draw(3, "get") == 1 {
+						step(Unavailable{a.Op})
+						continue
+					}
+					value, ok := store[a.Name]
+					step(Read{Op: a.Op, Found: ok, Value: value})
+				case Copy:
+					if draw(2, "copy") == 0 {
+						step(CopyAck{copies.Receive(a.Batch)})
+					}
+				case Notice:
+					if draw(2, "notice") == 0 {
+						copies.Flushed(origin(0), a.Seq)
+					}
+				case Alarm:
+					t.Fatalf("alarm: %v", a.Err)
+				}
+			}
+		}
+		for n := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch draw(5, "step") {
+			case 0:
+				if b, ok := copies.Adopt(origin(0)); ok {
+					raw, err := json.Marshal(b)
+					must.NoError(t, err)
+					create(b.Name(), raw)
+				}
+			case 1:
+				if len(late) > 0 {
+					p := late[0].(Put)
+					late = late[1:]
+					create(p.Name, p.Value)
+				}
+			case 2, 3:
+				_, err := j.Append(int64(n), sample(n))
+				must.NoError(t, err)
+			default:
+				now += time.Second
+				step(Tick{})
+			}
+		}
+		faults = false
+		j.Stop(100)
+		for i := 0; j.Waiting() > 0; i++ {
+			must.Less(t, 500, i, must.Sprint("the journal drains"))
+			now += DefaultRetryAfter
+			step(Tick{})
+		}
+		var batches []Batch
+		for _, name := range slices.Sorted(maps.Keys(store)) {
+			var b Batch
+			must.NoError(t, json.Unmarshal(store[name], &b))
+			batches = append(batches, b)
+		}
+		must.SliceEmpty(t, Verify(batches, []Head{j.Head()}).Findings)
+	})
+}
