Keep the service record of every instance; verify and explain it

Cause: who was served, when and in what order is evidence, and no instance has a disk.

Change: handlers append what they decide (admitted, refused and why, attempt, outcome); the flusher writes batches and copies what is not written to one zone peer, which writes it if the instance falls silent. Stamps travel with the exchanges between instances. A record without room refuses non-idempotent calls as not run. eelgrassctl record verify and explain read it.

Ready now waits for a share of every organisation's rate: an empty grant had passed for one, and make demo saw 429s.

--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -37,6 +37,8 @@
 	Events      []string     `json:"events"`
 	Transitions []Transition `json:"transitions"`
 	Ignored     []Ignored    `json:"ignored"`
+
+	machine *stateless.StateMachine // shared by all runs
 }
 
 // Load reads and checks a chart.
@@ -52,6 +54,7 @@
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("chart %s: %w", c.Name, err)
 	}
+	c.machine = c.compile()
 	return c, nil
 }
 
@@ -132,15 +135,24 @@
 
 // Machine is one run of a chart. It is not safe for concurrent use.
 type Machine struct {
-	sm *stateless.StateMachine
+	chart *Chart
+	state string
 }
 
-// New starts a machine in the initial state.
-func (c *Chart) New() *Machine { return c.NewAt(c.Initial) }
-
-// NewAt starts a machine in the given state.
-func (c *Chart) NewAt(state string) *Machine {
-	sm := stateless.NewStateMachine(state)
+// stateKey finds the machine of a call in its context: one configured state
+// machine serves all runs of a chart.
+type stateKey struct{}
+
+// compile builds the state machine that all runs share.
+func (c *Chart) compile() *stateless.StateMachine {
+	sm := stateless.NewStateMachineWithExternalStorage(
+		func(ctx context.Context) (stateless.State, error) { return ctx.Value(stateKey{}).(*Machine).state, nil },
+		func(ctx context.Context, state stateless.State) error {
+			ctx.Value(stateKey{}).(*Machine).state = state.(string)
+			return nil
+		},
+		stateless.FiringImmediate,
+	)
 	for _, s := range c.States {
 		sm.Configure(s)
 	}
@@ -156,17 +168,23 @@
 			sm.Configure(ig.State).Ignore(ev)
 		}
 	}
-	return &Machine{sm: sm}
+	return sm
 }
 
+// New starts a machine in the initial state.
+func (c *Chart) New() *Machine { return c.NewAt(c.Initial) }
+
+// NewAt starts a machine in the given state.
+func (c *Chart) NewAt(state string) *Machine { return &Machine{chart: c, state: state} }
+
 // State returns the current state.
-func (m *Machine) State() string { return m.sm.MustState().(string) }
+func (m *Machine) State() string { return m.state }
 
 // Fire applies an event and returns the state after it. It fails on an event
 // that the chart does not declare.
 func (m *Machine) Fire(event string) (string, error) {
-	if err := m.sm.FireCtx(context.Background(), event); err != nil {
-		return m.State(), fmt.Errorf("chart: state %q, event %q: %w", m.State(), event, err)
+	if err := m.chart.machine.FireCtx(context.WithValue(context.Background(), stateKey{}, m), event); err != nil {
+		return m.state, fmt.Errorf("chart: state %q, event %q: %w", m.state, event, err)
 	}
-	return m.State(), nil
+	return m.state, nil
 }
--- a/internal/chart/chart_test.go
+++ b/internal/chart/chart_test.go
@@ -1,8 +1,10 @@
 package chart
 
 import (
+	"sync"
 	"testing"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 )
 
@@ -39,3 +41,39 @@
 		must.Error(t, err, must.Sprint(name))
 	}
 }
+
+func BenchmarkRun(b *testing.B) {
+	c := MustLoad([]byte(door))
+	b.ReportAllocs()
+	for b.Loop() {
+		m := c.New()
+		for _, ev := range []string{"push", "push", "pull"} {
+			if _, err := m.Fire(ev); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
+
+func TestMachinesOfOneChartRunAtOnce(t *testing.T) {
+	c := MustLoad([]byte(door))
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			m := c.New()
+			for range 200 + i%2 {
+				next := "push"
+				if m.State() == "open" {
+					next = "pull"
+				}
+				_, _ = m.Fire(next)
+			}
+			want := "shut"
+			if i%2 == 1 {
+				want = "open"
+			}
+			test.Eq(t, want, m.State())
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/ctl/record.go
@@ -0,0 +1,150 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/eelgrassbay/eelgrassbay/internal/record"
+)
+
+// ErrRecordBroken means that the service record was altered or has gaps.
+var ErrRecordBroken = errors.New("ctl: the service record does not verify")
+
+// RecordVerify checks the chains of the service record.
+type RecordVerify struct {
+	*Globals
+	Service      string `long:"service" description:"with --organisation: print its entries in order"`
+	Organisation string `long:"organisation" description:"organisation whose entries are printed in order"`
+}
+
+// verified is the output of RecordVerify.
+type verified struct {
+	Batches  int              `json:"batches"`
+	Findings []record.Finding `json:"findings"`
+	Entries  []record.Placed  `json:"entries,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *RecordVerify) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	batches, err := readRecord(ctx, c.store())
+	if err != nil {
+		return err
+	}
+	report := record.Verify(batches, nil)
+	out := verified{Batches: len(batches), Findings: report.Findings}
+	if c.Organisation != "" {
+		out.Entries = slices.DeleteFunc(report.Order(c.Organisation), func(p record.Placed) bool {
+			return c.Service != "" && p.Service != c.Service
+		})
+	}
+	if err := c.print(out, out.text()); err != nil {
+		return err
+	}
+	if slices.ContainsFunc(out.Findings, broken) {
+		return ErrRecordBroken
+	}
+	return nil
+}
+
+// broken reports a finding that a live instance or a crash does not explain.
+func broken(f record.Finding) bool { return f.Fault != record.FaultOpen && f.Fault != record.FaultLost }
+
+func (v verified) text() string {
+	var b strings.Builder
+	for _, p := range v.Entries {
+		fmt.Fprintln(&b, entryLine(p))
+	}
+	for _, f := range v.Findings {
+		fmt.Fprintf(&b, "%s: instance %s, incarnation %s, entry %d", f.Fault, f.Instance, f.Incarnation, f.Seq)
+		if f.Through > f.Seq {
+			fmt.Fprintf(&b, " to %d", f.Through)
+		}
+		if f.Lost > 0 {
+			fmt.Fprintf(&b, ", %d entries", f.Lost)
+		}
+		fmt.Fprintln(&b)
+	}
+	fmt.Fprintf(&b, "%d batches checked, %d findings", v.Batches, len(v.Findings))
+	return b.String()
+}
+
+func entryLine(p record.Placed) string {
+	at := time.UnixMilli(p.At.WallMS).UTC().Format("2006-01-02T15:04:05.000Z")
+	line := fmt.Sprintf("%s.%d %s #%d %s %s/%s request %s", at, p.At.Logical, p.Instance, p.Seq, p.Kind, p.Service, p.Organisation, p.RequestID)
+	if p.Model != "" {
+		line += " model " + p.Model
+	}
+	if p.Detail != "" {
+		line += " " + p.Detail
+	}
+	if p.Code != 0 {
+		line += fmt.Sprintf(" status %d", p.Code)
+	}
+	if p.Tokens != 0 {
+		line += fmt.Sprintf(" tokens %d", p.Tokens)
+	}
+	return line + fmt.Sprintf(" config %d", p.ConfigVersion)
+}
+
+// readRecord returns all batches in the order of their names.
+func readRecord(ctx context.Context, store platform.Store) ([]record.Batch, error) {
+	list, err := store.List(ctx, platform.KindRecord)
+	if err != nil {
+		return nil, err
+	}
+	slices.SortFunc(list.Objects, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
+	var batches []record.Batch
+	for _, obj := range list.Objects {
+		if obj.Deleted {
+			continue
+		}
+		var b record.Batch
+		if err := json.Unmarshal(obj.Value, &b); err != nil || len(b.Entries) == 0 {
+			return nil, fmt.Errorf("%w: object %s cannot be read", ErrRecordBroken, obj.Name)
+		}
+		batches = append(batches, b)
+	}
+	return batches, nil
+}
+
+// Explain prints what the record says of one request.
+type Explain struct {
+	*Globals
+	Args struct {
+		Request string `positional-arg-name:"REQUEST-ID" required:"yes"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *Explain) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	batches, err := readRecord(ctx, c.store())
+	if err != nil {
+		return err
+	}
+	var entries []record.Placed
+	var lines []string
+	for _, b := range batches {
+		for _, e := range b.Entries {
+			if e.RequestID != c.Args.Request {
+				continue
+			}
+			p := record.Placed{Origin: b.Origin, Entry: e}
+			entries = append(entries, p)
+			lines = append(lines, entryLine(p))
+		}
+	}
+	if len(entries) == 0 {
+		return fmt.Errorf("%w: request %s (entries reach the platform within seconds)", ErrNotFound, c.Args.Request)
+	}
+	return c.print(entries, strings.Join(lines, "\n"))
+}
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -67,6 +67,7 @@
 		{"get", "print a document", "Prints the stored document in the form that apply takes.", &Get{Globals: g}},
 		{"delete", "delete a document", "Deletes a document; the service is served no more.", &Delete{Globals: g}},
 		{"status", "print what is in force where", "Prints which version of each document is in force in how many instances, and which versions failed their check.", &Status{Globals: g}},
+		{"explain", "explain a request", "Prints what the service record says of a request: admitted, refused and why, attempts, outcome.", &Explain{Globals: g}},
 		{"version", "print the version", "Prints the version of eelgrassctl.", &Version{Globals: g}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
@@ -80,6 +81,13 @@
 	if _, err := key.AddCommand("issue", "issue a key", "Issues a key and prints it once.", &KeyIssue{Globals: g}); err != nil {
 		return err
 	}
+	rec, err := parser.AddCommand("record", "check the service record", "Checks the service record.", &struct{}{})
+	if err != nil {
+		return err
+	}
+	if _, err := rec.AddCommand("verify", "check its chains", "Checks the chains of the service record and names what was removed, changed or reordered.", &RecordVerify{Globals: g}); err != nil {
+		return err
+	}
 	_, err = key.AddCommand("withdraw", "withdraw a key", "Withdraws the key with an id.", &KeyWithdraw{Globals: g})
 	return err
 }
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -5,12 +5,14 @@
 	"net/http"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/limit"
+	"github.com/eelgrassbay/eelgrassbay/internal/record"
 )
 
 // Limiter charges organisations' limits; quota.Duty implements it.
 type Limiter interface {
 	Admit(ctx context.Context, org string, charge int64) limit.Decision
 	Refund(r limit.Receipt, used int64)
+	Rate(org string) int64
 }
 
 // admit charges a call to its organisation's limits.
@@ -20,6 +22,9 @@
 		return refuseFor(http.StatusTooManyRequests, CodeRateLimited, "the organisation's rate and burst are used up", d.RetryAfter)
 	}
 	c.receipt = d.Receipt
+	e := s.entry(c, record.KindAdmitted)
+	e.Tokens = tokens
+	s.opts.Record.Append(e)
 	return nil
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -26,11 +26,14 @@
 	org      config.OrganisationID
 	limits   config.Organisation
 	class    fair.Class
+	model    string        // as the caller named it
 	keyAge   time.Duration // age of the knowledge of keys
 	tokens   int           // tokens of the answer that reached the caller
-	receipt  limit.Receipt // of what was charged to the organisation
-	flow     *metrics.Flow
-	cut      Code // set if the answer broke off after it had begun
+	// attempted is set once an attempt went out.
+	attempted bool
+	receipt   limit.Receipt // of what was charged to the organisation
+	flow      *metrics.Flow
+	cut       Code // set if the answer broke off after it had begun
 }
 
 // authorise finds the organisation whose key came with the request. Knowledge
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -43,6 +43,7 @@
 	if err := c.checkLeak(r, body); err != nil {
 		return err
 	}
+	c.model = req.name
 	c.class = classOf(r.Header, req.tier)
 	charge := int64(req.prompt + req.maxTokens)
 	if err := s.admit(r.Context(), c, charge); err != nil {
@@ -133,6 +134,8 @@
 	if !ok {
 		return once.NotSent
 	}
+	m.call.attempted = true
+	m.server.recordAttempt(m.call, id, slot.Upstream)
 	st := &stream{call: m, attempt: id, address: address, body: body}
 	outcome := st.run(ctx)
 	m.server.flow(m.call).Attempt(string(outcome))
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -52,6 +52,7 @@
 	CodeKeyReused        Code = "idempotency_key_reused"
 	CodeKeyTooOld        Code = "idempotency_key_too_old"
 	CodeClaimUnavailable Code = "claim_unavailable"
+	CodeRecordFull       Code = "record_full"
 )
 
 // Error is a final answer to a caller that is not an upstream's own.
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -20,6 +20,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 	"github.com/eelgrassbay/eelgrassbay/internal/quota"
+	"github.com/eelgrassbay/eelgrassbay/internal/recorder"
 	"github.com/eelgrassbay/eelgrassbay/internal/replica"
 	"github.com/eelgrassbay/eelgrassbay/internal/route"
 	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
@@ -47,6 +48,7 @@
 	dispatch  *dispatch.Duty
 	quota     *quota.Duty
 	claims    *claims.Duty
+	recorder  *recorder.Duty
 	table     *tableFeed
 	server    *Server
 }
@@ -130,9 +132,13 @@
 	n.leader = leader.New(leader.Options{
 		Self: n.self, Store: n.platform, Peers: n.peers, ZonePeers: n.zonePeers, Now: n.now, Log: n.log, Seed: rand.Int64(),
 	})
+	n.recorder = recorder.New(recorder.Options{
+		Self: n.self, Store: n.platform, Peers: n.peers, ZonePeers: n.zonePeers,
+		Now: n.now, WallMS: func() int64 { return time.Now().UnixMilli() }, Log: n.log,
+	})
 	n.replica = replica.NewDuty(replica.Options{
 		Self: n.self, Store: n.platform, Instances: n.platform, Peers: n.peers, Seeds: n.settings.Peers,
-		Reads: n.leader.Leads, Reader: n.leader.Holder, Now: n.now, Log: n.log, Seed: rand.Int64(),
+		Reads: n.leader.Leads, Reader: n.leader.Holder, Clock: n.recorder, Now: n.now, Log: n.log, Seed: rand.Int64(),
 	})
 	n.dispatch = dispatch.New(dispatch.Options{
 		Route: route.Options{Distance: n.distance}, Now: n.now, Seed: rand.Uint64(),
@@ -152,11 +158,8 @@
 	n.server = NewServer(ServerOptions{
 		Name: n.settings.Name, Requests: n.settings.Requests, Replica: n.replica, Dispatch: n.dispatch,
 		Upstream: upstream.NewClient(), Budget: once.NewBudget(n.now(), once.BudgetOptions{}, rand.New(rand.NewPCG(rand.Uint64(), 0))),
-		Limiter: n.quota, Claimer: n.claims, Metrics: n.metrics, Now: n.now, Log: n.log,
-		Prepared: func() bool {
-			limited := len(n.replica.Snapshot().Services) > 0
-			return n.inventory.Swept() && (n.quota.Granted() || !limited)
-		},
+		Limiter: n.quota, Claimer: n.claims, Record: n.recorder, Metrics: n.metrics, Now: n.now, Log: n.log,
+		Prepared: func() bool { return n.inventory.Swept() && n.quota.Granted() },
 	})
 }
 
@@ -179,6 +182,7 @@
 		{n.leader, peerpb.DRPCLeasesDescription{}},
 		{n.inventory, peerpb.DRPCInventoryDescription{}},
 		{n.quota, peerpb.DRPCLimitsDescription{}},
+		{n.recorder, peerpb.DRPCRecordDescription{}},
 	} {
 		if err := n.peerSrv.Register(s.impl, s.desc); err != nil {
 			return err
@@ -198,7 +202,7 @@
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context) error{
-		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.quota.Run, n.claims.Run, n.feedTable, n.announce,
+		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.quota.Run, n.claims.Run, n.recorder.Run, n.feedTable, n.announce,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
@@ -286,6 +290,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	n.claims.Flush(ctx)
+	n.recorder.Stop(ctx)
 	n.quota.Stop(ctx)
 	n.leader.Release(ctx)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -30,6 +30,7 @@
 	Budget   *once.Budget
 	Limiter  Limiter
 	Claimer  Claimer
+	Record   Recorder
 	Metrics  *metrics.Metrics
 	// Prepared reports whether the duties have what a first request needs.
 	Prepared func() bool
@@ -96,6 +97,7 @@
 	if err != nil {
 		code = err.Code
 	}
+	s.recordEnd(c, code, err)
 	s.flow(c).Ended(string(code), s.opts.Now()-c.received, c.tokens)
 }
 
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -40,6 +40,9 @@
 	if err := c.checkLeak(r, body); err != nil {
 		return err
 	}
+	if !rt.Idempotent && s.opts.Record.Full() {
+		return refuseFor(http.StatusServiceUnavailable, CodeRecordFull, "the service record has no room", busyRetryAfter)
+	}
 	if err := s.admit(r.Context(), c, rt.CostTokens); err != nil {
 		return err
 	}
@@ -180,6 +183,8 @@
 	}
 	a.Header.Set(engine.HeaderAttempt, id)
 	a.Header.Set(headerRequestID, p.call.id)
+	p.call.attempted = true
+	p.server.recordAttempt(p.call, id, slot.Upstream)
 	return p.send(ctx, a)
 }
 
--- a/internal/limit/instance.go
+++ b/internal/limit/instance.go
@@ -141,6 +141,16 @@
 	return d
 }
 
+// Rate returns the rate of an organisation that is in force here, in tokens per
+// second.
+func (in *Instance) Rate(org string) int64 {
+	o := in.orgs[org]
+	if o == nil {
+		return 0
+	}
+	return mulDiv(o.share().RatePPM, o.limit.Rate, PPM)
+}
+
 // Refund ends an admitted request that used the given number of tokens and
 // gives the rest of its charge back, as far as the bucket has not refilled in
 // its place. Call it once for each receipt. It returns the most, in millionths
--- a/internal/quota/duty.go
+++ b/internal/quota/duty.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,7 +65,7 @@
 	zone     *limit.Zone
 	limits   *replica.Snapshot // the documents that the limits were taken from
 	version  uint64            // counts changes of the limits in this process
-	granted  atomic.Bool
+	orgs     atomic.Pointer[[]string]
 }
 
 // held adapts a Leader to limit.Duty. The lease is checked on its own clock.
@@ -111,6 +113,14 @@
 	return d.instance.Admit(d.opts.Now(), org, charge)
 }
 
+// Rate returns the rate of an organisation that is in force in this instance,
+// in tokens per second.
+func (d *Duty) Rate(org string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.instance.Rate(org)
+}
+
 // Refund ends an admitted request that used so many tokens.
 func (d *Duty) Refund(r limit.Receipt, used int64) {
 	d.mu.Lock()
@@ -118,8 +128,20 @@
 	d.instance.Refund(d.opts.Now(), r, used)
 }
 
-// Granted reports whether this instance was ever granted shares.
-func (d *Duty) Granted() bool { return d.granted.Load() }
+// Granted reports whether this instance has a share of every organisation's
+// rate.
+func (d *Duty) Granted() bool {
+	orgs := d.orgs.Load()
+	if orgs == nil {
+		return false
+	}
+	for _, org := range *orgs {
+		if d.Rate(org) == 0 {
+			return false
+		}
+	}
+	return true
+}
 
 // Run drives both parts until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
@@ -154,6 +176,8 @@
 			orgs[doc.Service+"/"+o.Name] = limit.Limit{Rate: o.RateTokensPerS, Burst: o.BurstTokens}
 		}
 	}
+	names := slices.Collect(maps.Keys(orgs))
+	d.orgs.Store(&names)
 	d.stepInstance(ctx, limit.Limits{Version: d.version, Orgs: orgs})
 	d.stepZone(ctx, limit.Limits{Version: d.version, Orgs: orgs})
 }
@@ -178,7 +202,6 @@
 		return
 	}
 	if grant != nil {
-		d.granted.Store(true)
 		d.stepInstance(ctx, grantFromWire(grant))
 	}
 }
--- a/internal/record/flush.go
+++ b/internal/record/flush.go
@@ -81,6 +81,15 @@
 	c.chains[origin] = held[n:]
 }
 
+// Through returns the last sequence number held of a chain, 0 for none.
+func (c *Copies) Through(origin Origin) uint64 {
+	held := c.chains[origin]
+	if len(held) == 0 {
+		return 0
+	}
+	return held[len(held)-1].Seq
+}
+
 // Held returns the chains of which entries are held.
 func (c *Copies) Held() []Origin {
 	origins := make([]Origin, 0, len(c.chains))
@@ -93,12 +102,12 @@
 	return origins
 }
 
-// Adopt returns what is held of a chain whose instance is gone, to be written
-// in its place, and false if nothing is held.
+// Adopt returns the oldest entries held of a chain whose instance is gone, at
+// most a batch, to be written in its place, and false if nothing is held.
 func (c *Copies) Adopt(origin Origin) (Batch, bool) {
 	held := c.chains[origin]
 	if len(held) == 0 {
 		return Batch{}, false
 	}
-	return Batch{Origin: origin, Prev: c.prev[origin], Entries: held}, true
+	return Batch{Origin: origin, Prev: c.prev[origin], Entries: held[:min(len(held), DefaultBatchLimit)]}, true
 }
--- a/internal/recorder/duty.go
+++ b/internal/recorder/duty.go
@@ -20,18 +20,16 @@
 )
 
 const (
-	copyPeriod  = 250 * time.Millisecond
-	callTimeout = 2 * time.Second
+	tickPeriod  = 100 * time.Millisecond
+	callTimeout = time.Second
 	// adoptAfter is the silence of a peer after which its copies are written
 	// in its place. Doing so for a live peer is harmless.
-	adoptAfter = 15 * time.Second
+	adoptAfter  = 15 * time.Second
+	adoptPeriod = 5 * time.Second
 	// maxCopies bounds the entries held for peers.
 	maxCopies = 4 * record.DefaultRing
 )
 
-// DefaultFlushPeriod is how often entries are written to the platform.
-const DefaultFlushPeriod = 2 * time.Second
-
 // Caller calls peers; peer.Client implements it.
 type Caller interface {
 	Call(ctx context.Context, address string, call func(context.Context, drpc.Conn) error) error
@@ -39,39 +37,37 @@
 
 // Options configure a Duty.
 type Options struct {
-	Self        platform.Instance
-	Store       platform.Store
-	Peers       Caller
-	ZonePeers   func() []platform.Instance
-	FlushPeriod time.Duration // 0 for DefaultFlushPeriod
-	Now         func() time.Duration
-	WallMS      func() int64
-	Log         *slog.Logger
+	Self      platform.Instance
+	Store     platform.Store
+	Peers     Caller
+	ZonePeers func() []platform.Instance
+	Flusher   record.FlusherOptions
+	Now       func() time.Duration
+	WallMS    func() int64
+	Log       *slog.Logger
 }
 
-// Duty owns the journal and the copies held for peers; a mutex guards both.
+// Duty owns the journal, its flusher and the copies held for peers; a mutex
+// guards them.
 type Duty struct {
 	opts    Options
 	mu      sync.Mutex
 	journal *record.Journal
+	flusher *record.Flusher
 	copies  *record.Copies
 	heard   map[record.Origin]time.Duration // last copy of a peer
-	flushed uint64
-	peer    string // that holds the copies
-	held    uint64 // by it
-	told    uint64 // flushed number that it knows
-	full    bool   // the last entry found no room
-	flushMu sync.Mutex
+	flushed uint64                          // the platform holds all up to it
+	peer    string                          // that holds the copies
+	full    bool                            // the last entry found no room
 }
 
 // New returns a duty whose chain has begun.
 func New(opts Options) *Duty {
-	if opts.FlushPeriod == 0 {
-		opts.FlushPeriod = DefaultFlushPeriod
-	}
+	journal := record.NewJournal(origin(opts.Self), opts.WallMS(), record.JournalOptions{})
 	return &Duty{
 		opts:    opts,
-		journal: record.NewJournal(origin(opts.Self), opts.WallMS(), record.JournalOptions{}),
+		journal: journal,
+		flusher: record.NewFlusher(journal, opts.Flusher),
 		copies:  record.NewCopies(maxCopies),
 		heard:   map[record.Origin]time.Duration{},
 	}
@@ -90,6 +86,20 @@
 	d.full = err != nil
 }
 
+// Stamp returns a stamp of the record's clock, to go with a message to a peer.
+func (d *Duty) Stamp() *peerpb.Stamp {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return toStamp(d.journal.Stamp(d.opts.WallMS()))
+}
+
+// Observe takes in a stamp that came with a peer's message.
+func (d *Duty) Observe(s *peerpb.Stamp) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.journal.Observe(fromStamp(s))
+}
+
 // Full reports whether the record has no room, after a long outage of the
 // platform.
 func (d *Duty) Full() bool {
@@ -107,71 +117,89 @@
 
 // Run copies, flushes and adopts until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
-	ticker := time.NewTicker(copyPeriod)
+	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
-	lastFlush := d.opts.Now()
+	lastAdopt := d.opts.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		d.copy(ctx)
-		if now := d.opts.Now(); now-lastFlush >= d.opts.FlushPeriod {
-			lastFlush = now
-			d.flush(ctx)
+		d.followPeer()
+		d.step(record.Tick{})
+		if now := d.opts.Now(); now-lastAdopt >= adoptPeriod {
+			lastAdopt = now
 			d.adopt(ctx)
 		}
 	}
 }
 
-// Stop closes the chain and writes what is left until ctx ends.
+// Stop closes the chain and waits until the platform holds it or ctx ends.
+// Run goes on meanwhile.
 func (d *Duty) Stop(ctx context.Context) {
 	d.mu.Lock()
 	d.journal.Stop(d.opts.WallMS())
 	d.mu.Unlock()
 	for ctx.Err() == nil && d.Waiting() > 0 {
-		if !d.flush(ctx) {
-			time.Sleep(copyPeriod)
-		}
+		time.Sleep(tickPeriod)
 	}
-	d.copy(ctx) // tells the peer that nothing of its copies is needed
 }
 
-// flush writes all entries that wait; it reports whether all were written.
-func (d *Duty) flush(ctx context.Context) bool {
-	d.flushMu.Lock()
-	defer d.flushMu.Unlock()
-	for {
-		d.mu.Lock()
-		batch, ok := d.journal.Next(0)
-		d.mu.Unlock()
-		if !ok {
-			return true
-		}
-		seq, err := d.write(ctx, batch)
-		if err != nil {
-			d.report(err, batch)
-			return false
+// step steps the flusher and carries out what it asks for.
+func (d *Duty) step(msg record.Message) {
+	d.mu.Lock()
+	actions := d.flusher.Step(d.opts.Now(), msg)
+	d.mu.Unlock()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case record.Put:
+			go d.put(a)
+		case record.Get:
+			go d.get(a)
+		case record.Copy:
+			go d.copy(a.Batch)
+		case record.Notice:
+			d.mu.Lock()
+			d.flushed = a.Seq
+			d.mu.Unlock()
+			go d.copy(record.Batch{})
+		case record.Alarm:
+			d.opts.Log.Error("service record", "batch", a.Name, "error", a.Err)
 		}
-		d.mu.Lock()
-		d.journal.Flushed(seq)
-		d.flushed = seq
-		d.mu.Unlock()
 	}
 }
 
-func (d *Duty) report(err error, b record.Batch) {
-	level := slog.LevelDebug
-	if errors.Is(err, record.ErrForeign) {
-		level = slog.LevelError
+func (d *Duty) put(a record.Put) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_, err := d.opts.Store.Put(ctx, platform.Object{Kind: platform.KindRecord, Name: a.Name, Value: a.Value})
+	switch {
+	case err == nil:
+		d.step(record.Written{Op: a.Op})
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrOutcomeUnknown):
+		d.step(record.Doubtful{Op: a.Op})
+	default:
+		d.step(record.Unavailable{Op: a.Op})
+	}
+}
+
+func (d *Duty) get(a record.Get) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	obj, err := d.opts.Store.Get(ctx, platform.KindRecord, a.Name)
+	switch {
+	case err == nil:
+		d.step(record.Read{Op: a.Op, Found: !obj.Deleted, Value: obj.Value})
+	case errors.Is(err, platform.ErrNotFound):
+		d.step(record.Read{Op: a.Op})
+	default:
+		d.step(record.Unavailable{Op: a.Op})
 	}
-	d.opts.Log.Log(context.Background(), level, "write service record", "batch", b.Name(), "error", err)
 }
 
-// write stores a batch under its name and returns the last number that is
-// safe. A batch that is there already, by an adopting peer or a write whose
-// reply was lost, is read back and compared.
+// write stores the batch of a silent peer and returns the last number that is
+// safe. A batch that is there already is read back and compared.
 func (d *Duty) write(ctx context.Context, b record.Batch) (uint64, error) {
 	value, err := json.Marshal(b)
 	if err != nil {
@@ -201,18 +229,20 @@
 	return record.Resolve(mine, stored)
 }
 
-// copy hands what is new to the zone peer that holds the copies.
-func (d *Duty) copy(ctx context.Context) {
+// copy hands a batch, which may be empty, to the zone peer that holds the
+// copies, and tells it what the platform holds.
+func (d *Duty) copy(b record.Batch) {
 	p, ok := d.choosePeer()
 	if !ok {
 		return
 	}
-	msg, needed, err := d.copyMessage(p.Name)
-	if err != nil || !needed {
+	msg, err := d.copyMessage(b)
+	if err != nil {
+		d.opts.Log.Error("service record", "error", err)
 		return
 	}
 	var ack *peerpb.RecordAck
-	err = d.opts.Peers.Call(ctx, p.PeerAddress, func(ctx context.Context, conn drpc.Conn) (err error) {
+	err = d.opts.Peers.Call(context.Background(), p.PeerAddress, func(ctx context.Context, conn drpc.Conn) (err error) {
 		ack, err = peerpb.NewDRPCRecordClient(conn).Copy(ctx, msg)
 		return err
 	})
@@ -221,9 +251,23 @@
 		return
 	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.held, d.told = ack.Held, msg.Flushed
 	d.journal.Observe(fromStamp(ack.Stamp))
+	d.mu.Unlock()
+	d.step(record.CopyAck{Seq: ack.Held})
+}
+
+// followPeer copies everything that waits again when another peer holds the
+// copies from now on.
+func (d *Duty) followPeer() {
+	p, _ := d.choosePeer()
+	d.mu.Lock()
+	changed := p.Name != d.peer
+	d.peer = p.Name
+	flushed := d.flushed
+	d.mu.Unlock()
+	if changed {
+		d.step(record.CopyAck{Seq: flushed})
+	}
 }
 
 // choosePeer returns the zone peer that holds the copies: the same one while
@@ -239,22 +283,21 @@
 	return platform.Instance{}, false
 }
 
-func (d *Duty) copyMessage(peer string) (msg *peerpb.RecordCopy, needed bool, err error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if peer != d.peer {
-		d.peer, d.held, d.told = peer, 0, 0
-	}
+func (d *Duty) copyMessage(b record.Batch) (*peerpb.RecordCopy, error) {
 	self := origin(d.opts.Self)
-	msg = &peerpb.RecordCopy{Instance: self.Instance, Incarnation: self.Incarnation, Flushed: d.flushed}
-	batch, ok := d.journal.Next(max(d.held, d.flushed))
-	if ok {
-		if msg.Batch, err = json.Marshal(batch); err != nil {
-			return nil, false, err
+	msg := &peerpb.RecordCopy{Instance: self.Instance, Incarnation: self.Incarnation}
+	if len(b.Entries) > 0 {
+		value, err := json.Marshal(b)
+		if err != nil {
+			return nil, fmt.Errorf("recorder: encode batch: %w", err)
 		}
+		msg.Batch = value
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	msg.Flushed = d.flushed
 	msg.Stamp = toStamp(d.journal.Stamp(d.opts.WallMS()))
-	return msg, ok || d.told < d.flushed, nil
+	return msg, nil
 }
 
 // Copy implements peerpb.DRPCRecordServer.
@@ -270,10 +313,10 @@
 	defer d.mu.Unlock()
 	d.heard[from] = d.opts.Now()
 	d.copies.Flushed(from, msg.Flushed)
-	held := msg.Flushed
 	if len(batch.Entries) > 0 && batch.Origin == from {
-		held = max(held, d.copies.Receive(batch))
+		d.copies.Receive(batch)
 	}
+	held := max(msg.Flushed, d.copies.Through(from))
 	d.journal.Observe(fromStamp(msg.Stamp))
 	return &peerpb.RecordAck{Held: held, Stamp: toStamp(d.journal.Stamp(d.opts.WallMS()))}, nil
 }
@@ -289,7 +332,7 @@
 		}
 		seq, err := d.write(ctx, batch)
 		if err != nil {
-			d.report(err, batch)
+			d.opts.Log.Warn("write service record of a silent peer", "batch", batch.Name(), "error", err)
 			continue
 		}
 		d.opts.Log.Info("service record of a silent peer written", "instance", from.Instance, "through", seq)
--- a/internal/replica/duty.go
+++ b/internal/replica/duty.go
@@ -36,6 +36,12 @@
 	Exchange(ctx context.Context, address string, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error)
 }
 
+// Clock stamps messages for the service record; recorder.Duty implements it.
+type Clock interface {
+	Stamp() *peerpb.Stamp
+	Observe(*peerpb.Stamp)
+}
+
 // Options configure a Duty.
 type Options struct {
 	Self      platform.Instance
@@ -49,6 +55,7 @@
 	// Reader returns the name of the instance that reads for the zone, "" if
 	// it is not known.
 	Reader func() string
+	Clock  Clock
 	// Now is the monotonic clock.
 	Now  func() time.Duration
 	Log  *slog.Logger
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"google.golang.org/protobuf/proto"
 )
 
 // maxRounds bounds the calls of one exchange: compare, fetch, push.
@@ -74,11 +75,13 @@
 
 func (d *Duty) round(ctx context.Context, p platform.Instance, req *peerpb.ExchangeRequest) (next *peerpb.ExchangeRequest) {
 	sentAt := d.opts.Now()
+	req.Stamp = d.opts.Clock.Stamp()
 	reply, err := d.opts.Peers.Exchange(ctx, p.PeerAddress, req)
 	if err != nil {
 		_ = d.step(ctx, func() { d.apply(d.state.CallFailed(d.opts.Now(), p.Name)) })
 		return nil
 	}
+	d.opts.Clock.Observe(reply.Stamp)
 	var c Change
 	_ = d.step(ctx, func() {
 		next, c = d.state.Absorb(d.opts.Now(), sentAt, req, reply)
@@ -102,7 +105,9 @@
 		return
 	}
 	zonePeers := d.Snapshot().ZonePeers(d.opts.Self.Zone)
-	d.each(ctx, zonePeers, func(ctx context.Context, p platform.Instance) { d.round(ctx, p, req) })
+	d.each(ctx, zonePeers, func(ctx context.Context, p platform.Instance) {
+		d.round(ctx, p, proto.CloneOf(req))
+	})
 }
 
 // pushTimeout bounds a push that a peer's call caused.
@@ -118,6 +123,8 @@
 	if err != nil {
 		return nil, err
 	}
+	d.opts.Clock.Observe(req.Stamp)
+	reply.Stamp = d.opts.Clock.Stamp()
 	if len(c.Accepted) > 0 && req.Self.GetZone() != d.opts.Self.Zone {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,13 +1,21 @@
 #!/usr/bin/env bash
 # Starts the stand-ins and three entry instances in two zones as processes on
 # loopback, sends requests through them and stops all by process id. Exits
-# non-zero if anything was wrong.
+# non-zero if anything was wrong. Ports begin with DEMO_PORT_PREFIX (7).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-logs=$(mktemp -d)
+p=${DEMO_PORT_PREFIX:-7}
+work=$(mktemp -d)
+logs=$work/logs
+mkdir "$logs"
 pids=()
 
+for file in examples/service.hujson examples/demo/*.hujson; do
+  sed "s/127\.0\.0\.1:7/127.0.0.1:$p/g" "$file" >"$work/${file##*/}"
+done
+export EELGRASS_PLATFORM=http://127.0.0.1:${p}100
+
 stop_all() {
   local status=0
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
@@ -39,15 +47,15 @@
 
 ctl() { bin/eelgrassctl "$@"; }
 
-start standin bin/eelgrass-standin --config examples/demo/standin.hujson
-ready http://127.0.0.1:7100/instances
+start standin bin/eelgrass-standin --config "$work/standin.hujson"
+ready http://127.0.0.1:${p}100/instances
 for name in north-1 north-2 south-1; do
-  start "$name" bin/eelgrass-entry --config "examples/demo/$name.hujson"
+  start "$name" bin/eelgrass-entry --config "$work/$name.hujson"
 done
 
-ctl apply examples/service.hujson || fail "apply"
+ctl apply "$work/service.hujson" || fail "apply"
 key=$(ctl key issue lab harbour-lab) || fail "key issue"
-for port in 7200 7201 7202; do ready "http://127.0.0.1:$port/readyz"; done
+for port in ${p}200 ${p}201 ${p}202; do ready "http://127.0.0.1:$port/readyz"; done
 
 call() { # port, path, curl arguments...
   local port=$1 path=$2
@@ -55,28 +63,28 @@
   curl -fsS --retry 8 --retry-all-errors --retry-delay 1 -H "Authorization: Bearer $key" "$@" "http://127.0.0.1:$port$path"
 }
 
-for port in 7200 7201 7202; do
+for port in ${p}200 ${p}201 ${p}202; do
   call "$port" /v1/models >/dev/null || fail "models at $port"
 done
 
 echo "streamed request:"
-stream=$(call 7200 /v1/chat/completions -d '{"model": "panel-notes", "stream": true, "max_tokens": 8,
+stream=$(call ${p}200 /v1/chat/completions -d '{"model": "panel-notes", "stream": true, "max_tokens": 8,
   "messages": [{"role": "user", "content": "note on panel 12"}]}') || fail "streamed request"
 echo "$stream" | tail -n 2
 echo "$stream" | grep -q '^data: \[DONE\]' || fail "the stream is not whole"
 
 echo "idempotent lookup:"
-call 7202 /services/lab/lookup/panel-12 || fail "lookup"
+call ${p}202 /services/lab/lookup/panel-12 || fail "lookup"
 echo
 
 runs_of() { # id
-  for port in 7120 7121; do curl -fsS "http://127.0.0.1:$port/runs/$1"; done |
+  for port in ${p}120 ${p}121; do curl -fsS "http://127.0.0.1:$port/runs/$1"; done |
     sed -n 's/.*"runs":\([0-9]*\).*/\1/p' | awk '{n += $1} END {print n + 0}'
 }
 
 echo "non-idempotent check-in, sent twice under one key through two instances:"
 id="checkin-$$"
-for port in 7201 7202; do
+for port in ${p}201 ${p}202; do
   call "$port" "/services/lab/checkin/$id" -X POST -H "Idempotency-Key: $id" || fail "check-in"
   echo
 done
@@ -84,7 +92,7 @@
 [ "$runs" = 1 ] || fail "the check-in ran $runs times"
 
 seen=0
-for port in 7110 7111 7120 7121; do
+for port in ${p}110 ${p}111 ${p}120 ${p}121; do
   seen=$((seen + $(curl -fsS "http://127.0.0.1:$port/seen-credentials" | tr -dc 0-9)))
 done
 [ "$seen" = 0 ] || fail "upstreams saw $seen credentials"
@@ -97,5 +105,14 @@
 ctl status
 ctl status | grep -q "in 3 of 3 instances" || fail "the document is not in force everywhere"
 
+echo "service record:"
+for _ in $(seq 20); do
+  ctl record verify --service lab --organisation harbour-lab >"$work/record" || fail "the service record does not verify"
+  grep -q outcome "$work/record" && break
+  sleep 0.5
+done
+tail -n 5 "$work/record"
+grep -q outcome "$work/record" || fail "the service record has no outcome"
+
 stop_all || fail "a process did not stop gracefully"
 echo "demo: all good"
