ctl: let global options reach the commands

Cause: each command embeds the global options, and the parser registered the embedded copy's options again, at the command. Found by a test of whole fleets, whose `--platform URL apply` stored nothing there.

Ruled out: passing the options after the command; they were ignored too.

Change: the embedded options carry the tag no-flag, so that the parser alone owns them.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -13,7 +13,9 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 )
 
-// Globals are the options of all commands.
+// Globals are the options of all commands. They are options of the parser
+// alone: a command embeds them with the tag no-flag, or its own copies would
+// put the defaults back.
 type Globals struct {
 	Platform string        `long:"platform" env:"EELGRASS_PLATFORM" value-name:"URL" description:"URL of the platform's object API" default:"http://127.0.0.1:7100"`
 	Output   string        `long:"output" choice:"text" choice:"json" default:"text" description:"form of the output"`
--- a/internal/ctl/document.go
+++ b/internal/ctl/document.go
@@ -26,8 +26,8 @@
 
 // Check checks a document without storing it.
 type Check struct {
-	*Globals
-	Args fileArgument `positional-args:"yes"`
+	*Globals `no-flag:"true"`
+	Args     fileArgument `positional-args:"yes"`
 }
 
 // Execute implements flags.Commander.
@@ -59,7 +59,7 @@
 
 // Apply stores a document.
 type Apply struct {
-	*Globals
+	*Globals  `no-flag:"true"`
 	IfVersion *uint64      `long:"if-version" value-name:"N" description:"version that the edit is based on; 0 for a new document"`
 	Args      fileArgument `positional-args:"yes"`
 }
@@ -111,8 +111,8 @@
 
 // Get prints a document in the form that apply takes.
 type Get struct {
-	*Globals
-	Args serviceArgument `positional-args:"yes"`
+	*Globals `no-flag:"true"`
+	Args     serviceArgument `positional-args:"yes"`
 }
 
 // Execute implements flags.Commander.
@@ -136,7 +136,7 @@
 
 // Delete removes a document; instances stop serving the service.
 type Delete struct {
-	*Globals
+	*Globals  `no-flag:"true"`
 	IfVersion uint64          `long:"if-version" value-name:"N" required:"yes" description:"version that is to be deleted"`
 	Args      serviceArgument `positional-args:"yes"`
 }
--- a/internal/ctl/key.go
+++ b/internal/ctl/key.go
@@ -23,8 +23,8 @@
 
 // KeyIssue makes a key; the key is printed once and stored nowhere.
 type KeyIssue struct {
-	*Globals
-	Args organisationArguments `positional-args:"yes" required:"yes"`
+	*Globals `no-flag:"true"`
+	Args     organisationArguments `positional-args:"yes" required:"yes"`
 }
 
 // issued is the output of KeyIssue.
@@ -51,8 +51,8 @@
 
 // KeyWithdraw takes a key out of force.
 type KeyWithdraw struct {
-	*Globals
-	Args struct {
+	*Globals `no-flag:"true"`
+	Args     struct {
 		organisationArguments
 		ID string `positional-arg-name:"KEY-ID" required:"yes"`
 	} `positional-args:"yes" required:"yes"`
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -85,7 +85,9 @@
 }
 
 // Version prints the version.
-type Version struct{ *Globals }
+type Version struct {
+	*Globals `no-flag:"true"`
+}
 
 // Execute implements flags.Commander.
 func (c *Version) Execute([]string) error {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -12,7 +12,7 @@
 
 // Status prints which versions are in force where.
 type Status struct {
-	*Globals
+	*Globals `no-flag:"true"`
 }
 
 // statusReport is the output of Status.
