ctl: let operators withdraw keys

Cause: the arguments of `key withdraw` stood in an embedded struct, which the parser does not fill. Service and organisation stayed empty and each withdrawal ended with "not found: service", exit code 4.

Ruled out: the edit itself; it works once it is given the names.

Change: the command declares its arguments itself.

The new test fails without the change ("ctl: not found: service", 4 in place of 0) and passes with it.

--- a/internal/ctl/key.go
+++ b/internal/ctl/key.go
@@ -21,6 +21,14 @@
 	Organisation string `positional-arg-name:"ORGANISATION" required:"yes"`
 }
 
+// keyArguments name a key of an organisation. The parser fills no positional
+// arguments of embedded structs.
+type keyArguments struct {
+	Service      string `positional-arg-name:"SERVICE" required:"yes"`
+	Organisation string `positional-arg-name:"ORGANISATION" required:"yes"`
+	ID           string `positional-arg-name:"KEY-ID" required:"yes"`
+}
+
 // KeyIssue makes a key; the key is printed once and stored nowhere.
 type KeyIssue struct {
 	*Globals `no-flag:"true"`
@@ -52,10 +60,7 @@
 // KeyWithdraw takes a key out of force.
 type KeyWithdraw struct {
 	*Globals `no-flag:"true"`
-	Args     struct {
-		organisationArguments
-		ID string `positional-arg-name:"KEY-ID" required:"yes"`
-	} `positional-args:"yes" required:"yes"`
+	Args     keyArguments `positional-args:"yes" required:"yes"`
 }
 
 // withdrawn is the output of KeyWithdraw.
--- a/internal/ctl/run_test.go
+++ b/internal/ctl/run_test.go
@@ -1,11 +1,14 @@
 package ctl
 
 import (
+	"context"
+	"encoding/json"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/cli"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 	"github.com/eelgrassbay/eelgrassbay/internal/standin/objectapi"
 	"github.com/shoenig/test/must"
 )
@@ -27,3 +30,24 @@
 	var out, errOut strings.Builder
 	must.Eq(t, ExitNotFound, Run([]string{"--platform", server.URL, "key", "issue", "lab", "harbour"}, &out, &errOut), must.Sprint(errOut.String()))
 }
+
+// TestKeyIsIssuedAndWithdrawn: a key that was issued is in the document until
+// it is withdrawn.
+func TestKeyIsIssuedAndWithdrawn(t *testing.T) {
+	api := objectapi.New(objectapi.Options{})
+	server := httptest.NewServer(api.Handler())
+	defer server.Close()
+	doc := `{"service": "lab", "organisations": [{"name": "harbour", "rate_tokens_per_s": 1, "burst_tokens": 1}]}`
+	_, err := api.Memory.Put(context.Background(), platform.Object{Kind: platform.KindService, Name: "lab", Value: []byte(doc)})
+	must.NoError(t, err)
+	run := func(args ...string) (out string) {
+		var text, errOut strings.Builder
+		must.Eq(t, cli.ExitOK, Run(append([]string{"--platform", server.URL, "--output", "json"}, args...), &text, &errOut), must.Sprint(errOut.String()))
+		return text.String()
+	}
+	var key issued
+	must.NoError(t, json.Unmarshal([]byte(run("key", "issue", "lab", "harbour")), &key))
+	must.StrContains(t, run("get", "lab"), key.ID)
+	run("key", "withdraw", "lab", "harbour", key.ID)
+	must.StrNotContains(t, run("get", "lab"), key.ID)
+}
