entry: never join the answers of two attempts

A caller then got 110 tokens for a 50 token answer, ended by [DONE] as if it were whole; an answer that is not streamed held the text of both attempts. Found by a test in which one of two engines cuts each stream after 5 tokens: "status 200, 1390 bytes, done true, refusal { }, error <nil>" for an answer of 640 bytes.

Ruled out: skipping as many tokens of the second attempt's answer as the caller has. Another attempt may be sampled otherwise, so the parts need not fit.

Change: once any of the answer has reached the caller, an attempt that ends without the whole answer is the last: the stream is cut with an error. Before that, the next attempt starts from an empty answer.

Conclusion: with the change each of these streams is whole or says that it was cut, with a beginning of the caller's own answer and no end marker.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -103,8 +103,14 @@
 		})
 	}
 	err := m.server.attempts(ctx, req, acquire, func(id string, slot *dispatch.Slot) once.Outcome {
+		m.sink.restart()
 		outcome := m.attempt(ctx, id, slot, body)
 		release(slot, outcome, m.sink.tokens())
+		if m.sink.started() && outcome != once.Answered {
+			// The answer of another attempt is another answer: it cannot
+			// follow what the caller has.
+			req.GiveUp()
+		}
 		return outcome
 	})
 	return m.conclude(err)
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -9,6 +9,9 @@
 
 // sink takes the events of a checked stream and answers the caller.
 type sink interface {
+	// restart begins the answer anew, for another attempt. It must not be
+	// called once any of the answer has reached the caller.
+	restart()
 	// event takes one event; an error means that the caller has left.
 	event(data []byte, c *chunk) error
 	// finish ends a whole answer.
@@ -49,6 +52,8 @@
 	_, _ = s.w.Write(body)
 }
 
+func (s *sinkBase) restart() { s.count = 0 }
+
 // streamSink passes events on as they come.
 type streamSink struct {
 	sinkBase
@@ -100,6 +105,11 @@
 	stop json.RawMessage // finish_reason
 }
 
+func (s *wholeSink) restart() {
+	s.sinkBase.restart()
+	s.text, s.last, s.stop = nil, nil, nil
+}
+
 func (s *wholeSink) event(data []byte, c *chunk) error {
 	if c.hasToken() {
 		s.count++
