--- a/internal/ctl/key.go
+++ b/internal/ctl/key.go
@@ -21,10 +21,18 @@
 	Organisation string `positional-arg-name:"ORGANISATION" required:"yes"`
 }
 
+// keyArguments name a key of an organisation. The parser fills no positional
+// arguments of embedded structs.
+type keyArguments struct {
+	Service      string `positional-arg-name:"SERVICE" required:"yes"`
+	Organisation string `positional-arg-name:"ORGANISATION" required:"yes"`
+	ID           string `positional-arg-name:"KEY-ID" required:"yes"`
+}
+
 // KeyIssue makes a key; the key is printed once and stored nowhere.
 type KeyIssue struct {
-	*Globals
-	Args organisationArguments `positional-args:"yes" required:"yes"`
+	*Globals `no-flag:"true"`
+	Args     organisationArguments `positional-args:"yes" required:"yes"`
 }
 
 // issued is the output of KeyIssue.
@@ -51,11 +59,8 @@
 
 // KeyWithdraw takes a key out of force.
 type KeyWithdraw struct {
-	*Globals
-	Args struct {
-		organisationArguments
-		ID string `positional-arg-name:"KEY-ID" required:"yes"`
-	} `positional-args:"yes" required:"yes"`
+	*Globals `no-flag:"true"`
+	Args     keyArguments `positional-args:"yes" required:"yes"`
 }
 
 // withdrawn is the output of KeyWithdraw.
