Check every model answer with answer.Stream

Cause: the relay had checks of its own beside the package that is proved, and took the end marker alone for the end of the answer: a stream whose last events were lost before [DONE] passed for whole.

Change: one answer.Stream an attempt decides what is delivered, when to resume and when the answer is whole; the end marker must follow the event that ends the answer at the offset reached. Before the first token a broken connection is not resumed: another engine may do better. An attempt given up is cancelled at its engine.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -142,8 +142,7 @@
 	}
 	m.call.attempted = true
 	m.server.recordAttempt(m.call, id, slot.Upstream)
-	st := &stream{call: m, attempt: id, address: address, body: body}
-	outcome := st.run(ctx)
+	outcome := m.newStream(id, address, body).run(ctx)
 	m.server.flow(m.call).Attempt(string(outcome))
 	m.ran = m.ran || mayHaveRun(outcome)
 	return outcome
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -144,8 +144,9 @@
 		Route: route.Options{Distance: n.distance}, Now: n.now, Seed: rand.Uint64(),
 	})
 	n.table = newTableFeed(n.dispatch, n.log)
+	engines := engine.NewClient()
 	n.inventory = inventory.NewDuty(inventory.Options{
-		Self: n.self, Replica: n.replica, Engines: engine.NewClient(), Peers: n.peers,
+		Self: n.self, Replica: n.replica, Engines: engines, Peers: n.peers,
 		Apply: n.table.report, Now: n.now, Log: n.log,
 	})
 	n.table.latest = n.inventory.Entry
@@ -157,7 +158,7 @@
 	})
 	n.server = NewServer(ServerOptions{
 		Name: n.settings.Name, Requests: n.settings.Requests, Replica: n.replica, Dispatch: n.dispatch,
-		Upstream: upstream.NewClient(), Budget: once.NewBudget(n.now(), once.BudgetOptions{}, rand.New(rand.NewPCG(rand.Uint64(), 0))),
+		Upstream: upstream.NewClient(), Engines: engines, Budget: once.NewBudget(n.now(), once.BudgetOptions{}, rand.New(rand.NewPCG(rand.Uint64(), 0))),
 		Limiter: n.quota, Claimer: n.claims, Record: n.recorder, Metrics: n.metrics, Now: n.now, Log: n.log,
 		Prepared: func() bool { return n.inventory.Swept() && n.quota.Granted() },
 	})
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
+	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/fair"
 	"github.com/eelgrassbay/eelgrassbay/internal/metrics"
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
@@ -27,6 +28,7 @@
 	Replica  *replica.Duty
 	Dispatch *dispatch.Duty
 	Upstream *upstream.Client
+	Engines  *engine.Client
 	Budget   *once.Budget
 	Limiter  Limiter
 	Claimer  Claimer
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,25 +10,20 @@
 	"strconv"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/answer"
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/metrics"
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
 	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
 )
 
-const (
-	maxResumes        = 3
-	maxErrorBodyBytes = 64 << 10
-	maxEventBytes     = 1 << 20
-	streamBufferBytes = 16 << 10
-)
+const maxErrorBodyBytes = 64 << 10
 
 // Errors that end one connection of a stream.
 var (
-	errForeign  = errors.New("entry: answer of another attempt")
-	errGap      = errors.New("entry: gap in the stream")
-	errTooLarge = errors.New("entry: event too large")
-	errCaller   = errors.New("entry: caller has left")
+	errForeign = errors.New("entry: answer of another attempt")
+	errCaller  = errors.New("entry: caller has left")
+	errNoEnd   = errors.New("entry: end marker before the answer was whole")
 )
 
 // chunk is the part of a streamed event that the instance reads. Offset is the
@@ -37,14 +31,15 @@
 // tokens before it.
 type chunk struct {
 	Attempt string        `json:"attempt"`
-	Offset  int           `json:"offset"`
+	Offset  int64         `json:"offset"`
 	Choices []chunkChoice `json:"choices"`
 	Usage   *usage        `json:"usage"`
 }
 
 type chunkChoice struct {
-	Text  string     `json:"text"`
-	Delta chunkDelta `json:"delta"`
+	Text         string     `json:"text"`
+	Delta        chunkDelta `json:"delta"`
+	FinishReason *string    `json:"finish_reason"`
 }
 
 type chunkDelta struct {
@@ -61,21 +56,35 @@
 	return len(c.Choices) > 0 && (c.Choices[0].Text != "" || c.Choices[0].Delta.Content != "")
 }
 
+// ends reports whether the event is the last one with a part of the answer.
+func (c *chunk) ends() bool { return len(c.Choices) > 0 && c.Choices[0].FinishReason != nil }
+
 // stream reads one attempt's answer, over more than one connection if need be.
+// check decides what is delivered and when the answer is whole.
 type stream struct {
 	call    *modelCall
 	attempt string
 	address string
 	body    []byte
-	next    int // tokens delivered
-	last    time.Duration
+	check   *answer.Stream
+	verdict answer.Verdict
+	last    time.Duration // when the last token was passed on
 }
 
-// run reads until the answer is whole or cannot be got. A broken connection is
-// resumed on the same engine at the token after the last one delivered.
+func (m *modelCall) newStream(attempt, address string, body []byte) *stream {
+	progress := time.Duration(m.call.service.Deadlines.ProgressMS) * time.Millisecond
+	check := answer.NewStream(m.server.opts.Now(), answer.Options{
+		Attempt: attempt, Resumable: true, FirstProgress: progress, Progress: progress,
+	})
+	return &stream{call: m, attempt: attempt, address: address, body: body, check: check, verdict: answer.Continue}
+}
+
+// run reads until the answer is whole or cannot be got. A connection that
+// breaks off after the first token is resumed on the same engine; before it,
+// another engine may do better.
 func (st *stream) run(ctx context.Context) once.Outcome {
 	outcome := st.connect(ctx, false)
-	for resumes := 0; outcome == once.Unknown && resumes < maxResumes && ctx.Err() == nil; resumes++ {
+	for outcome == once.Unknown && st.check.Delivered() > 0 && ctx.Err() == nil && st.resumes() {
 		st.call.server.opts.Metrics.Count(metrics.Resumes)
 		outcome = st.connect(ctx, true)
 		if outcome != once.Answered {
@@ -83,25 +92,52 @@
 			outcome = once.Unknown
 		}
 	}
+	if outcome == once.Unknown {
+		st.cancel()
+	}
 	return outcome
 }
 
+// resumes takes the end of a connection and reports whether to resume.
+func (st *stream) resumes() bool {
+	if st.verdict == answer.Continue {
+		st.verdict = st.check.Broken(st.call.server.opts.Now()).Verdict
+	}
+	return st.verdict == answer.Resume
+}
+
+// cancelTimeout bounds the call that tells an engine to stop.
+const cancelTimeout = time.Second
+
+// cancel tells the engine that nobody waits for the attempt any more.
+func (st *stream) cancel() {
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+		defer stop()
+		if err := st.call.server.opts.Engines.Cancel(ctx, st.address, st.attempt); err != nil {
+			st.log("cancel attempt", err)
+		}
+	}()
+}
+
 // connect sends the attempt, or its resume, and reads what comes. Silence for
 // longer than the progress deadline cancels the call, which closes the
 // connection.
 func (st *stream) connect(ctx context.Context, resume bool) once.Outcome {
-	progress := time.Duration(st.call.call.service.Deadlines.ProgressMS) * time.Millisecond
+	now := st.call.server.opts.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(progress, func() {
+	a := st.call.newAttempt(st.attempt, st.address, st.body)
+	if resume {
+		st.check.Started(now)
+		st.verdict = answer.Continue
+		a.Header.Set(engine.HeaderOffset, strconv.FormatInt(st.check.Delivered(), 10))
+	}
+	watchdog := time.AfterFunc(st.check.NextDeadline()-now, func() {
 		st.call.server.opts.Metrics.Count(metrics.SilentConnections)
 		cancel()
 	})
 	defer watchdog.Stop()
-	a := st.call.newAttempt(st.attempt, st.address, st.body)
-	if resume {
-		a.Header.Set(engine.HeaderOffset, strconv.Itoa(st.next))
-	}
 	resp, err := st.call.server.opts.Upstream.Do(ctx, a)
 	if err != nil {
 		st.log("no answer", err)
@@ -116,7 +152,7 @@
 		st.call.server.opts.Metrics.Count(metrics.ForeignAnswers)
 		return once.Unknown
 	}
-	err = st.read(resp.Body, func() { watchdog.Reset(progress) })
+	err = st.read(resp.Body, watchdog)
 	if err != nil {
 		st.log("stream broken", err)
 	}
@@ -125,7 +161,7 @@
 
 func (st *stream) log(msg string, err error) {
 	st.call.server.opts.Log.Info(msg, "request", st.call.call.id, "attempt", st.attempt,
-		"upstream", st.address, "tokens", st.next, "error", err)
+		"upstream", st.address, "tokens", st.check.Delivered(), "error", err)
 }
 
 // failure classifies an error answer; one that proves nothing but the
@@ -147,46 +183,73 @@
 }
 
 // read delivers events until the end marker.
-func (st *stream) read(body io.Reader, progress func()) error {
+func (st *stream) read(body io.Reader, watchdog *time.Timer) error {
 	in := bufio.NewReaderSize(body, streamBufferBytes)
 	for {
 		data, err := readEvent(in)
 		if err != nil {
 			return err
 		}
-		progress()
 		if string(data) == "[DONE]" {
-			return nil
+			return st.end()
 		}
 		if err := st.deliver(data); err != nil {
 			return err
 		}
+		watchdog.Reset(st.check.NextDeadline() - st.call.server.opts.Now())
 	}
 }
 
+// end takes the end marker, which proves nothing by itself.
+func (st *stream) end() error {
+	if st.verdict != answer.Complete {
+		return errNoEnd
+	}
+	return nil
+}
+
+// deliver checks an event and passes it on.
 func (st *stream) deliver(data []byte) error {
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return err
 	}
+	if st.verdict == answer.Complete && c.Attempt == st.attempt {
+		return st.pass(data, &c) // usage may follow the last token
+	}
+	part := answer.Chunk{Attempt: c.Attempt, Offset: c.Offset, End: c.ends()}
+	if c.hasToken() {
+		part.Tokens = [][]byte{data}
+	}
+	d := st.check.Receive(st.call.server.opts.Now(), part)
+	st.verdict = d.Verdict
 	switch {
 	case c.Attempt != st.attempt:
 		return errForeign
-	case c.Offset > st.next:
-		return errGap
-	case c.Offset < st.next:
+	case d.Verdict == answer.Resume:
+		return answer.ErrGap
+	case d.Verdict == answer.Cut:
+		return d.Err
+	case c.hasToken() && len(d.Deliver) == 0:
 		return nil // delivered before the resume
 	}
+	if err := st.pass(data, &c); err != nil {
+		return err
+	}
+	if c.hasToken() {
+		st.measure()
+	}
+	return nil
+}
+
+// pass gives an event to the caller.
+func (st *stream) pass(data []byte, c *chunk) error {
 	if c.Usage != nil {
 		st.call.used = c.Usage.TotalTokens
 	}
-	if err := st.call.sink.event(data, &c); err != nil {
+	if err := st.call.sink.event(data, c); err != nil {
 		return errCaller
 	}
-	if c.hasToken() {
-		st.next++
-		st.measure()
-	}
 	return nil
 }
 
@@ -194,51 +257,10 @@
 func (st *stream) measure() {
 	now := st.call.server.opts.Now()
 	flow := st.call.server.flow(st.call.call)
-	if st.next == 1 {
+	if st.check.Delivered() == 1 {
 		flow.FirstToken(now - st.call.call.received)
 	} else {
 		flow.Gap(now - st.last)
 	}
 	st.last = now
 }
-
-var dataField = []byte("data:")
-
-// readEvent returns the data of the next server-sent event.
-func readEvent(in *bufio.Reader) ([]byte, error) {
-	var data []byte
-	for {
-		line, err := readLine(in)
-		if err != nil {
-			return nil, err
-		}
-		if len(line) == 0 && data != nil {
-			return data, nil
-		}
-		if value, ok := bytes.CutPrefix(line, dataField); ok {
-			data = append(data, bytes.TrimPrefix(value, []byte(" "))...)
-		}
-		if len(data) > maxEventBytes {
-			return nil, errTooLarge
-		}
-	}
-}
-
-func readLine(in *bufio.Reader) ([]byte, error) {
-	var line []byte
-	for {
-		part, err := in.ReadSlice('\n')
-		line = append(line, part...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(line) <= maxEventBytes:
-			continue
-		case errors.Is(err, bufio.ErrBufferFull):
-			return nil, errTooLarge
-		case errors.Is(err, io.EOF):
-			return nil, io.ErrUnexpectedEOF
-		case err != nil:
-			return nil, err
-		}
-		return bytes.TrimRight(line, "\r\n"), nil
-	}
-}
