Show duties and shares in eelgrassctl status; settings of the limits

Cause: an operator could not see who holds a zone's duty nor how an organisation's limit is divided, and the part of the rate that works while the platform is away was fixed.

--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -1,11 +1,16 @@
 package ctl
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/lease"
+	"github.com/eelgrassbay/eelgrassbay/internal/limit"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 	"github.com/eelgrassbay/eelgrassbay/internal/replica"
 )
@@ -19,6 +24,24 @@
 type statusReport struct {
 	Services []serviceStatus  `json:"services"`
 	Zones    []replica.Status `json:"zones"`
+	Duties   []dutyStatus     `json:"duties"`
+	Shares   []shareStatus    `json:"shares"`
+}
+
+// dutyStatus names the instance that held a lease when it was last written.
+type dutyStatus struct {
+	Lease    string `json:"lease"`
+	Holder   string `json:"holder"`
+	Fence    uint64 `json:"fence"`
+	Released bool   `json:"released,omitempty"`
+}
+
+// shareStatus is a zone's claim on an organisation's limit, in percent.
+type shareStatus struct {
+	Organisation string  `json:"organisation"`
+	Zone         string  `json:"zone"`
+	RatePercent  float64 `json:"rate_percent"`
+	BurstPercent float64 `json:"burst_percent"`
 }
 
 // serviceStatus is one service across all zones. Zones that are cut off from
@@ -49,9 +72,59 @@
 	if err != nil {
 		return err
 	}
+	if err := report.addDuties(ctx, store); err != nil {
+		return err
+	}
+	if err := report.addShares(ctx, store); err != nil {
+		return err
+	}
 	return c.print(report, report.text())
 }
 
+func (r *statusReport) addDuties(ctx context.Context, store platform.Store) error {
+	list, err := store.List(ctx, platform.KindLease)
+	if err != nil {
+		return err
+	}
+	for _, obj := range list.Objects {
+		v, err := lease.Decode(obj)
+		if err != nil {
+			return err
+		}
+		r.Duties = append(r.Duties, dutyStatus{Lease: obj.Name, Holder: v.Holder, Fence: obj.Version, Released: v.Released})
+	}
+	slices.SortFunc(r.Duties, func(a, b dutyStatus) int { return strings.Compare(a.Lease, b.Lease) })
+	return nil
+}
+
+// ppmPerPercent is one percent in parts per million.
+const ppmPerPercent = limit.PPM / 100
+
+func (r *statusReport) addShares(ctx context.Context, store platform.Store) error {
+	obj, err := store.Get(ctx, platform.KindShare, limit.ClaimsName())
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	claims, err := limit.DecodeClaims(obj)
+	if err != nil {
+		return err
+	}
+	for _, zone := range slices.Sorted(maps.Keys(claims.Zones)) {
+		shares := claims.Zones[zone].Shares
+		for _, org := range slices.Sorted(maps.Keys(shares)) {
+			r.Shares = append(r.Shares, shareStatus{
+				Organisation: org, Zone: zone,
+				RatePercent:  float64(shares[org].RatePPM) / ppmPerPercent,
+				BurstPercent: float64(shares[org].BurstPPM) / ppmPerPercent,
+			})
+		}
+	}
+	return nil
+}
+
 func newStatusReport(services, zones platform.List) (statusReport, error) {
 	report := statusReport{Services: []serviceStatus{}, Zones: []replica.Status{}}
 	for _, obj := range zones.Objects {
@@ -98,5 +171,11 @@
 			fmt.Fprintf(&b, "  service %s: version %d failed its check: line %d, field %s: %s\n", rej.Service, rej.Version, rej.Line, rej.Field, rej.Want)
 		}
 	}
+	for _, d := range r.Duties {
+		fmt.Fprintf(&b, "duty %s: %s, fence %d\n", d.Lease, d.Holder, d.Fence)
+	}
+	for _, sh := range r.Shares {
+		fmt.Fprintf(&b, "limit %s: zone %s claims %.1f%% of the rate, %.1f%% of the burst\n", sh.Organisation, sh.Zone, sh.RatePercent, sh.BurstPercent)
+	}
 	return strings.TrimRight(b.String(), "\n")
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -151,7 +151,7 @@
 	})
 	n.table.latest = n.inventory.Entry
 	n.quota = quota.New(quota.Options{
-		Self: n.self, Replica: n.replica, Leader: n.leader, Store: n.platform, Peers: n.peers, Now: n.now, Log: n.log,
+		Self: n.self, Limit: n.settings.Limits.options(), Replica: n.replica, Leader: n.leader, Store: n.platform, Peers: n.peers, Now: n.now, Log: n.log,
 	})
 	n.claims = claims.New(claims.Options{
 		Writer: n.self.Incarnation, Store: n.platform, Now: n.now, Log: n.log, Seed: rand.Uint64(),
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/limit"
 	"github.com/eelgrassbay/eelgrassbay/internal/settings"
 )
 
@@ -25,6 +26,7 @@
 	Peers    []string         `json:"peers"`
 	Platform PlatformSettings `json:"platform"`
 	Requests RequestSettings  `json:"requests"`
+	Limits   LimitSettings    `json:"limits"`
 	Stop     StopSettings     `json:"stop"`
 	Log      LogSettings      `json:"log"`
 	TLS      TLSSettings      `json:"tls"`
@@ -49,6 +51,26 @@
 	MaxConcurrent int   `json:"max_concurrent"`
 }
 
+// LimitSettings set the leases of shares of organisations' limits. They must be
+// the same in all instances of the fleet.
+type LimitSettings struct {
+	// BaseTerm is how long an instance cut off from everything keeps its base
+	// share, and how long the one of a crashed instance stays unused.
+	BaseTerm settings.Duration `json:"base_term"`
+	// ExtraTerm is the lease of shares that follow demand.
+	ExtraTerm settings.Duration `json:"extra_term"`
+	// BasePercent is the part of a zone's share of the rate that is given out
+	// as base shares, and so the part that works while the platform is away.
+	BasePercent int64 `json:"base_percent"`
+}
+
+// options returns the options of the limits.
+func (s LimitSettings) options() limit.Options {
+	base := limit.DefaultBase
+	base.RatePPM = s.BasePercent * limit.PPM / 100
+	return limit.Options{BaseTerm: s.BaseTerm.Std(), ExtraTerm: s.ExtraTerm.Std(), Base: base}
+}
+
 // StopSettings set how a planned stop goes.
 type StopSettings struct {
 	// LameDuck is how long new requests are still taken, while the balancer
@@ -91,6 +113,11 @@
 			WatchTimeout: settings.Duration(15 * time.Second),
 		},
 		Requests: RequestSettings{MaxBodyBytes: 1 << 20, BytesPerToken: 2, MaxConcurrent: 4096},
+		Limits: LimitSettings{
+			BaseTerm:    settings.Duration(limit.DefaultBaseTerm),
+			ExtraTerm:   settings.Duration(limit.DefaultExtraTerm),
+			BasePercent: limit.DefaultBase.RatePPM * 100 / limit.PPM,
+		},
 		Stop: StopSettings{
 			LameDuck: settings.Duration(3 * time.Second),
 			Drain:    settings.Duration(2 * time.Minute),
@@ -123,6 +150,7 @@
 	c.Want(s.Requests.MaxBodyBytes > 0, "requests/max_body_bytes", "want more than 0 bytes")
 	c.Want(s.Requests.BytesPerToken > 0, "requests/bytes_per_token", "want more than 0 bytes")
 	c.Want(s.Requests.MaxConcurrent > 0, "requests/max_concurrent", "want more than 0")
+	s.Limits.check(c)
 	c.Want(s.Stop.LameDuck >= 0, "stop/lame_duck", "want 0 or more")
 	c.Want(s.Stop.Drain > 0, "stop/drain", "want more than 0")
 	s.Log.check(c)
@@ -131,6 +159,15 @@
 	return c.Err()
 }
 
+// maxBasePercent leaves room for the reserve and for shares that follow demand.
+const maxBasePercent = 70
+
+func (l LimitSettings) check(c *settings.Checks) {
+	c.Want(l.ExtraTerm > 0, "limits/extra_term", "want more than 0")
+	c.Want(l.BaseTerm >= l.ExtraTerm, "limits/base_term", "want at least extra_term (%s)", l.ExtraTerm)
+	c.Want(l.BasePercent > 0 && l.BasePercent <= maxBasePercent, "limits/base_percent", "want 1 to %d", maxBasePercent)
+}
+
 func checkAddress(c *settings.Checks, field, value string) {
 	_, err := netip.ParseAddrPort(value)
 	c.Want(err == nil, field, "want IP:port, got %q", value)
