entry: believe "not run" only about the own attempt

Cause: an engine's error answer was classified before its attempt id was looked at, so the crossed refusal of another request made this one count as not run, though it may have run. And the stand-ins' refusals named no attempt, so that a plain service that refused a check-in was answered as "unknown".

Ruled out: believing a refusal that names no attempt; a crossed one from an upstream that leaves the id out looks the same.

Change: the attempt id is checked on every answer, before its status. Stand-ins echo it on refusals too.

Before: a check-in that both plain services refused came back as 502, "ran": "unknown"; with an engine whose refusals name another attempt, callers were told "not run" for the 10 s that the test waits for "unknown". After: 503 "not_run", and "unknown".

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -108,14 +108,14 @@
 		return once.Classify(once.Evidence{Sent: a.Sent.Load()})
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return st.failure(resp)
-	}
 	if resp.Header.Get(engine.HeaderAttempt) != st.attempt {
 		st.log("answer dropped", errForeign)
 		st.call.server.opts.Metrics.Count(metrics.ForeignAnswers)
 		return once.Unknown
 	}
+	if resp.StatusCode != http.StatusOK {
+		return st.failure(resp)
+	}
 	err = st.read(resp.Body, func() { watchdog.Reset(progress) })
 	if err != nil {
 		st.log("stream broken", err)
--- a/internal/standin/fault/middleware.go
+++ b/internal/standin/fault/middleware.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/standin/reply"
 )
 
@@ -19,6 +20,7 @@
 			return
 		}
 		if f.Outage {
+			echo(w, r)
 			reply.NotRun(w, http.StatusServiceUnavailable, "outage", "stand-in is in an outage")
 			return
 		}
@@ -28,8 +30,10 @@
 
 // Work applies the faults of answers to requests that do work.
 func (s *Set) Work(next http.Handler) http.Handler {
+	next = echoing(next)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.Get().Refuse {
+			echo(w, r)
 			reply.NotRun(w, http.StatusServiceUnavailable, "refused", "stand-in was told to refuse")
 			return
 		}
@@ -45,6 +49,21 @@
 	})
 }
 
+// echoing makes every answer of next, refusals included, name the attempt that
+// it answers, also when it is written to another request's connection.
+func echoing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	if attempt := r.Header.Get(engine.HeaderAttempt); attempt != "" {
+		w.Header().Set(engine.HeaderAttempt, attempt)
+	}
+}
+
 // sleep waits, and reports false if the client went away first.
 func sleep(r *http.Request, d time.Duration) bool {
 	timer := time.NewTimer(d)
