Measure what control costs an entry instance

The connections count their bytes in one place, internal/traffic; platform.Counted counts calls and agrees with the store's own count. The gauges are set together once a second with the uptime of that moment, so that two readings give a rate without the reading's own delay.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/traffic"
 )
 
 // ErrUnreachable means that an engine gave no usable answer. An order may have
@@ -25,9 +27,12 @@
 // concurrent use.
 type Client struct{ http *http.Client }
 
-// NewClient returns a client whose calls take at most a second each.
-func NewClient() *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleControlConn, IdleConnTimeout: time.Minute}
+// NewClient returns a client whose calls take at most a second each. Their
+// bytes are counted by bytes, which may be nil.
+func NewClient(bytes *traffic.Counter) *Client {
+	transport := &http.Transport{
+		DialContext: bytes.Dial(), MaxIdleConnsPerHost: idleControlConn, IdleConnTimeout: time.Minute,
+	}
 	return &Client{http: &http.Client{Transport: transport, Timeout: controlTimeout}}
 }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -34,7 +34,8 @@
 	self     platform.Instance
 	now      func() time.Duration
 
-	platform  *platform.Client
+	platform  *platform.Counted
+	bytes     controlBytes
 	metrics   *metrics.Metrics
 	callerTLS *tls.Config // nil for plain HTTP
 	peers     *peer.Client
@@ -77,9 +78,10 @@
 // connect opens what reaches other processes.
 func (n *Node) connect() error {
 	s := n.settings
-	n.platform = platform.NewClient(platform.ClientOptions{
+	n.platform = platform.NewCounted(platform.NewClient(platform.ClientOptions{
 		BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std(), WatchTimeout: s.Platform.WatchTimeout.Std(),
-	})
+		Bytes: &n.bytes.platform,
+	}))
 	n.metrics = metrics.New()
 	callers, err := loadCerts(s.TLS.Callers, n.log)
 	if err != nil {
@@ -135,7 +137,7 @@
 	})
 	n.table = newTableFeed(n.dispatch, n.log)
 	n.inventory = inventory.NewDuty(inventory.Options{
-		Self: n.self, Replica: n.replica, Engines: engine.NewClient(), Peers: n.peers,
+		Self: n.self, Replica: n.replica, Engines: engine.NewClient(&n.bytes.engines), Peers: n.peers,
 		Apply: n.table.report, Now: n.now, Log: n.log,
 	})
 	n.table.latest = n.inventory.Entry
@@ -183,7 +185,7 @@
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context) error{
-		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.feedTable, n.announce,
+		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.feedTable, n.announce, n.measureCost,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/traffic"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
@@ -43,13 +44,8 @@
 type Client struct {
 	opts  ClientOptions
 	pool  *drpcpool.Pool[string, drpcpool.Conn]
-	bytes Traffic
-}
-
-// Traffic counts the bytes of all peer connections of one side.
-type Traffic struct {
-	Sent     atomic.Int64
-	Received atomic.Int64
+	bytes traffic.Counter
+	calls atomic.Int64
 }
 
 // NewClient returns a client without open connections.
@@ -69,7 +65,10 @@
 }
 
 // Traffic returns the counters of bytes sent and received.
-func (c *Client) Traffic() *Traffic { return &c.bytes }
+func (c *Client) Traffic() *traffic.Counter { return &c.bytes }
+
+// Calls returns how many calls were begun.
+func (c *Client) Calls() int64 { return c.calls.Load() }
 
 // Close closes the idle connections.
 func (c *Client) Close() error { return c.pool.Close() }
@@ -78,6 +77,7 @@
 // connection whose call timed out is closed by drpc and not used again. It
 // fails with ErrUnreachable.
 func (c *Client) Call(ctx context.Context, address string, call func(context.Context, drpc.Conn) error) error {
+	c.calls.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
 	defer cancel()
 	conn := c.pool.Get(ctx, address, c.dial)
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	raw = &countedConn{Conn: raw, traffic: &c.bytes}
+	raw = c.bytes.Conn(raw)
 	if c.opts.TLS != nil {
 		raw = tls.Client(raw, c.opts.TLS())
 	}
@@ -108,21 +108,3 @@
 	})
 	return reply, err
 }
-
-// countedConn counts the bytes of one connection.
-type countedConn struct {
-	net.Conn
-	traffic *Traffic
-}
-
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.traffic.Received.Add(int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.traffic.Sent.Add(int64(n))
-	return n, err
-}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/traffic"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -16,7 +17,7 @@
 type Server struct {
 	mux   *drpcmux.Mux
 	lis   net.Listener
-	bytes Traffic
+	bytes traffic.Counter
 }
 
 // NewServer listens on address (IP:port). tlsConfig may be nil.
@@ -26,7 +27,7 @@
 		return nil, fmt.Errorf("peer: %w", err)
 	}
 	s := &Server{mux: drpcmux.New()}
-	s.lis = &countedListener{Listener: lis, traffic: &s.bytes}
+	s.lis = &countedListener{Listener: lis, bytes: &s.bytes}
 	if tlsConfig != nil {
 		s.lis = tls.NewListener(s.lis, tlsConfig)
 	}
@@ -45,7 +46,7 @@
 func (s *Server) Address() string { return s.lis.Addr().String() }
 
 // Traffic returns the counters of bytes sent and received.
-func (s *Server) Traffic() *Traffic { return &s.bytes }
+func (s *Server) Traffic() *traffic.Counter { return &s.bytes }
 
 // Serve answers calls until ctx ends.
 func (s *Server) Serve(ctx context.Context) error {
@@ -61,7 +62,7 @@
 // countedListener counts the bytes of the connections that it accepts.
 type countedListener struct {
 	net.Listener
-	traffic *Traffic
+	bytes *traffic.Counter
 }
 
 // Accept implements net.Listener.
@@ -73,5 +74,5 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAlivePeriod(keepAlivePeriod)
 	}
-	return &countedConn{Conn: conn, traffic: l.traffic}, nil
+	return l.bytes.Conn(conn), nil
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/traffic"
 )
 
 // HeaderIfMatch carries the version that a write expects.
@@ -31,6 +33,8 @@
 	Timeout      time.Duration // bound of one call
 	WatchTimeout time.Duration // bound of one watch; longer than the server's wait
 	HTTPClient   *http.Client  // nil for one of the client's own
+	// Bytes counts the bytes of the client's own connections; nil for none.
+	Bytes *traffic.Counter
 }
 
 // Client is the object API and the instance list over HTTP. It implements
@@ -63,6 +67,7 @@
 	}
 	if c.http == nil {
 		c.http = &http.Client{Transport: &http.Transport{
+			DialContext:         opts.Bytes.Dial(),
 			MaxIdleConnsPerHost: idleConnsPerHost,
 			IdleConnTimeout:     time.Minute,
 		}}
