dispatch: wake up only while requests wait

An instance without requests woke up 200 times a second to look at empty queues. The timer now runs only while requests wait; every message still pumps, so an expired request is refused as early as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -103,20 +103,30 @@
 // Run owns the table until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
 	defer close(d.stopped)
-	ticker := time.NewTicker(pumpPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(pumpPeriod)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case m := <-d.inbox:
 			m.apply(d, d.opts.Now())
-		case <-ticker.C:
+		case <-d.pumpTime(timer):
 		}
 		d.pumpAll(d.opts.Now())
 	}
 }
 
+// pumpTime returns a channel that receives after pumpPeriod while requests
+// wait, and never otherwise: an idle instance does not wake up for it.
+func (d *Duty) pumpTime(timer *time.Timer) <-chan time.Time {
+	if len(d.waiting) == 0 {
+		return nil
+	}
+	timer.Reset(pumpPeriod)
+	return timer.C
+}
+
 // Update applies f to the table in the owning goroutine, in the order of the
 // calls. It fails with ErrStopped.
 func (d *Duty) Update(f func(now time.Duration, t *route.Table)) error {
