replica: watch the platform with two instances a zone

Runs of real processes at 1 to 24 instances showed one watch per instance and wait (24 in 8 s at 24 instances), although one reader per zone was meant: a watch without a change says how things were when it was sent, so a reader's knowledge is up to two waits old (20 s), and every other instance took that for a reader that had failed (3 s). At 400 instances that is 40 calls a second.

Others now read only if they have not heard of the reader for 5 s, or if no watch has ended in two of its bounds.

A longer age alone was ruled out: it delays changes in a zone whose reader died.

An exchange that changed nothing in the view of instances no longer publishes it and no longer rebuilds the routing table; the benchmarks measure exchanges, pushes and changes of the list at three sizes.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -130,7 +130,7 @@
 	})
 	n.replica = replica.NewDuty(replica.Options{
 		Self: n.self, Store: n.platform, Instances: n.platform, Peers: n.peers, Seeds: n.settings.Peers,
-		Reads: n.leader.Leads, Reader: n.leader.Holder, Now: n.now, Log: n.log, Seed: rand.Int64(),
+		Reads: n.leader.Leads, Reader: n.leader.Holder, WatchTimeout: n.settings.Platform.WatchTimeout.Std(), Now: n.now, Log: n.log, Seed: rand.Int64(),
 	})
 	n.dispatch = dispatch.New(dispatch.Options{
 		Route: route.Options{Distance: n.distance}, Now: n.now, Seed: rand.Uint64(),
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -51,8 +51,13 @@
 	members  map[string]*member
 	departed map[departure]time.Duration // leaving, and when first seen
 	list     List
+	changes  uint64
 }
 
+// Changes grows when the result of Peers, LeavingUpstreams or List().Instances
+// may have changed.
+func (v *View) Changes() uint64 { return v.changes }
+
 // List is one read of the platform's list of instances.
 type List struct {
 	Instances []platform.Instance
@@ -82,7 +87,11 @@
 	if v.list.Known && readAt <= v.list.ReadAt {
 		return
 	}
-	v.list = List{Instances: list, ReadAt: readAt, Hash: hashList(list), Known: true}
+	next := List{Instances: list, ReadAt: readAt, Hash: hashList(list), Known: true}
+	if !v.list.Known || next.Hash != v.list.Hash {
+		v.changes++
+	}
+	v.list = next
 	seen := map[string]bool{}
 	for _, inst := range list {
 		seen[inst.Name] = true
@@ -140,6 +149,9 @@
 		m = &member{machine: instanceChart.New()}
 		v.members[inst.Name] = m
 	}
+	if m.inst != inst {
+		v.changes++
+	}
 	m.inst = inst
 	if inst.State == platform.InstanceLeaving {
 		v.fire(now, m, eventLeaving)
@@ -168,10 +180,14 @@
 }
 
 func (v *View) fire(now time.Duration, m *member, event string) {
+	before := m.machine.State()
 	state, err := m.machine.Fire(event)
 	if err != nil {
 		panic(err) // the chart defines every event in every state
 	}
+	if state != before {
+		v.changes++
+	}
 	key := departure{m.inst.Name, m.inst.Incarnation}
 	if state == stateLeaving {
 		if _, known := v.departed[key]; !known {
--- /dev/null
+++ b/internal/replica/bench_test.go
@@ -0,0 +1,137 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/config"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"google.golang.org/protobuf/proto"
+)
+
+// site is a size at which exchanges are measured.
+type site struct {
+	nodes, servers, zones, documents int
+}
+
+var sites = []site{{6, 12, 3, 20}, {100, 550, 5, 125}, {400, 2200, 19, 500}}
+
+func (s site) String() string {
+	return fmt.Sprintf("nodes=%d/servers=%d/documents=%d", s.nodes, s.servers, s.documents)
+}
+
+func (s site) instances() []platform.Instance {
+	var list []platform.Instance
+	for i := range s.nodes + s.servers {
+		role := platform.RoleEntry
+		if i >= s.nodes {
+			role = platform.RoleUpstream
+		}
+		list = append(list, platform.Instance{
+			Name: fmt.Sprintf("instance-%05d", i), Incarnation: fmt.Sprintf("0b8f4f5e-9a71-4c35-8f0a-%012d", i),
+			Zone: fmt.Sprintf("zone-%d", i%s.zones), Role: role, State: platform.InstanceLive,
+			Address: fmt.Sprintf("10.%d.%d.1:7200", i/250, i%250), PeerAddress: fmt.Sprintf("10.%d.%d.1:7300", i/250, i%250),
+		})
+	}
+	return list
+}
+
+func (s site) state(self int) *State {
+	list := s.instances()
+	st := NewState(list[self])
+	var docs platform.List
+	for i := range s.documents {
+		name := fmt.Sprintf("service-%d", i)
+		docs.Objects = append(docs.Objects, platform.Object{
+			Kind: platform.KindService, Name: name, Version: uint64(i + 1), Value: fmt.Appendf(nil, document, name, i+1),
+		})
+	}
+	docs.Revision = uint64(s.documents)
+	st.PlatformRead(0, docs)
+	st.InstancesRead(0, 0, list)
+	return st
+}
+
+// BenchmarkExchange runs an exchange of two instances that know the same, each
+// with its messages encoded once.
+func BenchmarkExchange(b *testing.B) {
+	for _, s := range sites {
+		b.Run(s.String(), func(b *testing.B) {
+			from, to := s.state(0), s.state(s.zones)
+			now, wire := time.Second, 0
+			b.ReportAllocs()
+			for b.Loop() {
+				now += time.Millisecond
+				req := from.Request(now)
+				reply, _ := to.Answer(now, req)
+				from.Absorb(now, now, req, reply)
+				wire = encoded(b, req) + encoded(b, reply)
+			}
+			b.ReportMetric(float64(wire), "wire-B/op")
+		})
+	}
+}
+
+// BenchmarkDocumentPush sends one changed document of 4 KB.
+func BenchmarkDocumentPush(b *testing.B) {
+	from, to := sites[2].state(0), sites[2].state(sites[2].zones)
+	wire := 0
+	b.ReportAllocs()
+	for i := uint64(1000); b.Loop(); i++ {
+		raw := largeDocument(int(i))
+		req := from.Push(time.Second, []config.Accepted{{Service: "service-0", Version: i, Raw: raw}})
+		reply, c := to.Answer(time.Second, req)
+		if len(c.Accepted) != 1 {
+			b.Fatal("document not accepted")
+		}
+		wire = encoded(b, req) + encoded(b, reply)
+	}
+	b.ReportMetric(float64(wire), "wire-B/op")
+}
+
+func largeDocument(rate int) []byte {
+	doc := fmt.Appendf(nil, `{"service": "service-0", "organisations": [`)
+	for i := 0; len(doc) < 4096-80; i++ {
+		doc = fmt.Appendf(doc, `{"name": "organisation-%d", "rate_tokens_per_s": %d, "burst_tokens": 1},`, i, rate)
+	}
+	return fmt.Append(doc[:len(doc)-1], "]}")
+}
+
+// BenchmarkListChange lets one entry of the list change and an instance learn
+// of it from another.
+func BenchmarkListChange(b *testing.B) {
+	for _, s := range sites {
+		b.Run(s.String(), func(b *testing.B) {
+			from, to := s.state(0), s.state(s.zones)
+			list := s.instances()
+			now, wire := time.Second, 0
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now += time.Second
+				list = append([]platform.Instance(nil), list...)
+				list[len(list)-1].Incarnation = fmt.Sprint("other-", i)
+				to.InstancesRead(now, now, list)
+				wire = 0
+				req := from.Request(now)
+				for round := 0; req != nil && round < maxRounds; round++ {
+					reply, _ := to.Answer(now, req)
+					wire += encoded(b, req) + encoded(b, reply)
+					req, _ = from.Absorb(now, now, req, reply)
+				}
+				if from.view.List().Hash != to.view.List().Hash {
+					b.Fatal("the list was not learnt")
+				}
+			}
+			b.ReportMetric(float64(wire), "wire-B/op")
+		})
+	}
+}
+
+func encoded(b *testing.B, m proto.Message) int {
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return len(raw)
+}
--- a/internal/replica/duty.go
+++ b/internal/replica/duty.go
@@ -25,7 +25,11 @@
 	fallbackAge = 3 * time.Second
 	// fallbackPeriod spaces such reads of one instance; it is jittered.
 	fallbackPeriod = 5 * time.Second
-	inboxSize      = 256
+	// readerSilence is the time without a word from the zone's reader after
+	// which others read in its place. Instances hear of it every second on
+	// average.
+	readerSilence = 5 * time.Second
+	inboxSize     = 256
 )
 
 // ErrStopped means that the duty has ended.
@@ -49,6 +53,8 @@
 	// Reader returns the name of the instance that reads for the zone, "" if
 	// it is not known.
 	Reader func() string
+	// WatchTimeout bounds a waiting watch.
+	WatchTimeout time.Duration
 	// Now is the monotonic clock.
 	Now  func() time.Duration
 	Log  *slog.Logger
@@ -106,7 +112,7 @@
 		rng:     rand.New(rand.NewSource(opts.Seed)),
 	}
 	d.confirmed.Store(unconfirmed)
-	d.publish(true)
+	d.publish(true, true)
 	return d
 }
 
@@ -173,7 +179,7 @@
 	for _, a := range c.Accepted {
 		d.opts.Log.Info("document in force", "service", a.Service, "version", a.Version, "deleted", a.Deleted)
 	}
-	d.publish(len(c.Accepted) > 0 || c.Rejected)
+	d.publish(len(c.Accepted) > 0 || c.Rejected, c.Members)
 	if len(c.Accepted) > 0 || c.Members {
 		select {
 		case d.changed <- struct{}{}:
@@ -182,22 +188,25 @@
 	}
 }
 
-func (d *Duty) publish(documents bool) {
+func (d *Duty) publish(documents, members bool) {
 	s := d.state
 	if s.confirmed {
 		d.confirmed.Store(int64(s.confirmedAt))
 	}
 	next := &Snapshot{}
+	if last := d.snapshot.Load(); last != nil {
+		*next = *last
+	}
 	if documents {
 		d.publishDocuments(next)
-	} else {
-		*next = *d.snapshot.Load()
+	}
+	if members {
+		next.Peers = s.view.Peers()
+		next.Leaving = s.view.LeavingUpstreams()
+		next.Instances = s.view.List().Instances
 	}
 	next.Ready = s.confirmed
 	next.Complete = s.complete
-	next.Peers = s.view.Peers()
-	next.Leaving = s.view.LeavingUpstreams()
-	next.Instances = s.view.List().Instances
 	d.snapshot.Store(next)
 }
 
--- a/internal/replica/platform.go
+++ b/internal/replica/platform.go
@@ -11,7 +11,7 @@
 // and otherwise when its knowledge has become old.
 func (d *Duty) watchDocuments(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !d.mayRead() {
+		if !d.mayRead(ctx) {
 			sleep(ctx, retryPeriod)
 			continue
 		}
@@ -23,8 +23,43 @@
 	return nil
 }
 
-func (d *Duty) mayRead() bool {
-	return d.opts.Reads() || !d.Snapshot().Ready || d.Age() > fallbackAge
+// mayRead reports whether this instance waits for changes at the platform: the
+// zone's reader and its deputy always do, so that a connection gone silent at
+// one of them delays nothing; others only if the reader is silent, or if no
+// watch has ended in time. A watch without a change says how things were when
+// it was sent, so the knowledge of a reader is up to two watches old.
+func (d *Duty) mayRead(ctx context.Context) bool {
+	age := d.Age()
+	switch {
+	case d.opts.Reads(), !d.Snapshot().Ready, age > 2*d.opts.WatchTimeout+fallbackAge:
+		return true
+	case age <= fallbackAge:
+		return false
+	}
+	return d.deputy() || d.readerSilent(ctx)
+}
+
+// deputy reports whether this instance is the first of its zone, by name,
+// beside the reader.
+func (d *Duty) deputy() bool {
+	reader := d.opts.Reader()
+	for _, p := range d.Snapshot().ZonePeers(d.opts.Self.Zone) {
+		if p.Name != reader {
+			return d.opts.Self.Name < p.Name
+		}
+	}
+	return true
+}
+
+// readerSilent reports whether the zone's reader is unknown or was not heard
+// for a while.
+func (d *Duty) readerSilent(ctx context.Context) bool {
+	silent := true
+	_ = d.step(ctx, func() {
+		at, ok := d.state.HeardPeer(d.opts.Reader())
+		silent = !ok || d.opts.Now()-at > readerSilence
+	})
+	return silent
 }
 
 // retryDelay is short for the zone's reader and long and jittered for others,
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -27,6 +27,7 @@
 	confirmed   bool
 	confirmedAt time.Duration
 	peers       map[string]peerVersions
+	viewed      uint64 // changes of the view that a Change has told of
 }
 
 // peerVersions is what a peer of this zone said last of its documents.
@@ -47,7 +48,7 @@
 	Accepted []config.Accepted
 	// Rejected is set if a document failed its check.
 	Rejected bool
-	// Members is set if the view of instances may have changed.
+	// Members is set if the view of instances has changed.
 	Members bool
 }
 
@@ -76,22 +77,29 @@
 	}
 }
 
+// members reports whether the view has changed since the last call.
+func (s *State) members() bool {
+	changed := s.view.Changes() != s.viewed
+	s.viewed = s.view.Changes()
+	return changed
+}
+
 // InstancesRead takes the platform's list read by a call sent at sentAt.
 func (s *State) InstancesRead(now, sentAt time.Duration, list []platform.Instance) Change {
 	s.view.ObserveList(now, sentAt, list)
-	return Change{Members: true}
+	return Change{Members: s.members()}
 }
 
 // CallFailed takes a call to a peer that got no answer.
 func (s *State) CallFailed(now time.Duration, name string) Change {
 	s.view.ObserveCall(now, name, false)
-	return Change{Members: true}
+	return Change{Members: s.members()}
 }
 
 // UpstreamLeaving takes an upstream's own word that it is leaving.
 func (s *State) UpstreamLeaving(now time.Duration, address string) Change {
 	s.view.ObserveUpstreamLeaving(now, address)
-	return Change{Members: true}
+	return Change{Members: s.members()}
 }
 
 // SetSelf replaces the instance's own entry, when it starts to leave.
@@ -122,8 +130,9 @@
 // the caller's knowledge is counts for nothing here: the request may have been
 // delayed for any time.
 func (s *State) Answer(now time.Duration, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, Change) {
-	c := Change{Accepted: s.offerAll(req.Documents), Members: true}
+	c := Change{Accepted: s.offerAll(req.Documents)}
 	s.observePeer(now, req.Self)
+	c.Members = s.members()
 	s.noteVersions(now, req.Self, req.Knowledge)
 	reply := &peerpb.ExchangeReply{Self: toWire(s.self), Knowledge: s.knowledge(now)}
 	if req.WithVersions {
@@ -149,10 +158,11 @@
 // Absorb steps the state by the reply to req, sent at sentAt. It returns the
 // next request of the exchange, or nil when both know the same.
 func (s *State) Absorb(now, sentAt time.Duration, req *peerpb.ExchangeRequest, reply *peerpb.ExchangeReply) (*peerpb.ExchangeRequest, Change) {
-	c := Change{Accepted: s.offerAll(reply.Documents), Members: true}
+	c := Change{Accepted: s.offerAll(reply.Documents)}
 	s.observePeer(now, reply.Self)
 	s.noteVersions(now, reply.Self, reply.Knowledge)
 	s.absorbList(now, sentAt, reply)
+	c.Members = s.members()
 	if req.WithVersions || reply.Knowledge.GetHash() == s.set.Hash() {
 		s.absorbKnowledge(sentAt, reply.Knowledge)
 	}
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -44,6 +44,12 @@
 	}
 }
 
+// HeardPeer returns when an instance of this zone last told of its documents.
+func (s *State) HeardPeer(name string) (time.Duration, bool) {
+	p, ok := s.peers[name]
+	return p.at, ok
+}
+
 // Status returns what is in force in the zone, as far as this instance knows.
 func (s *State) Status(now time.Duration) Status {
 	st := Status{Zone: s.self.Zone, Reader: s.self.Name, Versions: s.set.Versions(), InForce: 1, Instances: 1}
