Count the calls on peers' and engines' connections

Bytes per connection alone do not tell the cost of a call from that of what it carries; with calls counted beside them the fit separates the two.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -25,15 +25,18 @@
 
 // Client reads engines' reports and sends them orders. It is safe for
 // concurrent use.
-type Client struct{ http *http.Client }
+type Client struct {
+	http  *http.Client
+	bytes *traffic.Counter
+}
 
-// NewClient returns a client whose calls take at most a second each. Their
-// bytes are counted by bytes, which may be nil.
+// NewClient returns a client whose calls take at most a second each. They
+// and their bytes are counted by bytes, which may be nil.
 func NewClient(bytes *traffic.Counter) *Client {
 	transport := &http.Transport{
 		DialContext: bytes.Dial(), MaxIdleConnsPerHost: idleControlConn, IdleConnTimeout: time.Minute,
 	}
-	return &Client{http: &http.Client{Transport: transport, Timeout: controlTimeout}}
+	return &Client{http: &http.Client{Transport: transport, Timeout: controlTimeout}, bytes: bytes}
 }
 
 // Report reads the report of the engine at address (IP:port).
@@ -61,6 +64,7 @@
 }
 
 func (c *Client) call(ctx context.Context, method, address, path string, in, out any) error {
+	c.bytes.Call()
 	var body bytes.Buffer
 	if in != nil {
 		if err := json.NewEncoder(&body).Encode(in); err != nil {
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -19,6 +19,7 @@
 	PlatformRecv  int64
 	EngineSent    int64 // bytes of reports and orders
 	EngineRecv    int64
+	EngineCalls   int64
 	PlatformCalls map[string]int64 // by operation
 	Documents     int              // known now
 	Upstreams     int              // of all documents known now
@@ -67,6 +68,7 @@
 		"platform_received_bytes": float64(c.PlatformRecv),
 		"engine_sent_bytes":       float64(c.EngineSent),
 		"engine_received_bytes":   float64(c.EngineRecv),
+		"engine_calls":            float64(c.EngineCalls),
 		"documents":               float64(c.Documents),
 		"upstreams":               float64(c.Upstreams),
 		"instances":               float64(c.Instances),
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
@@ -45,7 +44,6 @@
 	opts  ClientOptions
 	pool  *drpcpool.Pool[string, drpcpool.Conn]
 	bytes traffic.Counter
-	calls atomic.Int64
 }
 
 // NewClient returns a client without open connections.
@@ -64,12 +62,9 @@
 	return new(net.Dialer).DialContext(ctx, "tcp", address)
 }
 
-// Traffic returns the counters of bytes sent and received.
+// Traffic returns the counters of bytes and of calls begun.
 func (c *Client) Traffic() *traffic.Counter { return &c.bytes }
 
-// Calls returns how many calls were begun.
-func (c *Client) Calls() int64 { return c.calls.Load() }
-
 // Close closes the idle connections.
 func (c *Client) Close() error { return c.pool.Close() }
 
@@ -77,7 +72,7 @@
 // connection whose call timed out is closed by drpc and not used again. It
 // fails with ErrUnreachable.
 func (c *Client) Call(ctx context.Context, address string, call func(context.Context, drpc.Conn) error) error {
-	c.calls.Add(1)
+	c.bytes.Call()
 	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
 	defer cancel()
 	conn := c.pool.Get(ctx, address, c.dial)
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -1,4 +1,4 @@
-// Package traffic counts the bytes of connections.
+// Package traffic counts the bytes of connections and the calls on them.
 package traffic
 
 import (
@@ -12,6 +12,15 @@
 type Counter struct {
 	Sent     atomic.Int64
 	Received atomic.Int64
+	// Calls is counted by the clients that make them.
+	Calls atomic.Int64
+}
+
+// Call counts a call; a nil c counts nothing.
+func (c *Counter) Call() {
+	if c != nil {
+		c.Calls.Add(1)
+	}
 }
 
 // Conn returns conn with its bytes counted by c.
