--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -37,7 +37,8 @@
 	self     platform.Instance
 	now      func() time.Duration
 
-	platform  *platform.Client
+	platform  *platform.Counted
+	bytes     controlBytes
 	metrics   *metrics.Metrics
 	callerTLS *tls.Config // nil for plain HTTP
 	peers     *peer.Client
@@ -83,9 +84,10 @@
 // connect opens what reaches other processes.
 func (n *Node) connect() error {
 	s := n.settings
-	n.platform = platform.NewClient(platform.ClientOptions{
+	n.platform = platform.NewCounted(platform.NewClient(platform.ClientOptions{
 		BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std(), WatchTimeout: s.Platform.WatchTimeout.Std(),
-	})
+		Bytes: &n.bytes.platform,
+	}))
 	n.metrics = metrics.New()
 	callers, err := loadCerts(s.TLS.Callers, n.log)
 	if err != nil {
@@ -138,13 +140,14 @@
 	})
 	n.replica = replica.NewDuty(replica.Options{
 		Self: n.self, Store: n.platform, Instances: n.platform, Peers: n.peers, Seeds: n.settings.Peers,
-		Reads: n.leader.Leads, Reader: n.leader.Holder, Clock: n.recorder, Now: n.now, Log: n.log, Seed: rand.Int64(),
+		Reads: n.leader.Leads, Reader: n.leader.Holder, Clock: n.recorder, WatchTimeout: n.settings.Platform.WatchTimeout.Std(),
+		Now: n.now, Log: n.log, Seed: rand.Int64(),
 	})
 	n.dispatch = dispatch.New(dispatch.Options{
 		Route: route.Options{Distance: n.distance}, Now: n.now, Seed: rand.Uint64(),
 	})
 	n.table = newTableFeed(n.dispatch, n.log)
-	engines := engine.NewClient()
+	engines := engine.NewClient(&n.bytes.engines)
 	n.inventory = inventory.NewDuty(inventory.Options{
 		Self: n.self, Replica: n.replica, Engines: engines, Peers: n.peers,
 		Apply: n.table.report, Now: n.now, Log: n.log,
@@ -203,7 +206,8 @@
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context) error{
-		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.quota.Run, n.claims.Run, n.recorder.Run, n.feedTable, n.announce,
+		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.quota.Run, n.claims.Run, n.recorder.Run,
+		n.feedTable, n.announce, n.measureCost,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
