Be ready only with filled buckets and known homes

Change: readiness waits until the buckets are half full, 8 s at most, and an instance that lacks the report of any engine pulls every second.

Ruled out: starting with full buckets, which gives the burst once more at every restart.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -163,7 +163,7 @@
 		Name: n.settings.Name, Requests: n.settings.Requests, Replica: n.replica, Dispatch: n.dispatch,
 		Upstream: upstream.NewClient(), Engines: engines, Budget: once.NewBudget(n.now(), once.BudgetOptions{}, rand.New(rand.NewPCG(rand.Uint64(), 0))),
 		Limiter: n.quota, Claimer: n.claims, Record: n.recorder, Metrics: n.metrics, Now: n.now, Log: n.log,
-		Prepared: func() bool { return n.inventory.Swept() && n.quota.Granted() },
+		Prepared: func() bool { return n.inventory.Swept() && n.quota.Filled() },
 	})
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -157,7 +157,7 @@
 // readyPatience is how long readiness waits for shares and reports once there
 // are documents. An instance that starts while the platform is away is ready
 // after it, with what it has.
-const readyPatience = 5 * time.Second
+const readyPatience = 8 * time.Second
 
 func (s *Server) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !s.ready() {
--- a/internal/inventory/duty.go
+++ b/internal/inventory/duty.go
@@ -26,6 +26,9 @@
 	basePeriod         = 250 * time.Millisecond
 	upstreamsPerPeriod = 32
 	pullPeriod         = 10 * time.Second
+	// missingPullPeriod applies while an engine is known of which no report
+	// has come: a relay may have gone out before this instance was known.
+	missingPullPeriod = time.Second
 	// staleAge is the age of a report from which an instance reads it itself,
 	// whoever should have.
 	staleAge = 3 * time.Second
@@ -93,10 +96,10 @@
 		d.retain(targets)
 		mine, period := d.due(known, targets)
 		d.readAll(ctx, known, mine)
-		if known.Ready {
+		if known.Ready && len(known.Services) > 0 {
 			d.swept.Store(true)
 		}
-		if now := d.opts.Now(); now-lastPull >= pullPeriod {
+		if now := d.opts.Now(); now-lastPull >= d.pullEvery(targets) {
 			lastPull = now
 			d.pull(ctx, known)
 		}
@@ -105,6 +108,17 @@
 	return nil
 }
 
+func (d *Duty) pullEvery(targets []Target) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range targets {
+		if _, ok := d.state.Entry(t.Name); !ok && t.Upstream.Kind == config.UpstreamEngine {
+			return missingPullPeriod
+		}
+	}
+	return pullPeriod
+}
+
 // Targets returns the upstreams of all documents in force.
 func Targets(known *replica.Snapshot) []Target {
 	var targets []Target
--- a/internal/limit/instance.go
+++ b/internal/limit/instance.go
@@ -141,6 +141,19 @@
 	return d
 }
 
+// Filled reports whether the buckets of all organisations hold at least half
+// of what they can; new shares start empty.
+func (in *Instance) Filled(now time.Duration) bool {
+	for _, name := range in.order {
+		o := in.orgs[name]
+		in.advance(now, o)
+		if o.bucket.cap == 0 || 2*o.bucket.level < o.bucket.cap {
+			return false
+		}
+	}
+	return len(in.order) > 0
+}
+
 // Rate returns the rate of an organisation that is in force here, in tokens per
 // second.
 func (in *Instance) Rate(org string) int64 {
--- a/internal/quota/duty.go
+++ b/internal/quota/duty.go
@@ -7,10 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/limit"
@@ -62,7 +59,6 @@
 	zone     *limit.Zone
 	limits   *replica.Snapshot // the documents that the limits were taken from
 	version  uint64            // counts changes of the limits in this process
-	orgs     atomic.Pointer[[]string]
 }
 
 // held adapts a Leader to limit.Duty. The lease is checked on its own clock.
@@ -118,19 +114,12 @@
 	d.instance.Refund(d.opts.Now(), r, used)
 }
 
-// Granted reports whether this instance has a share of every organisation's
-// rate.
-func (d *Duty) Granted() bool {
-	orgs := d.orgs.Load()
-	if orgs == nil {
-		return false
-	}
-	for _, org := range *orgs {
-		if d.Rate(org) == 0 {
-			return false
-		}
-	}
-	return true
+// Filled reports whether this instance has shares of all organisations' limits
+// and their buckets have filled.
+func (d *Duty) Filled() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.instance.Filled(d.opts.Now())
 }
 
 // Run drives both parts until ctx ends.
@@ -166,8 +155,6 @@
 			orgs[doc.Service+"/"+o.Name] = limit.Limit{Rate: o.RateTokensPerS, Burst: o.BurstTokens}
 		}
 	}
-	names := slices.Collect(maps.Keys(orgs))
-	d.orgs.Store(&names)
 	d.stepInstance(ctx, limit.Limits{Version: d.version, Orgs: orgs})
 	d.stepZone(ctx, limit.Limits{Version: d.version, Orgs: orgs})
 }
