placement: let demand take the room that it made

Cause: the policy placed spares before demand. A spare that was displaced for demand became due again at once and took the memory that it had left, so demand displaced the next one, without end. Seen when the planner first ran beside a rate of loads below one a second: between the unload and the load the room stood open for one round.

Ruled out: keeping the room in the plan (it keeps nothing between rounds), and a longer stagger for spares (the first zone in the order still takes it).

Change: demand that is worth more than a spare comes before spares, other demand after them.

Without the change TestDisplacedSpareDoesNotTakeTheRoomMadeForDemand fails: - Model: "asked" Reason: "demand" + Model: "gone" Reason: "spare"

--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -56,8 +56,9 @@
 	p.finishDrains()
 	p.markLost()
 	p.restoreHomes(true)
+	p.followDemand(d.Options.SpareWorth)
 	p.addSpares()
-	p.followDemand()
+	p.followDemand(d.Options.Threshold)
 	p.fillFree()
 	p.designate()
 	return p.moves
@@ -138,19 +139,19 @@
 	}
 }
 
-// followDemand adds replicas where demand goes unserved.
-func (p *plan) followDemand() {
+// followDemand adds replicas where more demand than least goes unserved. What
+// is worth more than a spare comes before spares: else a spare that it displaced
+// would take the room that was made.
+func (p *plan) followDemand(least float64) {
 	short := p.byNeed(func(m int) (float64, bool) {
 		excess := p.excess(m)
-		return excess, excess > p.opt.Threshold && !p.waiting[m]
+		return excess, excess > least && !p.waiting[m]
 	})
 	for _, m := range short {
 		if p.spent() {
 			return
 		}
-		p.place(need{
-			model: m, evict: true, threshold: p.opt.Threshold, reason: "demand",
-		})
+		p.place(need{model: m, evict: true, threshold: least, reason: "demand"})
 	}
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -99,6 +99,20 @@
 	})
 }
 
+// TestDisplacedSpareDoesNotTakeTheRoomMadeForDemand plans after the spare "gone"
+// was unloaded for "asked".
+func TestDisplacedSpareDoesNotTakeTheRoomMadeForDemand(t *testing.T) {
+	moves := Demand{Options: DefaultDemandOptions()}.Plan(Input{
+		Zone: "a", Zones: []string{"a", "b"}, Loads: 1, Models: []Model{
+			{Name: "gone", MemoryMB: 60, Elsewhere: 1, Since: time.Hour},
+			{Name: "asked", MemoryMB: 60, Fast: 1.5, Slow: 1.5, Designated: true, Elsewhere: 1},
+		}, Upstreams: []Upstream{
+			{Name: "u", MemoryMB: 60, CommittedMB: 60, Live: true, Replicas: []Replica{{Model: 1, State: Ready, Age: time.Hour}}},
+			{Name: "v", MemoryMB: 60, Live: true},
+		}})
+	must.Eq(t, []Move{{Kind: Load, Model: "asked", Upstream: "v", Reason: "demand"}}, moves)
+}
+
 func TestOnlyKnownHomeIsNeverUnloaded(t *testing.T) {
 	for _, cut := range []bool{false, true} {
 		in := Input{Zone: "a", Zones: []string{"a", "b"}, Loads: 4, Models: []Model{
