Place models in the running instance

Cause: the decisions of placement had no driver, so engines held only what they were preloaded with, and nothing loaded an adapter.

Change: package placer. Every instance reports demand and requests in flight to the holder of its zone's lease each second, and heeds what drains. The holder runs one ledger.Controller for each engine under the lease's fencing number, plans with placement.Demand, writes the record of homes and the zone's shares of the weight store's budget, and loads adapters on demand. Each write and each order asks for the lease at the point of use; an order is sent once, in the order of fences. An engine that leaves the document goes on serving, as draining, until its models are ready elsewhere.

The demonstration preloads nothing and asks for an adapter.

Ruled out: pushing drains to every instance (the reply to the report of demand carries them), and unloading by the router's knowledge of residency (it lags).

Conclusion: a fresh service gets homes in the engines of both zones.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -76,6 +76,8 @@
 	charge int64 // tokens taken from the organisation's limits
 	used   int64 // tokens of the prompt and of the answer, as far as known
 	ran    bool  // an attempt may have run
+	// deadline of the first token, or of a batch request's answer
+	deadline time.Duration
 }
 
 func (m *modelCall) model() string { return m.call.service.Service + "/" + m.req.model.Name }
@@ -84,6 +86,7 @@
 	limits := m.call.service.Deadlines
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(limits.RequestMS)*time.Millisecond)
 	defer cancel()
+	defer m.countDemand()
 	body, encodeErr := m.req.upstreamBody()
 	if encodeErr != nil {
 		return refuse(http.StatusBadRequest, CodeBadRequest, "the body cannot be passed on")
@@ -92,6 +95,7 @@
 	if m.call.class == fair.Batch {
 		deadline = m.call.received + time.Duration(limits.RequestMS)*time.Millisecond
 	}
+	m.deadline = deadline
 	req := once.NewRequest(once.RequestOptions{Idempotent: true, Deadline: deadline}, m.server.opts.Budget)
 	acquire := func() (*dispatch.Slot, *Error) {
 		return m.server.acquire(ctx, dispatch.Request{
@@ -129,10 +133,14 @@
 
 // attempt runs one attempt on one engine, with resumes on the same engine.
 func (m *modelCall) attempt(ctx context.Context, id string, slot *dispatch.Slot, body []byte) once.Outcome {
-	address, ok := addressOf(m.call.service, slot.Upstream)
+	address, ok := m.server.address(m.call.service, slot.Upstream)
 	if !ok {
 		return once.NotSent
 	}
+	defer m.server.opts.Placement.Started(slot.Upstream, m.req.model.Name, m.req.adapter)()
+	if !m.ensureAdapter(ctx, slot.Upstream) {
+		return once.RefusedBeforeRun
+	}
 	st := &stream{call: m, attempt: id, address: address, body: body}
 	outcome := st.run(ctx)
 	m.server.flow(m.call).Attempt(string(outcome))
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -17,6 +17,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/placer"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 	"github.com/eelgrassbay/eelgrassbay/internal/replica"
 	"github.com/eelgrassbay/eelgrassbay/internal/route"
@@ -44,6 +45,7 @@
 	inventory *inventory.Duty
 	dispatch  *dispatch.Duty
 	table     *tableFeed
+	placer    *placer.Duty
 	server    *Server
 }
 
@@ -131,7 +133,7 @@
 		Reads: n.leader.Leads, Reader: n.leader.Holder, Now: n.now, Log: n.log, Seed: rand.Int64(),
 	})
 	n.dispatch = dispatch.New(dispatch.Options{
-		Route: route.Options{Distance: n.distance}, Now: n.now, Seed: rand.Uint64(),
+		Route: route.Options{Distance: n.distance, AdapterLoad: adapterLoad}, Now: n.now, Seed: rand.Uint64(),
 	})
 	n.table = newTableFeed(n.dispatch, n.log)
 	n.inventory = inventory.NewDuty(inventory.Options{
@@ -139,10 +141,14 @@
 		Apply: n.table.report, Now: n.now, Log: n.log,
 	})
 	n.table.latest = n.inventory.Entry
+	n.table.targets = n.inventory.Sync
+	n.placer = n.newPlacer()
+	n.table.draining = n.placer.Draining
 	n.server = NewServer(ServerOptions{
 		Name: n.settings.Name, Requests: n.settings.Requests, Replica: n.replica, Dispatch: n.dispatch,
 		Upstream: upstream.NewClient(), Budget: once.NewBudget(n.now(), once.BudgetOptions{}, rand.New(rand.NewPCG(rand.Uint64(), 0))),
 		Metrics: n.metrics, Now: n.now, Log: n.log,
+		Placement: n.placer, Inventory: n.inventory,
 	})
 }
 
@@ -164,6 +170,7 @@
 		{n.replica, peerpb.DRPCSyncDescription{}},
 		{n.leader, peerpb.DRPCLeasesDescription{}},
 		{n.inventory, peerpb.DRPCInventoryDescription{}},
+		{n.placer.Server(), peerpb.DRPCPlacementDescription{}},
 	} {
 		if err := n.peerSrv.Register(s.impl, s.desc); err != nil {
 			return err
@@ -183,7 +190,7 @@
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context) error{
-		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.feedTable, n.announce,
+		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.placer.Run, n.feedTable, n.announce,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -28,9 +28,12 @@
 	Dispatch *dispatch.Duty
 	Upstream *upstream.Client
 	Budget   *once.Budget
-	Metrics  *metrics.Metrics
-	Now      func() time.Duration
-	Log      *slog.Logger
+	// Placement is told of demand and loads adapters.
+	Placement Placement
+	Inventory Inventory
+	Metrics   *metrics.Metrics
+	Now       func() time.Duration
+	Log       *slog.Logger
 }
 
 // Server answers callers.
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
@@ -20,12 +21,19 @@
 	log      *slog.Logger
 	// latest returns the latest report of an upstream.
 	latest func(name string) (inventory.Entry, bool)
-	mu     sync.Mutex
-	known  map[string]route.Upstream
+	// targets returns the upstreams to route to, retired engines included.
+	targets func() []inventory.Target
+	// draining says whether a model leaves an upstream.
+	draining func(upstream, model string) bool
+	mu       sync.Mutex
+	known    map[string]route.Upstream
+	retired  atomic.Pointer[map[string]bool]
 }
 
 func newTableFeed(d *dispatch.Duty, log *slog.Logger) *tableFeed {
-	return &tableFeed{dispatch: d, log: log, known: map[string]route.Upstream{}}
+	f := &tableFeed{dispatch: d, log: log, known: map[string]route.Upstream{}}
+	f.retired.Store(&map[string]bool{})
+	return f
 }
 
 // sync adds, changes and removes upstreams by the documents in force.
@@ -33,10 +41,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	wanted := map[string]route.Upstream{}
-	for _, t := range inventory.Targets(known) {
+	targets := f.targets()
+	former := f.retire(targets)
+	for _, t := range targets {
 		u := describe(t, known.Leaving[t.Upstream.Address])
 		wanted[t.Name] = u
-		if f.known[t.Name] != u {
+		if f.known[t.Name] != u || former[t.Name] != t.Retired {
 			f.set(t, u)
 		}
 	}
@@ -48,6 +58,18 @@
 	f.known = wanted
 }
 
+// retire notes the engines that no document names any more, and returns those
+// noted before.
+func (f *tableFeed) retire(targets []inventory.Target) map[string]bool {
+	next := map[string]bool{}
+	for _, t := range targets {
+		if t.Retired {
+			next[t.Name] = true
+		}
+	}
+	return *f.retired.Swap(&next)
+}
+
 func describe(t inventory.Target, leaving bool) route.Upstream {
 	u := route.Upstream{
 		Name: t.Name, Zone: t.Upstream.Zone,
@@ -78,7 +100,7 @@
 	service, _ := inventory.SplitName(e.Upstream)
 	f.update(func(now time.Duration, table *route.Table) {
 		if news.Residency {
-			table.SetResident(e.Upstream, residents(service, e.Report))
+			table.SetResident(e.Upstream, f.residents(service, e))
 		}
 		age := now - e.ReadAt + time.Duration(e.Report.AgeMS)*time.Millisecond
 		table.Report(now, e.Upstream, route.Load{
@@ -88,8 +110,20 @@
 	})
 }
 
-// residents groups a report's models with their adapters.
-func residents(service string, r engine.Report) []route.Resident {
+// refresh brings upstreams in step after other models drain on them.
+func (f *tableFeed) refresh(upstreams []string) {
+	for _, name := range upstreams {
+		if e, ok := f.latest(name); ok {
+			f.report(e, inventory.News{Load: true, Residency: true})
+		}
+	}
+}
+
+// residents groups a report's models with their adapters. All models drain on
+// a retired engine.
+func (f *tableFeed) residents(service string, e inventory.Entry) []route.Resident {
+	r := e.Report
+	retired := (*f.retired.Load())[e.Upstream]
 	var list []route.Resident
 	at := map[string]int{}
 	for _, res := range r.Resident {
@@ -97,7 +131,10 @@
 			continue
 		}
 		at[res.Model] = len(list)
-		list = append(list, route.Resident{Model: service + "/" + res.Model, Ready: res.State == engine.ResidencyReady})
+		list = append(list, route.Resident{
+			Model: service + "/" + res.Model, Ready: res.State == engine.ResidencyReady,
+			Draining: retired || f.draining(e.Upstream, res.Model),
+		})
 	}
 	for _, res := range r.Resident {
 		i, ok := at[res.Model]
--- a/internal/inventory/duty.go
+++ b/internal/inventory/duty.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,10 +30,15 @@
 	staleAge = 3 * time.Second
 )
 
+// retiredKept is how long an engine that no document names any more is still
+// known, so that it serves the models that have no other home yet.
+const retiredKept = 5 * time.Minute
+
 // Target is one upstream as the documents describe it.
 type Target struct {
 	Name     string // service/upstream
 	Upstream config.Upstream
+	Retired  bool // no document names it any more
 }
 
 // Caller calls peers; peer.Client implements it.
@@ -59,13 +66,56 @@
 // Duty reads and relays reports. A mutex guards the state: steps are short and
 // come from the loop and from peers' calls.
 type Duty struct {
-	opts  Options
-	mu    sync.Mutex
-	state *State
+	opts    Options
+	mu      sync.Mutex
+	state   *State
+	targets map[string]Target        // at the last Sync
+	retired map[string]time.Duration // since when, for those that are
 }
 
 // NewDuty returns a duty without reports.
-func NewDuty(opts Options) *Duty { return &Duty{opts: opts, state: NewState()} }
+func NewDuty(opts Options) *Duty {
+	return &Duty{opts: opts, state: NewState(), targets: map[string]Target{}, retired: map[string]time.Duration{}}
+}
+
+// Sync returns the upstreams of the documents in force and, for a while, the
+// engines that they named before.
+func (d *Duty) Sync() []Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.opts.Now()
+	targets := Targets(d.opts.Replica.Snapshot())
+	next := make(map[string]Target, len(targets))
+	for _, t := range targets {
+		next[t.Name] = t
+		delete(d.retired, t.Name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.targets)) {
+		t := d.targets[name]
+		if _, named := next[name]; named || t.Upstream.Kind != config.UpstreamEngine {
+			continue
+		}
+		if !t.Retired {
+			t.Retired = true
+			d.retired[name] = now
+		}
+		if now-d.retired[name] <= retiredKept {
+			next[name] = t
+			targets = append(targets, t)
+		}
+	}
+	d.targets = next
+	d.retain(next)
+	return targets
+}
+
+// Address returns where an upstream, service/upstream, listens.
+func (d *Duty) Address(upstream string) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, ok := d.targets[upstream]
+	return t.Upstream.Address, ok
+}
 
 // Entries returns all reports known now.
 func (d *Duty) Entries() []Entry {
@@ -86,8 +136,7 @@
 	lastPull := -pullPeriod
 	for ctx.Err() == nil {
 		known := d.opts.Replica.Snapshot()
-		targets := Targets(known)
-		d.retain(targets)
+		targets := d.Sync()
 		mine, period := d.due(known, targets)
 		d.readAll(ctx, known, mine)
 		if now := d.opts.Now(); now-lastPull >= pullPeriod {
@@ -117,13 +166,11 @@
 	return targets
 }
 
-func (d *Duty) retain(targets []Target) {
+func (d *Duty) retain(targets map[string]Target) {
 	names := make(map[string]bool, len(targets))
-	for _, t := range targets {
-		names[t.Name] = true
+	for name := range targets {
+		names[name] = true
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.state.Retain(names)
 }
 
--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -7,13 +7,8 @@
 	"hash/fnv"
 	"maps"
 	"slices"
-
-	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 )
 
-// KindHomes holds the record of models' homes, a shard of models an object.
-const KindHomes platform.Kind = "homes"
-
 // Errors of the record of homes.
 var (
 	ErrLastHome   = errors.New("placement: the model has no other home")
@@ -27,7 +22,7 @@
 	Lost bool `json:"lost,omitempty"`
 }
 
-// Homes is one shard of the record. A zone writes only its own entries, by
+// Homes is one shard of the record, an object of platform.KindHomes. A zone writes only its own entries, by
 // conditional update: it adds itself once a replica is ready, and removes
 // itself only while another home remains; only then may it unload its last
 // replica. The updates are serial, so the last two homes cannot both leave.
--- a/internal/placement/ledger/controller.go
+++ b/internal/placement/ledger/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/chart"
@@ -287,6 +288,14 @@
 	c.base = c.base.Observe(m.Report, func(id string) bool { return c.expired(id, asked) })
 	c.settle(m.Report)
 	c.trackOrders(now)
+	if c.opt.PollBusy > 0 && c.adapterAwaited() {
+		c.nextPoll = now + c.opt.PollBusy
+	}
+}
+
+// adapterAwaited says whether a wanted adapter is not ready yet.
+func (c *Controller) adapterAwaited() bool {
+	return slices.ContainsFunc(c.want, func(w Want) bool { return w.Key.Adapter != "" && !c.base.Ready(w.Key) })
 }
 
 // expired says whether all copies of an order had arrived before a report was
--- a/internal/placement/ledger/ledger.go
+++ b/internal/placement/ledger/ledger.go
@@ -116,6 +116,26 @@
 	if !l.Observed() {
 		return l.MemoryMB
 	}
+	var sum int64
+	for _, mb := range l.sizes() {
+		sum += mb
+	}
+	return sum
+}
+
+// CommittedAdapters returns the part of Committed that adapters take.
+func (l Ledger) CommittedAdapters() int64 {
+	var sum int64
+	for k, mb := range l.sizes() {
+		if k.Adapter != "" {
+			sum += mb
+		}
+	}
+	return sum
+}
+
+// sizes returns the memory of each key that is resident or may become so.
+func (l Ledger) sizes() map[Key]int64 {
 	sizes := make(map[Key]int64, len(l.Resident)+len(l.Orders))
 	for _, r := range l.Resident {
 		k := ResidentKey(r)
@@ -127,11 +147,7 @@
 			sizes[k] = max(sizes[k], o.MemoryMB)
 		}
 	}
-	var sum int64
-	for _, mb := range sizes {
-		sum += mb
-	}
-	return sum
+	return sizes
 }
 
 // Fits says whether mb more would stay within the accelerator's memory.
--- a/internal/placement/ledger/messages.go
+++ b/internal/placement/ledger/messages.go
@@ -35,6 +35,9 @@
 	RetryAfter time.Duration
 	// PollEvery is the interval between reports while nothing is outstanding.
 	PollEvery time.Duration
+	// PollBusy is that interval while a wanted adapter is not ready; zero
+	// stands for PollEvery.
+	PollBusy time.Duration
 	// CallTimeout ends calls to the object API and to the engine.
 	CallTimeout time.Duration
 }
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -22,6 +22,7 @@
 	KindClaim   Kind = "claim"  // claims on idempotency keys
 	KindRecord  Kind = "record" // batches or chain heads of the service record
 	KindBudget  Kind = "budget" // fleet-wide shares of the weight store
+	KindHomes   Kind = "homes"  // zones that are bound to keep each model
 )
 
 // Object is one stored value. Version comes from one revision counter for the
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -65,6 +65,18 @@
 echo "$stream" | tail -n 2
 echo "$stream" | grep -q '^data: \[DONE\]' || fail "the stream is not whole"
 
+echo "request to an adapter:"
+answer=$(call 7201 /v1/completions -d '{"model": "panel-notes:coastal", "max_tokens": 4, "prompt": "note on panel 13"}') ||
+  fail "adapter request"
+echo "$answer" | grep -o '"completion_tokens":[0-9]*' || fail "the answer is not whole"
+
+echo "models placed:"
+for port in 7110 7111; do
+  curl -fsS "http://127.0.0.1:$port/engine/report" | grep -o '"model":"[^}]*"state":"[a-z]*"' | sed "s/^/  $port /" || true
+  overcommit=$(curl -fsS "http://127.0.0.1:$port/counters" | sed -n 's/.*"overcommit":\([0-9]*\).*/\1/p')
+  [ "$overcommit" = 0 ] || fail "the engine at $port was overcommitted $overcommit times"
+done
+
 echo "idempotent lookup:"
 call 7202 /services/lab/lookup/panel-12 || fail "lookup"
 echo
