--- a/internal/placement/ledger/controller.go
+++ b/internal/placement/ledger/controller.go
@@ -28,6 +28,8 @@
 	known    bool
 	stopped  bool // a later owner has claimed the ledger
 	want     []Want
+	boot     string // of the latest report counted here
+	awaiting bool   // a Wanted, see Options.AwaitWanted
 	upstream *chart.Machine
 	orders   map[string]*orderState
 	read     call
@@ -96,6 +98,9 @@
 // Ledger returns the ledger as known, with the latest report counted.
 func (c *Controller) Ledger() Ledger { return c.base }
 
+// Boot returns the run of the engine that the latest report was of.
+func (c *Controller) Boot() string { return c.boot }
+
 // State returns the state of the upstream in its chart.
 func (c *Controller) State() string { return c.upstream.State() }
 
@@ -120,6 +125,7 @@
 	switch m := msg.(type) {
 	case Wanted:
 		c.want = m.Want
+		c.awaiting = false
 	case ReadDone:
 		actions = c.readDone(now, m)
 	case WriteDone:
@@ -285,6 +291,10 @@
 		event = eventReportLeaving
 	}
 	fire(c.upstream, event)
+	if c.boot != m.Report.Boot {
+		c.boot = m.Report.Boot
+		c.awaiting = c.opt.AwaitWanted
+	}
 	c.base = c.base.Observe(m.Report, func(id string) bool { return c.expired(id, asked) })
 	c.settle(m.Report)
 	c.trackOrders(now)
--- a/internal/placement/ledger/decide.go
+++ b/internal/placement/ledger/decide.go
@@ -22,7 +22,7 @@
 	next.MemoryMB = c.opt.MemoryMB
 	next.DurableFence = c.opt.Promise.DurableFence
 	var orders []engine.Order
-	if c.State() == UpstreamLive {
+	if c.State() == UpstreamLive && !c.awaiting {
 		next, orders = c.reserve(now, next)
 	}
 	if len(orders) == 0 && c.base.Owner == c.opt.Owner {
--- a/internal/placement/ledger/messages.go
+++ b/internal/placement/ledger/messages.go
@@ -38,6 +38,9 @@
 	// PollBusy is that interval while a wanted adapter is not ready; zero
 	// stands for PollEvery.
 	PollBusy time.Duration
+	// AwaitWanted holds orders back after a restart of the engine until the
+	// next Wanted, so that what was lost is restored within a budget.
+	AwaitWanted bool
 	// CallTimeout ends calls to the object API and to the engine.
 	CallTimeout time.Duration
 }
--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -113,6 +113,17 @@
 	return c
 }
 
+// loading counts the models that load.
+func (e *fakeEngine) loading() (n int) {
+	r, _ := e.report()
+	for _, res := range r.Resident {
+		if res.Adapter == "" && res.State == engine.ResidencyLoading {
+			n++
+		}
+	}
+	return n
+}
+
 // holds says whether a model, or an adapter if named, is ready.
 func (e *fakeEngine) holds(model, adapter string) bool {
 	r, _ := e.report()
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -48,6 +48,20 @@
 	return true
 }
 
+// keeps notes the models that are ready somewhere, and fails if one noted
+// before no longer is.
+func (s *site) keeps(noted map[string]bool) {
+	s.t.Helper()
+	for _, m := range s.doc.Models {
+		ready := false
+		for _, e := range s.engines {
+			ready = ready || e.holds(m.Name, "")
+		}
+		must.True(s.t, ready || !noted[m.Name], must.Sprint(m.Name, " is no longer ready anywhere"))
+		noted[m.Name] = ready
+	}
+}
+
 func TestFreshServiceGetsHomesInBothZones(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, document(3, "north", "south"))
@@ -75,7 +89,11 @@
 			<-first.done
 			time.Sleep(time.Second)
 			s.lead(second)
-			s.until(2*time.Minute, "a home for every model", func() bool { return s.reachable("e0", "e1") })
+			kept := map[string]bool{}
+			s.until(2*time.Minute, "a home for every model", func() bool {
+				s.keeps(kept)
+				return s.reachable("e0", "e1")
+			})
 			s.safe()
 		})
 	}
@@ -117,6 +135,39 @@
 	})
 }
 
+// TestLoadsStayWithinTheFleetsBudget lets two zones fill their engines and
+// restarts these, while at most two loads may be in flight, one a second.
+func TestLoadsStayWithinTheFleetsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		doc := document(6, "north", "north", "south", "south")
+		doc.Loads = config.LoadLimits{ModelsPerS: 1, ModelsInFlight: 2, AdaptersInFlight: 2}
+		s := newSite(t, doc)
+		defer s.close()
+		s.lead(s.add("north", "n1"))
+		s.lead(s.add("south", "s1"))
+		began := time.Now()
+		for now := range 3000 {
+			switch now {
+			case 1200:
+				s.engines["e0"].restart()
+			case 1600:
+				s.engines["e1"].restart()
+				s.engines["e2"].restart()
+			}
+			loading, loads := 0, uint64(0)
+			for _, e := range s.engines {
+				loading += e.loading()
+				loads += e.counters().ModelLoads
+			}
+			must.LessEq(t, 2, loading)
+			must.LessEq(t, 2+time.Since(began).Seconds(), float64(loads))
+			time.Sleep(50 * time.Millisecond)
+		}
+		must.True(t, s.reachable("e0", "e1") && s.reachable("e2", "e3"))
+		s.safe()
+	})
+}
+
 // TestRetiredUpstreamKeepsItsModelsUntilTheyAreReadyElsewhere removes an
 // upstream from the document.
 func TestRetiredUpstreamKeepsItsModelsUntilTheyAreReadyElsewhere(t *testing.T) {
--- a/internal/placer/upstream.go
+++ b/internal/placer/upstream.go
@@ -79,7 +79,7 @@
 			MaxOrderDelay: time.Duration(target.Upstream.MaxOrderDelayS) * time.Second,
 		},
 		SendWindow: sendWindow, RetryAfter: retryAfter, CallTimeout: callTimeout,
-		PollEvery: u.pollEvery, PollBusy: busyPeriod,
+		PollEvery: u.pollEvery, PollBusy: busyPeriod, AwaitWanted: true,
 	})
 	go u.send()
 	return u
@@ -245,21 +245,20 @@
 // planner restores it within the budget of loads.
 func (u *upstream) noticeRestart() {
 	l := u.c.Ledger()
-	if l.Boot == u.boot {
+	if u.c.Boot() == u.boot {
 		return
 	}
 	if u.boot != "" {
 		u.t.d.opts.Log.Warn("engine restarted", "upstream", u.target.Name, "fence_lost", l.FenceLost)
 		for k := range u.want {
-			_, resident := l.Find(k)
-			if _, pending := l.Pending(k, true); !resident && !pending {
+			if _, resident := l.Find(k); !resident {
 				delete(u.want, k)
 			}
 		}
 		clear(u.draining)
-		u.sendWanted()
 	}
-	u.boot = l.Boot
+	u.boot = u.c.Boot()
+	u.sendWanted()
 }
 
 // sendWanted tells the controller what shall be resident: models before
