--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -18,6 +18,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/placer"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 	"github.com/eelgrassbay/eelgrassbay/internal/quota"
 	"github.com/eelgrassbay/eelgrassbay/internal/recorder"
@@ -51,6 +52,7 @@
 	claims    *claims.Duty
 	recorder  *recorder.Duty
 	table     *tableFeed
+	placer    *placer.Duty
 	server    *Server
 }
 
@@ -144,7 +146,7 @@
 		Now: n.now, Log: n.log, Seed: rand.Int64(),
 	})
 	n.dispatch = dispatch.New(dispatch.Options{
-		Route: route.Options{Distance: n.distance}, Now: n.now, Seed: rand.Uint64(),
+		Route: route.Options{Distance: n.distance, AdapterLoad: adapterLoad}, Now: n.now, Seed: rand.Uint64(),
 	})
 	n.table = newTableFeed(n.dispatch, n.log)
 	engines := engine.NewClient(&n.bytes.engines)
@@ -159,11 +161,15 @@
 	n.claims = claims.New(claims.Options{
 		Writer: n.self.Incarnation, Store: n.platform, Now: n.now, Log: n.log, Seed: rand.Uint64(),
 	})
+	n.table.targets = n.inventory.Sync
+	n.placer = n.newPlacer(engines)
+	n.table.draining = n.placer.Draining
 	n.server = NewServer(ServerOptions{
 		Name: n.settings.Name, Requests: n.settings.Requests, Replica: n.replica, Dispatch: n.dispatch,
 		Upstream: upstream.NewClient(), Engines: engines, Budget: once.NewBudget(n.now(), once.BudgetOptions{}, rand.New(rand.NewPCG(rand.Uint64(), 0))),
 		Limiter: n.quota, Claimer: n.claims, Record: n.recorder, Metrics: n.metrics, Now: n.now, Log: n.log,
-		Prepared: func() bool { return n.inventory.Swept() && n.quota.Filled() },
+		Prepared:  func() bool { return n.inventory.Swept() && n.quota.Filled() },
+		Placement: n.placer, Inventory: n.inventory,
 	})
 }
 
@@ -187,6 +193,7 @@
 		{n.inventory, peerpb.DRPCInventoryDescription{}},
 		{n.quota, peerpb.DRPCLimitsDescription{}},
 		{n.recorder, peerpb.DRPCRecordDescription{}},
+		{n.placer.Server(), peerpb.DRPCPlacementDescription{}},
 	} {
 		if err := n.peerSrv.Register(s.impl, s.desc); err != nil {
 			return err
@@ -207,7 +214,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context) error{
 		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.quota.Run, n.claims.Run, n.recorder.Run,
-		n.feedTable, n.announce, n.measureCost,
+		n.placer.Run, n.feedTable, n.announce, n.measureCost,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -33,7 +33,10 @@
 	Limiter  Limiter
 	Claimer  Claimer
 	Record   Recorder
-	Metrics  *metrics.Metrics
+	// Placement is told of demand and loads adapters.
+	Placement Placement
+	Inventory Inventory
+	Metrics   *metrics.Metrics
 	// Prepared reports whether the duties have what a first request needs.
 	Prepared func() bool
 	Now      func() time.Duration
