--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -74,12 +74,12 @@
 echo "$stream" | grep -q '^data: \[DONE\]' || fail "the stream is not whole"
 
 echo "request to an adapter:"
-answer=$(call 7201 /v1/completions -d '{"model": "panel-notes:coastal", "max_tokens": 4, "prompt": "note on panel 13"}') ||
+answer=$(call ${p}201 /v1/completions -d '{"model": "panel-notes:coastal", "max_tokens": 4, "prompt": "note on panel 13"}') ||
   fail "adapter request"
 echo "$answer" | grep -o '"completion_tokens":[0-9]*' || fail "the answer is not whole"
 
 echo "models placed:"
-for port in 7110 7111; do
+for port in ${p}110 ${p}111; do
   curl -fsS "http://127.0.0.1:$port/engine/report" | grep -o '"model":"[^}]*"state":"[a-z]*"' | sed "s/^/  $port /" || true
   overcommit=$(curl -fsS "http://127.0.0.1:$port/counters" | sed -n 's/.*"overcommit":\([0-9]*\).*/\1/p')
   [ "$overcommit" = 0 ] || fail "the engine at $port was overcommitted $overcommit times"
