--- a/internal/quota/duty.go
+++ b/internal/quota/duty.go
@@ -242,7 +242,7 @@
 	case errors.Is(err, platform.ErrNotFound):
 		obj, err = platform.Object{Kind: platform.KindShare, Name: a.Name}, nil
 	case err != nil:
-		d.stepZone(ctx, limit.WriteFailed{Name: a.Name})
+		d.stepZone(ctx, limit.WriteFailed(a))
 		return
 	}
 	d.stepZone(ctx, limit.Read{Object: obj})
