route: send probes whatever load the upstream had when it failed

A failed upstream keeps the load of its last report. A probe now counts neither as saturated nor as late.

TestProbeOfSaturatedUpstream fails without either condition: route_test.go:202: expected condition to be false; is true

--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -7,7 +7,8 @@
 
 // Pick decides which upstream gets a request. It fails with ErrNoHome,
 // ErrAllLeaving or *OverloadedError; a refusal is final and comes at once. Its
-// cost grows with the candidates of the request's model only.
+// cost grows with the candidates of the request's model only. A probe goes out
+// whatever the load was that the upstream had before it failed.
 func (t *Table) Pick(now time.Duration, r Request, random *rand.Rand) (Choice, error) {
 	t.request = r
 	list := t.models[r.Model]
@@ -23,7 +24,7 @@
 		return Choice{}, t.refusal(now, list, &ruledOut)
 	}
 	c := t.opts.Policy.Choose(&t.request, t.feasible, random)
-	if r.Deadline > 0 && now+c.cost > r.Deadline {
+	if !c.probe && r.Deadline > 0 && now+c.cost > r.Deadline {
 		c = cheapest(t.feasible)
 		left := max(0, r.Deadline-now)
 		allowed := left + left*time.Duration(t.opts.RefusalMargin)/100
@@ -31,7 +32,7 @@
 			return Choice{}, &OverloadedError{RetryAfter: late}
 		}
 	}
-	return Choice{Upstream: c.up.Name, Expected: c.cost, Hit: c.hit, Saturated: c.saturated(&t.request), Probe: c.probe}, nil
+	return Choice{Upstream: c.up.Name, Expected: c.cost, Hit: c.hit, Saturated: !c.probe && c.saturated(&t.request), Probe: c.probe}, nil
 }
 
 // collect gathers and scores the candidates that pass all filters. An upstream
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -188,6 +188,20 @@
 	must.Eq(t, healthy, tab.upstreams["u0"].health.verdict(now))
 }
 
+// TestProbeOfSaturatedUpstream: the load that an upstream had when it died
+// neither holds requests back from the model's other homes nor refuses them.
+func TestProbeOfSaturatedUpstream(t *testing.T) {
+	tab := table(2, Options{})
+	tab.SetUpstream(Upstream{Name: "u0", PrefillRate: 10_000, MaxRunning: 4})
+	tab.Report(0, "u0", Load{Running: 40, QueuedPrefill: 1 << 30})
+	tab.Failed(0, Failed{Upstream: "u0", Unreachable: true})
+	now := 2 * minBackoff
+	c, err := tab.Pick(now, Request{Model: "m", PromptTokens: 10, Deadline: now + time.Second}, random(1))
+	must.NoError(t, err)
+	must.True(t, c.Probe)
+	must.False(t, c.Saturated)
+}
+
 // TestPrefixAffinity: instances that never spoke agree on a prefix's home, and
 // a loaded home loses the prefix.
 func TestPrefixAffinity(t *testing.T) {
