entry: never splice the answers of two attempts

An attempt whose outcome was unknown after its resumes was followed by another one, whose tokens were appended to those that the caller, or the collected answer, had already. A stream that has begun now takes no further attempt and is reported as cut; a collected answer starts again.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -94,6 +94,9 @@
 	}
 	req := once.NewRequest(once.RequestOptions{Idempotent: true, Deadline: deadline}, m.server.opts.Budget)
 	acquire := func() (*dispatch.Slot, *Error) {
+		if !m.sink.restart() {
+			return nil, outcomeError(once.Unknown)
+		}
 		return m.server.acquire(ctx, dispatch.Request{
 			Organisation: m.call.org.String(), Class: m.call.class,
 			Route: route.Request{
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -18,6 +18,9 @@
 	abort(err *Error, requestID string)
 	// pass answers with an upstream's own error.
 	pass(status int, header http.Header, body []byte)
+	// restart forgets what an earlier attempt gave. It returns false if some of
+	// that has reached the caller, so that no other attempt may follow it.
+	restart() bool
 	// started reports whether any of the answer has reached the caller.
 	started() bool
 	// tokens returns the number of tokens taken.
@@ -49,6 +52,8 @@
 	_, _ = s.w.Write(body)
 }
 
+func (s *sinkBase) restart() bool { return !s.wrote }
+
 // streamSink passes events on as they come.
 type streamSink struct {
 	sinkBase
@@ -119,6 +124,11 @@
 	return nil
 }
 
+func (s *wholeSink) restart() bool {
+	*s = wholeSink{sinkBase: sinkBase{w: s.w, wrote: s.wrote, passed: s.passed}, chat: s.chat}
+	return !s.wrote
+}
+
 // wholeChoice is the one choice of a whole answer.
 type wholeChoice struct {
 	Index        int             `json:"index"`
