dispatch: one scheduler for the running instance and its evaluation

Cause: the evaluation held a second copy of the decisions that an instance makes between its queues and its routing table, and the copies had parted: the running one refused without a margin, gave batch requests all of an upstream, knew no shares, never corrected the pace by first tokens, hashed prefixes without model and adapter, and took a whole prompt for its first 512 bytes.

dispatch.Scheduler is now that decision, pure, with the policies as Options; dispatch.Duty runs it and internal/evaluate measures it. The retry budget likewise: once.Budget, which handlers shared without a lock, has a mutex (TestBudgetIsShared under -race) and route.RetryBudget is gone.

internal/evaluate now runs the real limits (limit.Zone, limit.Instance, claims and loans over delayed messages) and the real placement (placement.Demand, the record of homes, the escrowed weight store) in place of the oracle and the static planner.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
 )
 
@@ -33,9 +32,11 @@
 	adapter   string
 	stream    bool
 	maxTokens int
-	prompt    int // estimated tokens
-	prefix    uint64
-	tier      string
+	prompt    int    // estimated tokens
+	prefix    []byte // of the prompt, as it came
+	// prefixTokens is the estimated length of prefix.
+	prefixTokens int
+	tier         string
 }
 
 // prefixBytes is the length of the beginning of a prompt that decides where it
@@ -56,8 +57,9 @@
 	if len(prompt) == 0 || string(prompt) == "null" {
 		return nil, refuse(http.StatusBadRequest, CodeBadRequest, "field "+field+": want a prompt")
 	}
-	req.prompt = int((int64(len(prompt)) + s.opts.Requests.BytesPerToken - 1) / s.opts.Requests.BytesPerToken)
-	req.prefix = xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+	req.prefix = prompt[:min(len(prompt), prefixBytes)]
+	req.prompt = s.estimate(prompt)
+	req.prefixTokens = s.estimate(req.prefix)
 	for _, f := range []struct {
 		name string
 		dst  any
@@ -82,6 +84,12 @@
 	return req, nil
 }
 
+// estimate returns about how many tokens a text has.
+func (s *Server) estimate(text []byte) int {
+	per := s.opts.Requests.BytesPerToken
+	return int((int64(len(text)) + per - 1) / per)
+}
+
 // resolve finds the model and the adapter in the service's document.
 func (req *completion) resolve(service *config.Service) *Error {
 	name, adapter, _ := strings.Cut(req.name, ":")
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -68,6 +68,9 @@
 	return nil
 }
 
+// weight is the organisation's share of the service: its rate.
+func (c *call) weight() float64 { return float64(c.limits.RateTokensPerS) }
+
 // hasKey reports whether the request carries a key at all.
 func hasKey(r *http.Request) bool { return r.Header.Get("Authorization") != "" }
 
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
 	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
@@ -80,6 +81,18 @@
 
 func (m *modelCall) model() string { return m.call.service.Service + "/" + m.req.model.Name }
 
+// prefix identifies the beginning of the prompt in the cache of its model and
+// adapter.
+func (m *modelCall) prefix() uint64 {
+	h := xxhash.New()
+	for _, part := range []string{m.model(), m.req.adapter} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(m.req.prefix)
+	return h.Sum64()
+}
+
 func (m *modelCall) run(ctx context.Context) *Error {
 	limits := m.call.service.Deadlines
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(limits.RequestMS)*time.Millisecond)
@@ -98,9 +111,9 @@
 			return nil, outcomeError(once.Unknown)
 		}
 		return m.server.acquire(ctx, dispatch.Request{
-			Organisation: m.call.org.String(), Class: m.call.class,
+			Organisation: m.call.org.String(), Weight: m.call.weight(), Class: m.call.class,
 			Route: route.Request{
-				Model: m.model(), Adapter: m.req.adapter, Prefix: m.req.prefix, PrefixTokens: m.req.prompt,
+				Model: m.model(), Adapter: m.req.adapter, Prefix: m.prefix(), PrefixTokens: m.req.prefixTokens,
 				PromptTokens: m.req.prompt, MaxTokens: m.req.maxTokens, Deadline: deadline,
 			},
 		})
@@ -136,7 +149,7 @@
 	if !ok {
 		return once.NotSent
 	}
-	st := &stream{call: m, attempt: id, address: address, body: body}
+	st := &stream{call: m, slot: slot, attempt: id, address: address, body: body}
 	outcome := st.run(ctx)
 	m.server.flow(m.call).Attempt(string(outcome))
 	m.ran = m.ran || mayHaveRun(outcome)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -135,7 +135,7 @@
 		Reads: n.leader.Leads, Reader: n.leader.Holder, Now: n.now, Log: n.log, Seed: rand.Int64(),
 	})
 	n.dispatch = dispatch.New(dispatch.Options{
-		Route: route.Options{Distance: n.distance}, Now: n.now, Seed: rand.Uint64(),
+		Route: route.Options{Distance: n.distance, AdapterLoad: adapterLoad}, Now: n.now, Seed: rand.Uint64(),
 	})
 	n.table = newTableFeed(n.dispatch, n.log)
 	n.inventory = inventory.NewDuty(inventory.Options{
@@ -160,6 +160,9 @@
 	})
 }
 
+// adapterLoad is about how long an upstream takes to load an adapter.
+const adapterLoad = 6 * time.Millisecond
+
 // zoneDistance is the round trip to another zone.
 const zoneDistance = 1500 * time.Microsecond
 
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -139,7 +139,7 @@
 	defer func() { p.settleClaim(claim, req, answer) }()
 	acquire := func() (*dispatch.Slot, *Error) {
 		return p.server.acquire(ctx, dispatch.Request{
-			Organisation: p.call.org.String(), Class: p.call.class,
+			Organisation: p.call.org.String(), Weight: p.call.weight(), Class: p.call.class,
 			Route: route.Request{Model: plainModel(p.call.service.Service), Deadline: deadline},
 		})
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/metrics"
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
@@ -64,6 +65,7 @@
 // stream reads one attempt's answer, over more than one connection if need be.
 type stream struct {
 	call    *modelCall
+	slot    *dispatch.Slot
 	attempt string
 	address string
 	body    []byte
@@ -195,6 +197,7 @@
 	now := st.call.server.opts.Now()
 	flow := st.call.server.flow(st.call.call)
 	if st.next == 1 {
+		st.slot.FirstToken()
 		flow.FirstToken(now - st.call.call.received)
 	} else {
 		flow.Gap(now - st.last)
--- a/internal/evaluate/engine.go
+++ b/internal/evaluate/engine.go
@@ -34,7 +34,9 @@
 	zone     int
 	dead     bool
 	stepping bool
-	homes    []int // models ready
+	diedAt   time.Duration
+	homes    []*home
+	coming   map[int]int // requests on their way, by model
 	waiting  []*job
 	running  []*job
 	prefixes []cacheEvent // least recently used first
@@ -46,7 +48,6 @@
 func (e *engine) submit(j *job) {
 	j.prefilled, j.tokens = 0, 0
 	e.waiting = append(e.waiting, j)
-	e.w.fleet.Used[e.id][j.model] = e.w.now
 	if !e.stepping {
 		e.stepping = true
 		e.step()
@@ -139,11 +140,11 @@
 
 // kill fails all requests of the engine.
 func (e *engine) kill() {
-	e.dead = true
+	e.dead, e.diedAt = true, e.w.now
 	lost := append(e.running, e.waiting...)
 	e.running, e.waiting = nil, nil
 	for _, j := range lost {
-		e.w.failed(j, j.tokens == 0, false)
+		e.w.instances[j.instance].failed(j, failure{mayRetry: j.tokens == 0})
 	}
 }
 
--- a/internal/evaluate/evaluate.go
+++ b/internal/evaluate/evaluate.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/fair"
 	"github.com/eelgrassbay/eelgrassbay/internal/route"
 )
@@ -17,58 +18,46 @@
 // second.
 const describedRate = 6000
 
-// refusalMargin is the percentage by which the expected time to the first token
-// may exceed the time left.
-const refusalMargin = 50
-
-// An organisation at overPercent of its share is refused requests whose first
-// token is expected to take busyPercent of the deadline.
-const (
-	overPercent = 200
-	busyPercent = 50
-)
-
-// batchRoom is the percentage of an upstream's sequences that batch requests
-// may fill unless their least share is due.
-const batchRoom = 50
-
 // Baseline returns static placement, round robin, first come first served and
 // equal static division of the rates.
 func Baseline() Policies {
 	return Policies{
-		DescribedRate: describedRate,
-		Route:         func() route.Policy { return &route.RoundRobin{} },
-		Fair:          fair.FirstComeFirstServed,
-		Limiter:       func(w *Workload) Limiter { return newDividedLimiter(w) },
-		Planner:       func(*Workload) Planner { return staticPlanner{} },
+		Dispatch:   baselineDispatch,
+		NoDeadline: true,
+		NoBudget:   true,
+		Limiter:    newDividedLimiter,
+		Planner:    newStaticPlanner,
+	}
+}
+
+func baselineDispatch() dispatch.Options {
+	return dispatch.Options{
+		Route:     route.Options{Policy: &route.RoundRobin{}, RefusalMargin: dispatch.Off, NoEjection: true, NoPace: true},
+		Fair:      fair.Options{Policy: fair.FirstComeFirstServed},
+		BatchRoom: dispatch.Off, OverPercent: dispatch.Off, NoQueue: true,
 	}
 }
 
 // OnDemand returns the baseline with least-recently-used loading on demand.
 func OnDemand() Policies {
 	p := Baseline()
-	p.Route = func() route.Policy { return route.LeastLoaded{} }
-	p.Planner = func(*Workload) Planner { return newLRUPlanner() }
+	p.Dispatch = func() dispatch.Options {
+		opts := baselineDispatch()
+		opts.Route.Policy = route.LeastLoaded{}
+		return opts
+	}
+	p.OnDemand = true
+	p.Planner = newLRUPlanner
 	return p
 }
 
-// Ours returns the project's policies. The limiter is the oracle and the
-// planner static until the packages limit and placement take their places.
+// Ours returns the project's policies.
 func Ours() Policies {
 	return Policies{
-		Route:         func() route.Policy { return route.ExpectedFirstToken{} },
-		DescribedRate: describedRate,
-		Queue:         true,
-		Fair:          fair.TokenCounters,
-		Priorities:    true,
-		Pace:          true,
-		RefusalMargin: refusalMargin,
-		OverPercent:   overPercent,
-		BusyPercent:   busyPercent,
-		BatchRoom:     batchRoom,
-		Ejection:      true,
-		Limiter:       func(w *Workload) Limiter { return newExactLimiter(w) },
-		Planner:       func(*Workload) Planner { return staticPlanner{} },
+		Dispatch:   func() dispatch.Options { return dispatch.Options{} },
+		Priorities: true,
+		Limiter:    newEscrowLimiter,
+		Planner:    newDemandPlanner,
 	}
 }
 
@@ -89,44 +78,73 @@
 	return results
 }
 
-// Ablate prints the attainment of the project's policies with one of them put
-// back to its baseline at a time: workload, policy, without, with and ratio.
+// variant is the project's policies with one of them put back to its baseline.
+type variant struct {
+	name   string
+	change func(*Policies)
+}
+
+func changeDispatch(change func(*dispatch.Options)) func(*Policies) {
+	return func(p *Policies) {
+		p.Dispatch = func() dispatch.Options {
+			var opts dispatch.Options
+			change(&opts)
+			return opts
+		}
+	}
+}
+
+func variants() []variant {
+	return []variant{
+		{"routing", changeDispatch(func(o *dispatch.Options) { o.Route.Policy = &route.RoundRobin{} })},
+		{"queue", changeDispatch(func(o *dispatch.Options) { o.NoQueue = true })},
+		{"counters", changeDispatch(func(o *dispatch.Options) { o.Fair.Policy = fair.LiveFirst })},
+		{"batch_room", changeDispatch(func(o *dispatch.Options) { o.BatchRoom = dispatch.Off })},
+		{"pace", changeDispatch(func(o *dispatch.Options) { o.Route.NoPace = true })},
+		{"refusal_margin", changeDispatch(func(o *dispatch.Options) { o.Route.RefusalMargin = dispatch.Off })},
+		{"shares", changeDispatch(func(o *dispatch.Options) { o.OverPercent = dispatch.Off })},
+		{"deadline", func(p *Policies) { p.NoDeadline = true }},
+		{"priorities", func(p *Policies) { p.Priorities = false }},
+		{"limiter", func(p *Policies) { p.Limiter = newDividedLimiter }},
+		{"placement", func(p *Policies) { p.Planner = newStaticPlanner }},
+	}
+}
+
+// Ablate prints the figures of the project's policies with one of them put
+// back to its baseline at a time: workload, measure, without, with and ratio.
 func Ablate(out io.Writer, w *Workload, seed uint64) {
-	names := []string{"routing", "queue", "counters", "priorities", "limiter", "batch_room", "pace", "refusal_margin", "shares"}
 	runs := []Policies{Ours()}
-	for range names {
-		runs = append(runs, Ours())
+	for _, v := range variants() {
+		p := Ours()
+		v.change(&p)
+		runs = append(runs, p)
 	}
-	runs[1].Route = Baseline().Route
-	runs[2].Queue = false
-	runs[3].Fair = fair.LiveFirst
-	runs[4].Priorities = false
-	runs[5].Limiter = Baseline().Limiter
-	runs[6].BatchRoom = Baseline().BatchRoom
-	runs[7].Pace = false
-	runs[8].RefusalMargin = 0
-	runs[9].OverPercent = 0
-	unlimited := Ours()
-	unlimited.Limiter = func(*Workload) Limiter { return openLimiter{} }
-	unlimitedBlind := unlimited
-	unlimitedBlind.Fair = fair.LiveFirst
-	unlimitedOpen := unlimited
-	unlimitedOpen.OverPercent = 0
-	runs = append(runs, unlimitedBlind, unlimitedOpen, unlimited)
 	m := runAll(w, seed, runs...)
-	open := m[len(m)-1].WorstOther
-	for i, name := range []string{"counters", "shares"} {
-		without := m[len(m)-3+i].WorstOther
-		fmt.Fprintf(out, "%s worst_other_unlimited_without_%s %.4g %.4g %.3f\n", w.Name, name, without, open, open/without)
-	}
-	for i, name := range names {
+	for i, v := range variants() {
 		without, with := m[i+1], m[0]
-		fmt.Fprintf(out, "%s attainment_without_%s %.4g %.4g %.3f\n", w.Name, name,
+		fmt.Fprintf(out, "%s attainment_without_%s %.4g %.4g %.3f\n", w.Name, v.name,
 			without.Attainment, with.Attainment, with.Attainment/without.Attainment)
-		fmt.Fprintf(out, "%s refused_without_%s %.4g %.4g\n", w.Name, name, without.Refused, with.Refused)
-		fmt.Fprintf(out, "%s worst_over_best_without_%s %.4g %.4g %.3f\n", w.Name, name,
+		fmt.Fprintf(out, "%s refused_without_%s %.4g %.4g\n", w.Name, v.name, without.Refused, with.Refused)
+		fmt.Fprintf(out, "%s worst_over_best_without_%s %.4g %.4g %.3f\n", w.Name, v.name,
 			without.Worst/without.Best, with.Worst/with.Best, with.Worst/with.Best/(without.Worst/without.Best))
 	}
+	ablateOpen(out, w, seed)
+}
+
+// ablateOpen shows what protects the other organisations once the limits have
+// failed.
+func ablateOpen(out io.Writer, w *Workload, seed uint64) {
+	blind, unshared, open := Ours(), Ours(), Ours()
+	changeDispatch(func(o *dispatch.Options) { o.Fair.Policy = fair.LiveFirst })(&blind)
+	changeDispatch(func(o *dispatch.Options) { o.OverPercent = dispatch.Off })(&unshared)
+	for _, p := range []*Policies{&blind, &unshared, &open} {
+		p.Limiter = newOpenLimiter
+	}
+	m := runAll(w, seed, blind, unshared, open)
+	for i, name := range []string{"counters", "shares"} {
+		without, with := m[i].WorstOther, m[2].WorstOther
+		fmt.Fprintf(out, "%s worst_other_unlimited_without_%s %.4g %.4g %.3f\n", w.Name, name, without, with, with/without)
+	}
 }
 
 // Print measures a workload under all policies and prints one line per
@@ -158,7 +176,8 @@
 	line("flood_tokens_admitted_over_exact", base.FloodShare, ours.FloodShare)
 	line("limited_within_rate", base.Limited, ours.Limited)
 	line("refused_for_overload", base.Refused, ours.Refused)
-	line("tokens_beyond_rate_and_burst", float64(base.Beyond), float64(ours.Beyond))
+	line("refused_within_rate", base.Limited+base.Refused, ours.Limited+ours.Refused)
+	line("tokens_beyond_rate_and_burst", base.Beyond, ours.Beyond)
 	line("attempts_after_kill", baseKilled.Attempts, oursKilled.Attempts)
 	line("attainment_after_kill", baseKilled.Attainment, oursKilled.Attainment)
 	line("home_load_max_over_mean", base.Skew, ours.Skew)
--- a/internal/evaluate/workload.go
+++ b/internal/evaluate/workload.go
@@ -14,7 +14,9 @@
 
 	"github.com/tailscale/hujson"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/fair"
+	"github.com/eelgrassbay/eelgrassbay/internal/limit"
 )
 
 // Organisation is a caller's organisation and its share of the requests.
@@ -110,14 +112,16 @@
 	within     bool // within the organisation's rate and burst
 
 	attempts          int
-	server            int
-	sent, expected    time.Duration
+	grant             *dispatch.Grant
+	receipt           limit.Receipt
 	prefilled, tokens int
 	first, last       time.Duration
 	end               outcome
-	queued            fair.Request
 }
 
+// tokensCharged is what the request costs its organisation.
+func (j *job) tokensCharged() int { return j.prompt + j.output }
+
 type outcome uint8
 
 const (
@@ -131,7 +135,7 @@
 // trace draws the requests of a workload, in order of arrival.
 func (w *Workload) trace(seed uint64) []job {
 	random := rand.New(rand.NewPCG(seed, 1))
-	oracle := newExactLimiter(w)
+	oracle := newOracle(w)
 	var jobs []job
 	flooder, extra := -1, 0.0
 	for i, o := range w.Organisations {
@@ -170,9 +174,9 @@
 			shares += orgs[i]
 		}
 		t += random.ExpFloat64() / (w.RequestsPerS * shares * total / plain)
-		j := job{id: uint64(len(jobs) + 1), at: seconds(t), org: draw(random, orgs), model: draw(random, weights), server: -1}
+		j := job{id: uint64(len(jobs) + 1), at: seconds(t), org: draw(random, orgs), model: draw(random, weights)}
 		w.fill(&j, random)
-		j.within = oracle.Admit(j.at, 0, j.org, j.prompt+j.output)
+		j.within = oracle.take(j.at, j.org, j.tokensCharged())
 		jobs = append(jobs, j)
 	}
 	return jobs
--- a/internal/once/budget.go
+++ b/internal/once/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 )
 
@@ -45,10 +46,11 @@
 
 // Budget bounds the retries of an instance towards one service by a share of
 // its first attempts. Over n first attempts in a time t it allows at most
-// Share*n + Reserve + t/ReserveRefill retries. It is not safe for concurrent
-// use.
+// Share*n + Reserve + t/ReserveRefill retries. Requests of many goroutines
+// share it.
 type Budget struct {
 	opts    BudgetOptions
+	mu      sync.Mutex // guards the fields below
 	rng     *rand.Rand
 	balance float64
 	filled  time.Duration
@@ -62,11 +64,15 @@
 
 // First notes a first attempt.
 func (b *Budget) First() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.balance = min(b.balance+b.opts.Share, b.opts.Cap)
 }
 
 // Retry takes one retry from the budget and reports whether there was one.
 func (b *Budget) Retry(now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.refill(now)
 	if b.balance < 1 {
 		return false
@@ -90,6 +96,8 @@
 // Backoff returns the wait before retry number n (from 1): uniform between
 // zero and a bound that doubles with n ("full jitter").
 func (b *Budget) Backoff(n int) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	return backoff(b.rng, b.opts.BackoffBase, b.opts.BackoffMax, n)
 }
 
--- a/internal/once/request_test.go
+++ b/internal/once/request_test.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,6 +97,28 @@
 	}
 }
 
+// TestBudgetIsShared: handlers take from one budget at a time, and together no
+// more than it holds. The race detector watches.
+func TestBudgetIsShared(t *testing.T) {
+	b := NewBudget(0, BudgetOptions{}, newRand())
+	var granted atomic.Int64
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 1000 {
+				b.First()
+				b.Backoff(1)
+				if b.Retry(0) {
+					granted.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	must.LessEq(t, int64(DefaultReserve+8000*DefaultRetryShare), granted.Load())
+	must.Positive(t, granted.Load())
+}
+
 func TestBackoffIsJitteredAndCapped(t *testing.T) {
 	b := NewBudget(0, BudgetOptions{}, newRand())
 	for n := 1; n < 100; n++ {
--- a/internal/route/score_prefill.go
+++ b/internal/route/score_prefill.go
@@ -16,6 +16,18 @@
 	return c.up.prefillTime(r.PromptTokens - c.hit)
 }
 
+// PromptTime is how long the fastest home of a model takes to compute so many
+// prompt tokens, 0 without a home.
+func (t *Table) PromptTime(model string, tokens int) time.Duration {
+	var least time.Duration
+	for i, c := range t.models[model] {
+		if took := c.up.prefillTime(tokens); i == 0 || took < least {
+			least = took
+		}
+	}
+	return least
+}
+
 func (u *upstream) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) * u.load.tokenTime)
 }
