--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
 	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
@@ -83,6 +84,18 @@
 
 func (m *modelCall) model() string { return m.call.service.Service + "/" + m.req.model.Name }
 
+// prefix identifies the beginning of the prompt in the cache of its model and
+// adapter.
+func (m *modelCall) prefix() uint64 {
+	h := xxhash.New()
+	for _, part := range []string{m.model(), m.req.adapter} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(m.req.prefix)
+	return h.Sum64()
+}
+
 func (m *modelCall) run(ctx context.Context) *Error {
 	limits := m.call.service.Deadlines
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(limits.RequestMS)*time.Millisecond)
@@ -99,16 +112,18 @@
 	m.deadline = deadline
 	req := once.NewRequest(once.RequestOptions{Idempotent: true, Deadline: deadline}, m.server.opts.Budget)
 	acquire := func() (*dispatch.Slot, *Error) {
+		if !m.sink.restart() {
+			return nil, outcomeError(once.Unknown)
+		}
 		return m.server.acquire(ctx, dispatch.Request{
-			Organisation: m.call.org.String(), Class: m.call.class,
+			Organisation: m.call.org.String(), Weight: m.call.weight(), Class: m.call.class,
 			Route: route.Request{
-				Model: m.model(), Adapter: m.req.adapter, Prefix: m.req.prefix, PrefixTokens: m.req.prompt,
+				Model: m.model(), Adapter: m.req.adapter, Prefix: m.prefix(), PrefixTokens: m.req.prefixTokens,
 				PromptTokens: m.req.prompt, MaxTokens: m.req.maxTokens, Deadline: deadline,
 			},
 		})
 	}
 	err := m.server.attempts(ctx, req, acquire, func(id string, slot *dispatch.Slot) once.Outcome {
-		m.sink.restart()
 		outcome := m.attempt(ctx, id, slot, body)
 		release(slot, outcome, m.sink.tokens())
 		if m.sink.started() && outcome != once.Answered {
@@ -150,7 +165,7 @@
 	}
 	m.call.attempted = true
 	m.server.recordAttempt(m.call, id, slot.Upstream)
-	outcome := m.newStream(id, address, body).run(ctx)
+	outcome := m.newStream(slot, id, address, body).run(ctx)
 	m.server.flow(m.call).Attempt(string(outcome))
 	m.ran = m.ran || mayHaveRun(outcome)
 	return outcome
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -9,9 +9,6 @@
 
 // sink takes the events of a checked stream and answers the caller.
 type sink interface {
-	// restart begins the answer anew, for another attempt. It must not be
-	// called once any of the answer has reached the caller.
-	restart()
 	// event takes one event; an error means that the caller has left.
 	event(data []byte, c *chunk) error
 	// finish ends a whole answer.
@@ -21,6 +18,9 @@
 	abort(err *Error, requestID string)
 	// pass answers with an upstream's own error.
 	pass(status int, header http.Header, body []byte)
+	// restart forgets what an earlier attempt gave. It returns false if some of
+	// that has reached the caller, so that no other attempt may follow it.
+	restart() bool
 	// started reports whether any of the answer has reached the caller.
 	started() bool
 	// tokens returns the number of tokens taken.
@@ -52,7 +52,7 @@
 	_, _ = s.w.Write(body)
 }
 
-func (s *sinkBase) restart() { s.count = 0 }
+func (s *sinkBase) restart() bool { return !s.wrote }
 
 // streamSink passes events on as they come.
 type streamSink struct {
@@ -105,11 +105,6 @@
 	stop json.RawMessage // finish_reason
 }
 
-func (s *wholeSink) restart() {
-	s.sinkBase.restart()
-	s.text, s.last, s.stop = nil, nil, nil
-}
-
 func (s *wholeSink) event(data []byte, c *chunk) error {
 	if c.hasToken() {
 		s.count++
@@ -129,6 +124,11 @@
 	return nil
 }
 
+func (s *wholeSink) restart() bool {
+	*s = wholeSink{sinkBase: sinkBase{w: s.w, wrote: s.wrote, passed: s.passed}, chat: s.chat}
+	return !s.wrote
+}
+
 // wholeChoice is the one choice of a whole answer.
 type wholeChoice struct {
 	Index        int             `json:"index"`
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/answer"
+	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/metrics"
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
@@ -63,6 +64,7 @@
 // check decides what is delivered and when the answer is whole.
 type stream struct {
 	call    *modelCall
+	slot    *dispatch.Slot
 	attempt string
 	address string
 	body    []byte
@@ -71,12 +73,12 @@
 	last    time.Duration // when the last token was passed on
 }
 
-func (m *modelCall) newStream(attempt, address string, body []byte) *stream {
+func (m *modelCall) newStream(slot *dispatch.Slot, attempt, address string, body []byte) *stream {
 	progress := time.Duration(m.call.service.Deadlines.ProgressMS) * time.Millisecond
 	check := answer.NewStream(m.server.opts.Now(), answer.Options{
 		Attempt: attempt, Resumable: true, FirstProgress: progress, Progress: progress,
 	})
-	return &stream{call: m, attempt: attempt, address: address, body: body, check: check, verdict: answer.Continue}
+	return &stream{call: m, slot: slot, attempt: attempt, address: address, body: body, check: check, verdict: answer.Continue}
 }
 
 // run reads until the answer is whole or cannot be got. A connection that
@@ -258,6 +260,7 @@
 	now := st.call.server.opts.Now()
 	flow := st.call.server.flow(st.call.call)
 	if st.check.Delivered() == 1 {
+		st.slot.FirstToken()
 		flow.FirstToken(now - st.call.call.received)
 	} else {
 		flow.Gap(now - st.last)
