inventory: read documents once, pull by parts

The loop that reads reports listed the upstreams of all documents at every period, four times a second in a zone of 8 engines: with 2,000 upstreams known an idle instance took 1.83% of a core, with none beyond its own 0.8% (runs of the real processes, shared machine). It now lists them when documents change.

A pull sent all reports unless both sides knew the same residency. With models moving somewhere in the fleet all the time two instances seldom do, and 2,200 reports of 141 B every 10 s are 31 KB/s each way. Reports are now compared in 128 parts. With the comparison switched off TestPullMendsWhatDiffers finds states that still differ after a pull.

--- a/internal/inventory/duty.go
+++ b/internal/inventory/duty.go
@@ -70,6 +70,10 @@
 	// relayed says when this instance last relayed an upstream's report in
 	// its zone; the loop alone uses it.
 	relayed map[string]time.Duration
+	// What the documents of edition describe; the loop alone uses it.
+	edition uint64
+	engines []Target // of this zone
+	names   map[string]bool
 }
 
 // NewDuty returns a duty without reports.
@@ -96,9 +100,9 @@
 	lastPull := -pullPeriod
 	for ctx.Err() == nil {
 		known := d.opts.Replica.Snapshot()
-		targets := Targets(known)
-		d.retain(targets)
-		mine, period := d.due(known, targets)
+		d.describe(known)
+		d.retain()
+		mine, period := d.due(known)
 		d.readAll(ctx, known, mine)
 		if now := d.opts.Now(); now-lastPull >= pullPeriod {
 			lastPull = now
@@ -127,37 +131,42 @@
 	return targets
 }
 
-func (d *Duty) retain(targets []Target) {
-	names := make(map[string]bool, len(targets))
-	for _, t := range targets {
-		names[t.Name] = true
+// describe takes over the documents in force if they have changed.
+func (d *Duty) describe(known *replica.Snapshot) {
+	if known.Edition == d.edition {
+		return
 	}
+	d.edition, d.engines, d.names = known.Edition, nil, map[string]bool{}
+	for _, t := range Targets(known) {
+		d.names[t.Name] = true
+		if t.Upstream.Kind == config.UpstreamEngine && t.Upstream.Zone == d.opts.Self.Zone {
+			d.engines = append(d.engines, t)
+		}
+	}
+}
+
+func (d *Duty) retain() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.state.Retain(names)
-	maps.DeleteFunc(d.relayed, func(name string, _ time.Duration) bool { return !names[name] })
+	d.state.Retain(d.names)
+	maps.DeleteFunc(d.relayed, func(name string, _ time.Duration) bool { return !d.names[name] })
 }
 
 // due returns the engines of this zone that this instance reads now, and the
 // time until the next read.
-func (d *Duty) due(known *replica.Snapshot, targets []Target) ([]Target, time.Duration) {
+func (d *Duty) due(known *replica.Snapshot) ([]Target, time.Duration) {
 	members := append(known.ZonePeers(d.opts.Self.Zone), d.opts.Self)
 	var mine []Target
-	engines := 0
 	now := d.opts.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, t := range targets {
-		if t.Upstream.Kind != config.UpstreamEngine || t.Upstream.Zone != d.opts.Self.Zone {
-			continue
-		}
-		engines++
+	for _, t := range d.engines {
 		e, ok := d.state.Entry(t.Name)
 		if Reader(t.Name, members) == d.opts.Self.Name || !ok || now-e.ReadAt > staleAge {
 			mine = append(mine, t)
 		}
 	}
-	return mine, basePeriod * time.Duration(1+engines/upstreamsPerPeriod)
+	return mine, basePeriod * time.Duration(1+len(d.engines)/upstreamsPerPeriod)
 }
 
 // readAll reads reports at once and relays what is new.
@@ -303,11 +312,11 @@
 	}
 	p := peers[rand.Intn(len(peers))]
 	d.mu.Lock()
-	hash := d.state.Hash()
+	buckets := d.state.Buckets()
 	d.mu.Unlock()
 	var reply *peerpb.Reports
 	err := d.opts.Peers.Call(ctx, p.PeerAddress, func(ctx context.Context, conn drpc.Conn) (err error) {
-		reply, err = peerpb.NewDRPCInventoryClient(conn).Pull(ctx, &peerpb.PullRequest{Hash: hash})
+		reply, err = peerpb.NewDRPCInventoryClient(conn).Pull(ctx, &peerpb.PullRequest{Buckets: buckets[:]})
 		return err
 	})
 	if err != nil {
@@ -352,11 +361,7 @@
 // Pull implements peerpb.DRPCInventoryServer.
 func (d *Duty) Pull(_ context.Context, req *peerpb.PullRequest) (*peerpb.Reports, error) {
 	d.mu.Lock()
-	same := d.state.Hash() == req.Hash
-	entries := d.state.Entries()
+	entries := d.state.Differing(req.Buckets)
 	d.mu.Unlock()
-	if same {
-		return &peerpb.Reports{Zone: d.opts.Self.Zone}, nil
-	}
 	return d.message(batch{residency: entries}), nil
 }
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -98,13 +98,33 @@
 	return all
 }
 
-// Hash is equal in two states that know the same residency.
-func (s *State) Hash() uint64 {
-	var sum uint64
-	for _, e := range s.entries {
-		sum ^= e.digest()
+// buckets is the number of parts by which two states are compared.
+const buckets = 128
+
+func bucketOf(upstream string) uint64 { return xxhash.Sum64String(upstream) % buckets }
+
+// Buckets returns a hash of each part of the upstreams, equal in two states
+// that know the same residency of that part.
+func (s *State) Buckets() [buckets]uint64 {
+	var sums [buckets]uint64
+	for name, e := range s.entries {
+		sums[bucketOf(name)] ^= e.digest()
+	}
+	return sums
+}
+
+// Differing returns the reports, by name, of the parts whose hashes differ from
+// those of another state. Hashes that are missing differ.
+func (s *State) Differing(other []uint64) []Entry {
+	own := s.Buckets()
+	var entries []Entry
+	for _, e := range s.Entries() {
+		b := bucketOf(e.Upstream)
+		if b >= uint64(len(other)) || other[b] != own[b] {
+			entries = append(entries, e)
+		}
 	}
-	return sum
+	return entries
 }
 
 // digest is equal in two entries of one upstream with the same residency.
--- a/internal/inventory/state_test.go
+++ b/internal/inventory/state_test.go
@@ -85,7 +85,37 @@
 		}
 		last, _ := reader.Entry("s/u")
 		peer.Observe(fromWire(time.Hour, toWire(time.Hour, last)))
-		must.Eq(t, reader.Hash(), peer.Hash())
+		must.Eq(t, reader.Buckets(), peer.Buckets())
+	})
+}
+
+// TestPullMendsWhatDiffers: whatever two states know, a pull by the one that
+// knows less brings every upstream that it lacks or knows older, and none that
+// is in a part without a difference.
+func TestPullMendsWhatDiffers(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		from, to := NewState(), NewState()
+		lacking := map[uint64]bool{}
+		for i := range rapid.IntRange(0, 300).Draw(t, "upstreams") {
+			e := entry(time.Second, "a", 5)
+			e.Upstream = fmt.Sprint("s/u", i)
+			from.Observe(e)
+			switch rapid.IntRange(0, 9).Draw(t, "peer") {
+			case 0:
+				lacking[bucketOf(e.Upstream)] = true
+				continue
+			case 1:
+				lacking[bucketOf(e.Upstream)] = true
+				e.Report.Seq = 4
+			}
+			to.Observe(e)
+		}
+		before := to.Buckets()
+		for _, e := range from.Differing(before[:]) {
+			must.True(t, lacking[bucketOf(e.Upstream)], must.Sprint(e.Upstream))
+			to.Observe(fromWire(2*time.Second, toWire(2*time.Second, e)))
+		}
+		must.Eq(t, from.Buckets(), to.Buckets())
 	})
 }
 
--- a/internal/replica/duty.go
+++ b/internal/replica/duty.go
@@ -70,6 +70,7 @@
 	Peers     []platform.Instance // entry instances other than this one, not leaving
 	Leaving   map[string]bool     // addresses of upstreams that are leaving
 	Instances []platform.Instance // the platform's list as last read
+	Edition   uint64              // grows when documents change
 	Ready     bool                // documents have been read from some source
 	Complete  uint64              // all documents up to this revision are known
 }
@@ -212,6 +213,7 @@
 
 func (d *Duty) publishDocuments(next *Snapshot) {
 	docs := d.state.set.Services()
+	next.Edition++
 	next.Services = make(map[string]*config.Service, len(docs))
 	for _, doc := range docs {
 		next.Services[doc.Service] = doc
