--- /dev/null
+++ b/internal/limit/bench_test.go
@@ -0,0 +1,69 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+)
+
+type alwaysHeld struct{}
+
+func (alwaysHeld) Held(time.Duration) (uint64, bool) { return 1, true }
+
+// BenchmarkZoneRequest serves the requests for shares of a zone's instances,
+// over an object API that answers at once.
+func BenchmarkZoneRequest(b *testing.B) {
+	for _, n := range []struct{ instances, orgs int }{{3, 5}, {9, 50}, {21, 200}} {
+		b.Run(fmt.Sprintf("instances=%d/orgs=%d", n.instances, n.orgs), func(b *testing.B) { benchmarkZone(b, n.instances, n.orgs) })
+	}
+}
+
+func benchmarkZone(b *testing.B, instances, orgs int) {
+	limits := Limits{Version: 1, Orgs: map[string]Limit{}}
+	for i := range orgs {
+		limits.Orgs[fmt.Sprintf("service-%d/organisation-%d", i%40, i)] = Limit{Rate: 10_000, Burst: 60_000}
+	}
+	z := NewZone(Options{}, "z", alwaysHeld{})
+	stored := map[string]platform.Object{}
+	version, writes := uint64(0), 0
+	var step func(now time.Duration, m Message)
+	step = func(now time.Duration, m Message) {
+		for _, a := range z.Step(now, m) {
+			switch a := a.(type) {
+			case Get:
+				obj := stored[a.Name]
+				obj.Kind, obj.Name = platform.KindShare, a.Name
+				step(now, Read{Object: obj})
+			case Put:
+				version++
+				writes++
+				obj := platform.Object{Kind: platform.KindShare, Name: a.Name, Version: version, Value: a.Value}
+				stored[a.Name] = obj
+				step(now, Written{Object: obj})
+			}
+		}
+	}
+	now := time.Second
+	step(now, limits)
+	members := make([]*Instance, instances)
+	for i := range members {
+		members[i] = NewInstance(Options{}, fmt.Sprint("i", i), fmt.Sprint("run", i))
+		members[i].Step(now, limits)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := 0; b.Loop(); i++ {
+		now += time.Second / time.Duration(instances)
+		for _, a := range members[i%instances].Step(now, Tick{}) {
+			if r, ok := a.(SendRequest); ok {
+				step(now, r.Request)
+			}
+		}
+	}
+	if z.Err() != nil {
+		b.Fatal(z.Err())
+	}
+	b.ReportMetric(float64(writes)/now.Seconds(), "writes/s")
+}
