--- a/internal/inventory/duty.go
+++ b/internal/inventory/duty.go
@@ -34,6 +34,9 @@
 	// staleAge is the age of a report from which an instance reads it itself,
 	// whoever should have.
 	staleAge = 3 * time.Second
+	// confirmEvery is the time after which a report without news is relayed,
+	// as a digest, so that no other instance takes it for stale.
+	confirmEvery = time.Second
 )
 
 // retiredKept is how long an engine that no document names any more is still
@@ -70,14 +73,22 @@
 	opts    Options
 	mu      sync.Mutex
 	state   *State
-	targets map[string]Target        // at the last Sync
+	edition uint64                   // of the documents at the last Sync
+	list    []Target                 // its result
+	targets map[string]Target        // the same by name
 	retired map[string]time.Duration // since when, for those that are
 	swept   atomic.Bool
+	// relayed says when this instance last relayed an upstream's report in
+	// its zone; the loop alone uses it.
+	relayed map[string]time.Duration
 }
 
 // NewDuty returns a duty without reports.
 func NewDuty(opts Options) *Duty {
-	return &Duty{opts: opts, state: NewState(), targets: map[string]Target{}, retired: map[string]time.Duration{}}
+	return &Duty{
+		opts: opts, state: NewState(), targets: map[string]Target{},
+		retired: map[string]time.Duration{}, relayed: map[string]time.Duration{},
+	}
 }
 
 // Sync returns the upstreams of the documents in force and, for a while, the
@@ -86,7 +97,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Now()
-	targets := Targets(d.opts.Replica.Snapshot())
+	known := d.opts.Replica.Snapshot()
+	if known.Edition == d.edition && len(d.retired) == 0 {
+		return d.list
+	}
+	targets := Targets(known)
 	next := make(map[string]Target, len(targets))
 	for _, t := range targets {
 		next[t.Name] = t
@@ -101,12 +116,14 @@
 			t.Retired = true
 			d.retired[name] = now
 		}
-		if now-d.retired[name] <= retiredKept {
-			next[name] = t
-			targets = append(targets, t)
+		if now-d.retired[name] > retiredKept {
+			delete(d.retired, name)
+			continue
 		}
+		next[name] = t
+		targets = append(targets, t)
 	}
-	d.targets = next
+	d.targets, d.list, d.edition = next, targets, known.Edition
 	d.retain(next)
 	return targets
 }
@@ -143,6 +160,7 @@
 	for ctx.Err() == nil {
 		known := d.opts.Replica.Snapshot()
 		targets := d.Sync()
+		d.forgetRelayed(targets)
 		mine, period := d.due(known, targets)
 		d.readAll(ctx, known, mine)
 		if known.Ready && len(known.Services) > 0 {
@@ -187,6 +205,13 @@
 	d.state.Retain(names)
 }
 
+// forgetRelayed drops upstreams that are no targets any more.
+func (d *Duty) forgetRelayed(targets []Target) {
+	maps.DeleteFunc(d.relayed, func(name string, _ time.Duration) bool {
+		return !slices.ContainsFunc(targets, func(t Target) bool { return t.Name == name })
+	})
+}
+
 // due returns the engines of this zone that this instance reads now, and the
 // time until the next read.
 func (d *Duty) due(known *replica.Snapshot, targets []Target) ([]Target, time.Duration) {
@@ -213,7 +238,7 @@
 func (d *Duty) readAll(ctx context.Context, known *replica.Snapshot, targets []Target) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	var load, residency []Entry
+	var b batch
 	for _, t := range targets {
 		wg.Go(func() {
 			e, ok := d.read(ctx, t)
@@ -223,19 +248,38 @@
 			news := d.observe(e)
 			mu.Lock()
 			defer mu.Unlock()
-			if news.Load {
-				load = append(load, e)
-			}
-			if news.Residency {
-				residency = append(residency, e)
-			}
+			b.add(e, news, e.ReadAt-d.relayed[t.Name] >= confirmEvery)
 		})
 	}
 	wg.Wait()
-	d.relay(ctx, known.ZonePeers(d.opts.Self.Zone), load)
-	d.relay(ctx, onePerZone(known, d.opts.Self.Zone), residency)
+	for _, e := range b.all() {
+		d.relayed[e.Upstream] = e.ReadAt
+	}
+	d.relay(ctx, known.ZonePeers(d.opts.Self.Zone), b)
+	d.relay(ctx, onePerZone(known, d.opts.Self.Zone), batch{residency: b.residency})
+}
+
+// batch holds reports to relay, by how much of them is new to the peers.
+type batch struct {
+	residency []Entry
+	load      []Entry
+	unchanged []Entry
 }
 
+// add sorts an entry in; one without news is relayed only if confirm is set.
+func (b *batch) add(e Entry, news News, confirm bool) {
+	switch {
+	case news.Residency:
+		b.residency = append(b.residency, e)
+	case news.Load:
+		b.load = append(b.load, e)
+	case confirm:
+		b.unchanged = append(b.unchanged, e)
+	}
+}
+
+func (b *batch) all() []Entry { return slices.Concat(b.residency, b.load, b.unchanged) }
+
 func (d *Duty) read(ctx context.Context, t Target) (Entry, bool) {
 	readAt := d.opts.Now()
 	report, err := d.opts.Engines.Report(ctx, t.Upstream.Address)
@@ -260,6 +304,17 @@
 	return news
 }
 
+// observeKnown observes a report of which the peer sent only what changed. It
+// is dropped if this instance knows another residency; a pull mends that.
+func (d *Duty) observeKnown(digest uint64, next func(Entry) Entry) {
+	d.mu.Lock()
+	e, ok := d.state.Known(digest)
+	d.mu.Unlock()
+	if ok {
+		d.observe(next(e))
+	}
+}
+
 // onePerZone returns one random instance of each other zone.
 func onePerZone(known *replica.Snapshot, own string) []platform.Instance {
 	byZone := map[string][]platform.Instance{}
@@ -275,11 +330,11 @@
 	return chosen
 }
 
-func (d *Duty) relay(ctx context.Context, to []platform.Instance, entries []Entry) {
-	if len(entries) == 0 || len(to) == 0 {
+func (d *Duty) relay(ctx context.Context, to []platform.Instance, b batch) {
+	if len(b.all()) == 0 || len(to) == 0 {
 		return
 	}
-	msg := d.message(entries)
+	msg := d.message(b)
 	var wg sync.WaitGroup
 	for _, p := range to {
 		wg.Go(func() {
@@ -295,12 +350,18 @@
 	wg.Wait()
 }
 
-func (d *Duty) message(entries []Entry) *peerpb.Reports {
+func (d *Duty) message(b batch) *peerpb.Reports {
 	msg := &peerpb.Reports{Zone: d.opts.Self.Zone}
 	now := d.opts.Now()
-	for _, e := range entries {
+	for _, e := range b.residency {
 		msg.Reports = append(msg.Reports, toWire(now, e))
 	}
+	for _, e := range b.load {
+		msg.Loads = append(msg.Loads, loadToWire(now, e))
+	}
+	for _, e := range b.unchanged {
+		msg.Unchanged = append(msg.Unchanged, e.digest())
+	}
 	return msg
 }
 
@@ -316,11 +377,11 @@
 	}
 	p := peers[rand.Intn(len(peers))]
 	d.mu.Lock()
-	hash := d.state.Hash()
+	buckets := d.state.Buckets()
 	d.mu.Unlock()
 	var reply *peerpb.Reports
 	err := d.opts.Peers.Call(ctx, p.PeerAddress, func(ctx context.Context, conn drpc.Conn) (err error) {
-		reply, err = peerpb.NewDRPCInventoryClient(conn).Pull(ctx, &peerpb.PullRequest{Hash: hash})
+		reply, err = peerpb.NewDRPCInventoryClient(conn).Pull(ctx, &peerpb.PullRequest{Buckets: buckets[:]})
 		return err
 	})
 	if err != nil {
@@ -346,11 +407,17 @@
 			residency = append(residency, e)
 		}
 	}
+	for _, w := range msg.Loads {
+		d.observeKnown(w.Digest, func(e Entry) Entry { return e.withLoad(now, w) })
+	}
+	for _, digest := range msg.Unchanged {
+		d.observeKnown(digest, func(e Entry) Entry { e.ReadAt = now; return e })
+	}
 	if msg.Zone != d.opts.Self.Zone && len(residency) > 0 {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), passOnTimeout)
 			defer cancel()
-			d.relay(ctx, d.opts.Replica.Snapshot().ZonePeers(d.opts.Self.Zone), residency)
+			d.relay(ctx, d.opts.Replica.Snapshot().ZonePeers(d.opts.Self.Zone), batch{residency: residency})
 		}()
 	}
 	return &peerpb.RelayReply{}, nil
@@ -359,11 +426,7 @@
 // Pull implements peerpb.DRPCInventoryServer.
 func (d *Duty) Pull(_ context.Context, req *peerpb.PullRequest) (*peerpb.Reports, error) {
 	d.mu.Lock()
-	same := d.state.Hash() == req.Hash
-	entries := d.state.Entries()
+	entries := d.state.Differing(req.Buckets)
 	d.mu.Unlock()
-	if same {
-		return &peerpb.Reports{Zone: d.opts.Self.Zone}, nil
-	}
-	return d.message(entries), nil
+	return d.message(batch{residency: entries}), nil
 }
--- a/internal/replica/duty.go
+++ b/internal/replica/duty.go
@@ -78,6 +78,7 @@
 	Leaving   map[string]bool     // addresses of upstreams that are leaving
 	Instances []platform.Instance // the platform's list as last read
 	Hash      uint64              // equal for equal versions
+	Edition   uint64              // grows when documents change
 	Ready     bool                // documents have been read from some source
 	Complete  uint64              // all documents up to this revision are known
 }
@@ -220,6 +221,7 @@
 
 func (d *Duty) publishDocuments(next *Snapshot) {
 	docs := d.state.set.Services()
+	next.Edition++
 	next.Services = make(map[string]*config.Service, len(docs))
 	for _, doc := range docs {
 		next.Services[doc.Service] = doc
