--- a/internal/ctl/key.go
+++ b/internal/ctl/key.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
 	"github.com/eelgrassbay/eelgrassbay/internal/keys"
@@ -49,6 +50,9 @@
 		return err
 	}
 	version, err := c.edit(c.Args.Service, c.Args.Organisation, func(list []config.Key) ([]config.Key, error) {
+		if hasKey(list, stored.ID) {
+			return list, nil // written by a try whose reply was lost
+		}
 		return append(list, stored), nil
 	})
 	if err != nil {
@@ -71,13 +75,13 @@
 
 // Execute implements flags.Commander.
 func (c *KeyWithdraw) Execute([]string) error {
+	seen := false
 	version, err := c.edit(c.Args.Service, c.Args.Organisation, func(list []config.Key) ([]config.Key, error) {
-		for i, k := range list {
-			if k.ID == c.Args.ID {
-				return append(list[:i:i], list[i+1:]...), nil
-			}
+		seen = seen || hasKey(list, c.Args.ID)
+		if !seen {
+			return nil, fmt.Errorf("%w: key %s of organisation %s", ErrNotFound, c.Args.ID, c.Args.Organisation)
 		}
-		return nil, fmt.Errorf("%w: key %s of organisation %s", ErrNotFound, c.Args.ID, c.Args.Organisation)
+		return slices.DeleteFunc(list, func(k config.Key) bool { return k.ID == c.Args.ID }), nil
 	})
 	if err != nil {
 		return err
@@ -85,8 +89,13 @@
 	return c.print(withdrawn{ID: c.Args.ID, Version: version}, fmt.Sprintf("key %s withdrawn by version %d", c.Args.ID, version))
 }
 
+func hasKey(list []config.Key, id string) bool {
+	return slices.ContainsFunc(list, func(k config.Key) bool { return k.ID == id })
+}
+
 // edit changes the keys of an organisation by conditional update; an edit that
-// conflicts with another one is repeated on what that left.
+// conflicts with another one is repeated on what that left. change may see the
+// effect of an earlier try, whose reply was lost before the other's edit.
 func (g *Globals) edit(service, organisation string, change func([]config.Key) ([]config.Key, error)) (uint64, error) {
 	ctx, cancel := g.context()
 	defer cancel()
--- a/internal/ctl/record.go
+++ b/internal/ctl/record.go
@@ -18,7 +18,7 @@
 
 // RecordVerify checks the chains of the service record.
 type RecordVerify struct {
-	*Globals
+	*Globals     `no-flag:"true"`
 	Service      string `long:"service" description:"with --organisation: print its entries in order"`
 	Organisation string `long:"organisation" description:"organisation whose entries are printed in order"`
 }
@@ -117,8 +117,8 @@
 
 // Explain prints what the record says of one request.
 type Explain struct {
-	*Globals
-	Args struct {
+	*Globals `no-flag:"true"`
+	Args     struct {
 		Request string `positional-arg-name:"REQUEST-ID" required:"yes"`
 	} `positional-args:"yes" required:"yes"`
 }
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -88,7 +88,14 @@
 	if _, err := rec.AddCommand("verify", "check its chains", "Checks the chains of the service record and names what was removed, changed or reordered.", &RecordVerify{Globals: g}); err != nil {
 		return err
 	}
-	_, err = key.AddCommand("withdraw", "withdraw a key", "Withdraws the key with an id.", &KeyWithdraw{Globals: g})
+	if _, err := key.AddCommand("withdraw", "withdraw a key", "Withdraws the key with an id.", &KeyWithdraw{Globals: g}); err != nil {
+		return err
+	}
+	completion, err := parser.AddCommand("completion", "print a completion script", "Prints a script that completes the commands and options of eelgrassctl in a shell.", &struct{}{})
+	if err != nil {
+		return err
+	}
+	_, err = completion.AddCommand("bash", "for bash", "Prints the script for bash; load it with: source <(eelgrassctl completion bash)", &CompletionBash{Globals: g})
 	return err
 }
 
--- a/internal/ctl/run_test.go
+++ b/internal/ctl/run_test.go
@@ -18,7 +18,7 @@
 func TestGlobalOptionsReachCommands(t *testing.T) {
 	server := httptest.NewServer(objectapi.New(objectapi.Options{}).Handler())
 	defer server.Close()
-	t.Setenv("EELGRASS_PLATFORM", "http://127.0.0.1:1")
+	t.Setenv("EELGRASS_PLATFORM", nowhere)
 	for _, args := range [][]string{
 		{"--platform", server.URL, "--output", "json", "status"},
 		{"status", "--platform", server.URL, "--output", "json"},
@@ -27,13 +27,18 @@
 		must.Eq(t, cli.ExitOK, Run(args, &out, &errOut), must.Sprint(errOut.String()))
 		must.StrContains(t, out.String(), `"services": []`)
 	}
+	for _, args := range [][]string{{"key", "issue", "lab", "harbour"}, {"get", "lab"}, {"explain", "request"}} {
+		var out, errOut strings.Builder
+		must.Eq(t, ExitNotFound, Run(append([]string{"--platform", server.URL}, args...), &out, &errOut), must.Sprint(errOut.String()))
+	}
 	var out, errOut strings.Builder
-	must.Eq(t, ExitNotFound, Run([]string{"--platform", server.URL, "key", "issue", "lab", "harbour"}, &out, &errOut), must.Sprint(errOut.String()))
+	must.Eq(t, cli.ExitOK, Run([]string{"--platform", server.URL, "record", "verify"}, &out, &errOut), must.Sprint(errOut.String()))
 }
 
 // TestKeyIsIssuedAndWithdrawn: a key that was issued is in the document until
 // it is withdrawn.
 func TestKeyIsIssuedAndWithdrawn(t *testing.T) {
+	t.Setenv("EELGRASS_PLATFORM", nowhere)
 	api := objectapi.New(objectapi.Options{})
 	server := httptest.NewServer(api.Handler())
 	defer server.Close()
