placer: know which zones are alive before the first plan

Cause: a new holder knew of no other zone until its first greeting, up to three seconds later, and took each model that it did not hold for one without a home. While a request waited for an adapter, all of the zone's controllers were stepped a hundred times a second.

Change: a term begins with a greeting, and plans after it. Only controllers whose adapters are waited for are stepped more often.

Conclusion: go test -race ./internal/placer passes; the demonstration, run on other ports, places both models from nothing and loads the adapter.

--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand"
+	"sync"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
@@ -114,18 +115,21 @@
 // drains here, and learns which zones can be reached.
 func (d *Duty) greetZones(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if _, held := d.opts.Held(); held {
-			d.greetAll(ctx)
+		select {
+		case <-ctx.Done():
+		case <-d.begun:
+		case <-time.After(greetPeriod):
 		}
-		sleep(ctx, greetPeriod)
+		d.greetAll(ctx)
 	}
 	return nil
 }
 
 func (d *Duty) greetAll(ctx context.Context) {
 	var msg *peerpb.ZoneDrains
+	var t *term
 	err := d.do(ctx, func() {
-		if d.term != nil {
+		if t = d.term; t != nil {
 			msg = &peerpb.ZoneDrains{Zone: d.opts.Self.Zone, Drains: drainsToWire(d.term.drains(d.opts.Now(), false))}
 		}
 	})
@@ -138,9 +142,12 @@
 			byZone[p.Zone] = append(byZone[p.Zone], p)
 		}
 	}
+	var wg sync.WaitGroup
 	for zone, peers := range byZone {
-		go d.greet(ctx, zone, peers[rand.Intn(len(peers))], msg)
+		wg.Go(func() { d.greet(ctx, zone, peers[rand.Intn(len(peers))], msg) })
 	}
+	wg.Wait()
+	_ = d.post(ctx, func() { t.greeted = true })
 }
 
 func (d *Duty) greet(ctx context.Context, zone string, p platform.Instance, msg *peerpb.ZoneDrains) {
--- a/internal/placer/duty.go
+++ b/internal/placer/duty.go
@@ -90,6 +90,7 @@
 	drains  *drainSet
 	inbox   chan func()
 	stopped chan struct{}
+	begun   chan struct{} // a term has begun: other zones are to be greeted
 
 	// Owned by the goroutine of own.
 	term   *term
@@ -101,6 +102,7 @@
 func New(opts Options) *Duty {
 	return &Duty{
 		opts: opts, meter: newMeter(), drains: newDrainSet(), inbox: make(chan func(), inboxSize), stopped: make(chan struct{}),
+		begun:  make(chan struct{}, 1),
 		remote: map[string]zoneDrains{}, seen: map[string]time.Duration{},
 	}
 }
@@ -153,6 +155,10 @@
 	if held && d.term == nil {
 		d.opts.Log.Info("placement term begins", "fence", fence)
 		d.term = newTerm(ctx, d, fence)
+		select {
+		case d.begun <- struct{}{}:
+		default:
+		}
 	}
 	if d.term != nil {
 		d.term.tick(d.opts.Now())
--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -185,7 +185,9 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
+	s.mu.Lock()
 	s.nodes[name] = n
+	s.mu.Unlock()
 	go func() {
 		defer close(n.done)
 		_ = n.duty.Run(ctx)
@@ -255,7 +257,9 @@
 func (s *site) Call(ctx context.Context, address string, call func(context.Context, drpc.Conn) error) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
+	s.mu.Lock()
 	n := s.nodes[address]
+	s.mu.Unlock()
 	if n == nil {
 		return errDown
 	}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -52,8 +52,13 @@
 }
 
 // plan runs one round of planning for each service. Ledgers are claimed before
-// the record of homes, and nothing is planned before both.
+// the record of homes, and nothing is planned before both, nor before it is
+// known which other zones are alive.
 func (t *term) plan(now time.Duration) {
+	if !t.greeted {
+		t.hasten()
+		return
+	}
 	for _, u := range t.upstreams {
 		if !u.retired && !u.owned() {
 			return
--- a/internal/placer/term.go
+++ b/internal/placer/term.go
@@ -24,6 +24,8 @@
 	began     time.Duration
 	planned   time.Duration // when the last round of planning was
 	nextPlan  time.Duration
+	nextFull  time.Duration
+	greeted   bool                 // other zones were asked whether they are alive
 	upstreams map[string]*upstream // by service/upstream
 	homes     *homes
 	models    map[string]*model  // by service/model
@@ -88,12 +90,29 @@
 		t.syncUpstreams(now, t.d.opts.Known())
 		t.plan(now)
 	}
-	for _, u := range t.sorted() {
-		u.step(ledger.Tick{})
-	}
+	t.stepUpstreams(now)
 	t.pumpAdapters()
 }
 
+// stepUpstreams lets time pass at all upstreams, and more often at those whose
+// adapters are waited for.
+func (t *term) stepUpstreams(now time.Duration) {
+	if now >= t.nextFull {
+		t.nextFull = now + tickPeriod
+		for _, u := range t.sorted() {
+			u.step(ledger.Tick{})
+		}
+		return
+	}
+	awaited := map[string]bool{}
+	for _, w := range t.waiters {
+		if u := t.upstreams[w.upstream]; u != nil && !awaited[w.upstream] {
+			awaited[w.upstream] = true
+			u.step(ledger.Tick{})
+		}
+	}
+}
+
 // hasten plans again at the next tick.
 func (t *term) hasten() { t.nextPlan = 0 }
 
