--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
 	"sync"
 	"testing"
@@ -146,6 +147,7 @@
 	doc     *config.Service
 	leaders map[string]string // by zone
 	fence   uint64
+	leaving map[string]bool // addresses of upstreams
 	log     io.Writer
 }
 
@@ -160,7 +162,7 @@
 func newSite(t *testing.T, doc *config.Service) *site {
 	s := &site{
 		t: t, began: time.Now(), store: platform.NewMemory(5 * time.Second), engines: map[string]*fakeEngine{},
-		nodes: map[string]*node{}, leaders: map[string]string{}, doc: doc, log: io.Discard,
+		nodes: map[string]*node{}, leaders: map[string]string{}, leaving: map[string]bool{}, doc: doc, log: io.Discard,
 	}
 	if os.Getenv("PLACER_LOG") != "" {
 		s.log = os.Stderr
@@ -222,7 +224,7 @@
 func (s *site) known(self string) *replica.Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	snap := &replica.Snapshot{Services: map[string]*config.Service{s.doc.Service: s.doc}, Leaving: map[string]bool{}}
+	snap := &replica.Snapshot{Services: map[string]*config.Service{s.doc.Service: s.doc}, Leaving: maps.Clone(s.leaving)}
 	for name, n := range s.nodes {
 		if name != self {
 			snap.Peers = append(snap.Peers, n.self)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -190,6 +190,43 @@
 	})
 }
 
+// TestNothingIsWrittenWhileNothingChanges counts the platform's calls of two
+// zones that have placed all models.
+func TestNothingIsWrittenWhileNothingChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, document(6, "north", "north", "south", "south"))
+		defer s.close()
+		s.lead(s.add("north", "n1"))
+		s.lead(s.add("south", "s1"))
+		s.add("south", "s2")
+		s.until(4*time.Minute, "homes", func() bool { return s.reachable("e0", "e1") && s.reachable("e2", "e3") })
+		time.Sleep(2 * time.Minute)
+		before := s.store.Calls()
+		time.Sleep(10 * time.Minute)
+		after := s.store.Calls()
+		must.Eq(t, before["put"], after["put"])
+		must.Eq(t, before["get"], after["get"])
+		must.LessEq(t, 2*600/5, after["watch"]-before["watch"]) // each waits 5 s
+	})
+}
+
+func TestModelsOfALeavingUpstreamAreLoadedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, document(2, "north", "north"))
+		defer s.close()
+		s.lead(s.add("north", "n1"))
+		s.until(time.Minute, "homes", func() bool { return s.reachable("e0", "e1") })
+		for _, e := range []string{"e0", "e1"} {
+			other := map[string]string{"e0": "e1", "e1": "e0"}[e]
+			s.mu.Lock()
+			s.leaving = map[string]bool{e: true}
+			s.mu.Unlock()
+			s.until(time.Minute, "homes on the one that stays", func() bool { return s.reachable(other) })
+		}
+		s.safe()
+	})
+}
+
 // TestAdaptersLoadOnDemand asks for adapters through an instance that holds no
 // lease, also of the other zone, and for more than fit.
 func TestAdaptersLoadOnDemand(t *testing.T) {
