Record an answer that was cut, then abort its connection

Cause: a cut answer aborted its connection inside the handler, so that neither the service record nor the metrics heard of how it ended.

A model open to all is found in the order of services' names, not of a map.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,9 +63,9 @@
 	if c.service != nil {
 		return req.resolve(c.service)
 	}
-	for _, service := range c.known.Services {
-		if req.resolve(service) == nil && req.model.Open {
-			return c.setOrganisation(config.OrganisationID{Service: service.Service, Organisation: config.OpenOrganisation})
+	for _, name := range slices.Sorted(maps.Keys(c.known.Services)) {
+		if req.resolve(c.known.Services[name]) == nil && req.model.Open {
+			return c.setOrganisation(config.OrganisationID{Service: name, Organisation: config.OpenOrganisation})
 		}
 	}
 	return refuse(http.StatusUnauthorized, CodeUnauthorized, "want a key as \"Authorization: Bearer KEY\"")
@@ -97,31 +99,20 @@
 }
 
 func (m *modelCall) run(ctx context.Context) *Error {
-	limits := m.call.service.Deadlines
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(limits.RequestMS)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.call.service.Deadlines.RequestMS)*time.Millisecond)
 	defer cancel()
 	defer m.countDemand()
 	body, encodeErr := m.req.upstreamBody()
 	if encodeErr != nil {
 		return refuse(http.StatusBadRequest, CodeBadRequest, "the body cannot be passed on")
 	}
-	deadline := m.call.received + time.Duration(limits.FirstTokenMS)*time.Millisecond
-	if m.call.class == fair.Batch {
-		deadline = m.call.received + time.Duration(limits.RequestMS)*time.Millisecond
-	}
-	m.deadline = deadline
-	req := once.NewRequest(once.RequestOptions{Idempotent: true, Deadline: deadline}, m.server.opts.Budget)
+	m.deadline = m.firstTokenDue()
+	req := once.NewRequest(once.RequestOptions{Idempotent: true, Deadline: m.deadline}, m.server.opts.Budget)
 	acquire := func() (*dispatch.Slot, *Error) {
 		if !m.sink.restart() {
 			return nil, outcomeError(once.Unknown)
 		}
-		return m.server.acquire(ctx, dispatch.Request{
-			Organisation: m.call.org.String(), Weight: m.call.weight(), Class: m.call.class,
-			Route: route.Request{
-				Model: m.model(), Adapter: m.req.adapter, Prefix: m.prefix(), PrefixTokens: m.req.prefixTokens,
-				PromptTokens: m.req.prompt, MaxTokens: m.req.maxTokens, Deadline: deadline,
-			},
-		})
+		return m.server.acquire(ctx, m.slotRequest())
 	}
 	err := m.server.attempts(ctx, req, acquire, func(id string, slot *dispatch.Slot) once.Outcome {
 		outcome := m.attempt(ctx, id, slot, body)
@@ -136,6 +127,27 @@
 	return m.conclude(err)
 }
 
+// firstTokenDue returns when the first token of a live request, or the answer
+// to a batch request, is due.
+func (m *modelCall) firstTokenDue() time.Duration {
+	limits := m.call.service.Deadlines
+	due := limits.FirstTokenMS
+	if m.call.class == fair.Batch {
+		due = limits.RequestMS
+	}
+	return m.call.received + time.Duration(due)*time.Millisecond
+}
+
+func (m *modelCall) slotRequest() dispatch.Request {
+	return dispatch.Request{
+		Organisation: m.call.org.String(), Weight: m.call.weight(), Class: m.call.class,
+		Route: route.Request{
+			Model: m.model(), Adapter: m.req.adapter, Prefix: m.prefix(), PrefixTokens: m.req.prefixTokens,
+			PromptTokens: m.req.prompt, MaxTokens: m.req.maxTokens, Deadline: m.deadline,
+		},
+	}
+}
+
 // conclude ends the answer. Once any of it has reached the caller an error can
 // only be told inside the stream, which is then cut.
 func (m *modelCall) conclude(err *Error) *Error {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -21,11 +21,18 @@
 	"github.com/google/uuid"
 )
 
+// Replica is what the instance knows of documents and instances; replica.Duty
+// implements it.
+type Replica interface {
+	Snapshot() *replica.Snapshot
+	Age() time.Duration
+}
+
 // ServerOptions are what the handlers need.
 type ServerOptions struct {
 	Name     string
 	Requests RequestSettings
-	Replica  *replica.Duty
+	Replica  Replica
 	Dispatch *dispatch.Duty
 	Upstream *upstream.Client
 	Engines  *engine.Client
@@ -89,6 +96,9 @@
 			err.write(w, c.id)
 		}
 		s.measure(c, err)
+		if c.cut != "" {
+			panic(http.ErrAbortHandler) // no end marker, and no end of the body
+		}
 	})
 }
 
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -13,8 +13,8 @@
 	event(data []byte, c *chunk) error
 	// finish ends a whole answer.
 	finish() *Error
-	// abort ends a started answer that is not whole, so that the caller can
-	// not take it for a whole one.
+	// abort tells the error inside an answer that has started. The connection
+	// is aborted after it, so that nobody takes the answer for a whole one.
 	abort(err *Error, requestID string)
 	// pass answers with an upstream's own error.
 	pass(status int, header http.Header, body []byte)
@@ -93,7 +93,6 @@
 
 func (s *streamSink) abort(err *Error, requestID string) {
 	_ = s.write(err.body(requestID))
-	panic(http.ErrAbortHandler) // the connection ends without the end marker
 }
 
 // wholeSink collects the events into one answer.
@@ -169,4 +168,4 @@
 }
 
 // abort is never needed: nothing is written before the answer is whole.
-func (s *wholeSink) abort(*Error, string) { panic(http.ErrAbortHandler) }
+func (s *wholeSink) abort(*Error, string) {}
