Leave silent connections within an idempotent call's deadline

A stream's resume could take another silent connection from the pool.

Change: an attempt of an idempotent call has a third of the deadline, at most the progress deadline; after silence the idle connections are closed and the next attempt dials anew, as do resumes. Non-idempotent calls never used the pool.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -80,6 +80,7 @@
 	charge int64 // tokens taken from the organisation's limits
 	used   int64 // tokens of the prompt and of the answer, as far as known
 	ran    bool  // an attempt may have run
+	fresh  bool  // a connection failed: pooled ones may be silent too
 	// deadline of the first token, or of a batch request's answer
 	deadline time.Duration
 }
@@ -198,5 +199,5 @@
 }
 
 func (m *modelCall) newAttempt(id, address string, body []byte) *upstream.Attempt {
-	return &upstream.Attempt{ID: id, Method: http.MethodPost, Address: address, Path: m.req.path(), Header: m.header(id), Body: body}
+	return &upstream.Attempt{ID: id, Method: http.MethodPost, Address: address, Path: m.req.path(), Header: m.header(id), Body: body, Fresh: m.fresh}
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -111,6 +111,7 @@
 	path    string
 	request *http.Request
 	ran     bool // an attempt may have run
+	fresh   bool // a pooled connection was silent
 }
 
 // settle refunds the charge of a call that has not run.
@@ -179,7 +180,7 @@
 	}
 	a := &upstream.Attempt{
 		ID: id, Method: p.request.Method, Address: address, Path: p.path, Body: p.body,
-		Header: upstream.CleanHeader(p.request.Header, p.call.secret), Fresh: !p.route.Idempotent,
+		Header: upstream.CleanHeader(p.request.Header, p.call.secret), Fresh: p.fresh || !p.route.Idempotent,
 	}
 	a.Header.Set(engine.HeaderAttempt, id)
 	a.Header.Set(headerRequestID, p.call.id)
@@ -188,7 +189,33 @@
 	return p.send(ctx, a)
 }
 
+// attemptsPerDeadline leaves time for another attempt when one gets no answer.
+const attemptsPerDeadline = 3
+
+// attemptTimeout bounds one attempt of an idempotent call: its connection may
+// have gone silent. Other calls have one attempt and all the time.
+func (p *plainCall) attemptTimeout() time.Duration {
+	if !p.route.Idempotent {
+		return time.Duration(p.route.DeadlineMS) * time.Millisecond
+	}
+	share := p.route.DeadlineMS / attemptsPerDeadline
+	return time.Duration(min(share, p.call.service.Deadlines.ProgressMS)) * time.Millisecond
+}
+
+// send sends an attempt and reads its whole answer.
 func (p *plainCall) send(ctx context.Context, a *upstream.Attempt) (*plainAnswer, once.Outcome) {
+	attemptCtx, cancel := context.WithTimeout(ctx, p.attemptTimeout())
+	defer cancel()
+	answer, outcome := p.exchange(attemptCtx, a)
+	if attemptCtx.Err() != nil && ctx.Err() == nil {
+		p.server.opts.Metrics.Count(metrics.SilentConnections)
+		p.server.opts.Upstream.CloseIdle()
+		p.fresh = true
+	}
+	return answer, outcome
+}
+
+func (p *plainCall) exchange(ctx context.Context, a *upstream.Attempt) (*plainAnswer, once.Outcome) {
 	resp, err := p.server.opts.Upstream.Do(ctx, a)
 	if err != nil {
 		p.server.opts.Log.Debug("attempt failed", "request", p.call.id, "attempt", a.ID, "error", err)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -137,11 +137,13 @@
 	}
 	watchdog := time.AfterFunc(st.check.NextDeadline()-now, func() {
 		st.call.server.opts.Metrics.Count(metrics.SilentConnections)
+		st.call.server.opts.Upstream.CloseIdle()
 		cancel()
 	})
 	defer watchdog.Stop()
 	resp, err := st.call.server.opts.Upstream.Do(ctx, a)
 	if err != nil {
+		st.call.fresh = true
 		st.log("no answer", err)
 		return once.Classify(once.Evidence{Sent: a.Sent.Load()})
 	}
@@ -156,6 +158,7 @@
 	}
 	err = st.read(resp.Body, watchdog)
 	if err != nil {
+		st.call.fresh = true
 		st.log("stream broken", err)
 	}
 	return once.Classify(once.Evidence{Sent: true, Whole: err == nil, Status: resp.StatusCode})
