--- a/internal/inventory/duty.go
+++ b/internal/inventory/duty.go
@@ -26,7 +26,7 @@
 	// upstreamsPerPeriod engines; it grows with their number, so that the
 	// cost of an instance does not.
 	basePeriod         = 250 * time.Millisecond
-	upstreamsPerPeriod = 32
+	upstreamsPerPeriod = 20
 	pullPeriod         = 10 * time.Second
 	// missingPullPeriod applies while an engine is known of which no report
 	// has come: a relay may have gone out before this instance was known.
