placement: keep min_replicas and stay within max_replicas

Cause: a document's min_replicas and max_replicas were checked and then ignored; the planner wanted two homes for every model, and demand could add any number.

Change: min_replicas comes after homes and before demand. Each replica is in another zone while there are zones; more than that is divided evenly among the zones alive. max_replicas is divided evenly among the zones that the document names, alive or not. What does not divide goes to the first by rendezvous hashing, the order in which zones load a model that has no home. Replicas above the maximum leave by the usual moves.

Ruled out: dividing the maximum among the zones alive, since two views of who is alive add up to more; a count of replicas in the record of homes, which needs a write before each load and one after each unload, and a doubt for each. The price is that a zone without memory leaves its part unused, and that a model of which a zone knows no home is loaded whatever the maximum.

--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -17,7 +17,8 @@
 	// Extra is how long a replica beyond HomesWanted stays before its zone
 	// becomes a home as well.
 	Extra time.Duration
-	// HomesWanted is how many zones shall be homes of each model.
+	// HomesWanted is how many zones shall be homes of each model, within its
+	// MinReplicas and MaxReplicas.
 	HomesWanted int
 	// SpareWorth is what a second home is worth, in accelerators.
 	SpareWorth float64
@@ -55,7 +56,9 @@
 	p := newPlan(in, d.Options)
 	p.finishDrains()
 	p.markLost()
+	p.dropExcess()
 	p.restoreHomes(true)
+	p.keepMinimum()
 	p.followDemand(d.Options.SpareWorth)
 	p.addSpares()
 	p.followDemand(d.Options.Threshold)
@@ -126,7 +129,7 @@
 		if len(p.where[m]) > 0 || p.waiting[m] || model.Designated || model.Elsewhere == 0 {
 			return 0, false
 		}
-		return p.demand(m), model.Elsewhere < p.opt.HomesWanted && model.Since >= p.turn(m)
+		return p.demand(m), model.Elsewhere < p.homesWanted(m) && model.Since >= p.turn(m)
 	})
 	for _, m := range single {
 		if p.spent() {
@@ -173,7 +176,7 @@
 // hand over to this one.
 func (p *plan) designate() {
 	for m, model := range p.in.Models {
-		few := model.Elsewhere < p.opt.HomesWanted || model.Since >= p.opt.Extra
+		few := model.Elsewhere < p.homesWanted(m) || model.Since >= p.opt.Extra
 		if p.ready[m] > 0 && (!model.Designated && few || model.Lost) {
 			p.add(Designate, m, -1, "ready")
 		}
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -24,7 +24,8 @@
 	homes   Homes
 	zones   []*zone
 	writes  []homesWrite
-	excused map[string]bool // an upstream with the model died
+	excused map[string]bool                        // an upstream with the model died
+	bounds  [fleetModels]struct{ least, most int } // replicas in the fleet
 }
 
 type zone struct {
@@ -82,6 +83,7 @@
 	homes, version := z.view.Homes()
 	in := Input{Zone: z.name, Upstreams: z.upstreams, Loads: 2}
 	for _, other := range f.zones {
+		in.AllZones = append(in.AllZones, other.name)
 		if other == z || alive(other.name) {
 			in.Zones = append(in.Zones, other.name)
 		}
@@ -90,7 +92,7 @@
 		name := modelName(m)
 		d := demand(m)
 		in.Models = append(in.Models, Model{
-			Name: name, MemoryMB: modelSize, Fast: d, Slow: d,
+			Name: name, MemoryMB: modelSize, Fast: d, Slow: d, MinReplicas: f.bounds[m].least, MaxReplicas: f.bounds[m].most,
 			Designated: z.view.Designated(name), Lost: homes.lost(name, z.name),
 			Elsewhere: homes.Elsewhere(name, z.name, alive), Since: f.now - z.since,
 		})
@@ -185,6 +187,21 @@
 	})
 }
 
+// replicas counts a model's replicas in any state.
+func (f *fleet) replicas(m int) int {
+	n := 0
+	for _, z := range f.zones {
+		for _, up := range z.upstreams {
+			for _, r := range up.Replicas {
+				if r.Model == m {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
 // check fails if a model that had a home has none. The excuse of a death ends
 // once every home that is or may get recorded serves again.
 func (f *fleet) check() {
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -56,6 +56,9 @@
 // place gives a model one more replica, or starts to make room for it. It
 // says whether it found a way.
 func (p *plan) place(n need) bool {
+	if p.full(n.model) {
+		return false
+	}
 	best := candidate{upstream: -1, gain: math.Inf(-1)}
 	var scratch []int
 	for u, up := range p.in.Upstreams {
@@ -135,9 +138,12 @@
 		return 1 / (1 + p.in.Models[m].Idle.Seconds())
 	}
 	cost := p.loss(m, u) + moveCost
-	if p.ready[m] <= 1 && p.in.Models[m].Elsewhere < p.opt.HomesWanted {
+	if p.ready[m] <= 1 && p.in.Models[m].Elsewhere < p.homesWanted(m) {
 		cost += p.opt.SpareWorth
 	}
+	if p.ready[m] <= p.least(m) {
+		cost += minimumWorth
+	}
 	return cost
 }
 
@@ -166,6 +172,7 @@
 		return
 	}
 	p.loads--
+	p.held[n.model]++
 	p.free[c.upstream] -= size
 	p.addLoad(n.model, -1)
 	p.where[n.model] = append(p.where[n.model], c.upstream)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -26,6 +26,11 @@
 type Model struct {
 	Name     string
 	MemoryMB int64
+	// MinReplicas are kept in the fleet as far as memory allows, in other zones
+	// first. One is meant by less.
+	MinReplicas int
+	// MaxReplicas is the most that the fleet holds; 0 is no bound.
+	MaxReplicas int
 	// Fast and Slow are averages of the demand on this zone, in accelerators:
 	// the accelerator time that it takes to serve a second's requests.
 	Fast float64
@@ -69,7 +74,10 @@
 type Input struct {
 	Zone string
 	// Zones are the zones alive and reachable, in order, this one included.
-	Zones     []string
+	Zones []string
+	// AllZones are the zones that may hold the models, alive or not, as the
+	// document names them. Empty means Zones.
+	AllZones  []string
 	Models    []Model
 	Upstreams []Upstream
 	// Loads is how many loads the zone's share of the weight store lets start.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -14,6 +14,7 @@
 	loads   int       // loads that may still start
 	rooms   int       // placements for which replicas may still be displaced
 	ready   []int     // ready replicas here that are not draining
+	held    []int     // replicas here in any state
 	where   [][]int   // upstreams that hold or load each model, not draining
 	load    []float64 // expected demand on each upstream, in accelerators
 	free    []int64   // memory that no ledger entry counts, in MB
@@ -39,6 +40,7 @@
 		loads:   in.Loads,
 		rooms:   max(leastRooms, len(in.Upstreams)/upstreamsPerRoom),
 		ready:   make([]int, len(in.Models)),
+		held:    make([]int, len(in.Models)),
 		where:   make([][]int, len(in.Models)),
 		load:    make([]float64, len(in.Upstreams)),
 		free:    make([]int64, len(in.Upstreams)),
@@ -47,6 +49,9 @@
 		waiting: make([]bool, len(in.Models)),
 	}
 	for u, up := range in.Upstreams {
+		for _, r := range up.Replicas {
+			p.held[r.Model]++
+		}
 		if !up.Live {
 			continue
 		}
@@ -166,10 +171,12 @@
 
 // rank returns this zone's place among the live zones for a model, by
 // rendezvous hashing, so that zones that see the same act one after another.
-func (p *plan) rank(model string) int {
+func (p *plan) rank(model string) int { return p.rankAmong(model, p.in.Zones) }
+
+func (p *plan) rankAmong(model string, zones []string) int {
 	own := rendezvous(model, p.in.Zone)
 	rank := 0
-	for _, z := range p.in.Zones {
+	for _, z := range zones {
 		if rendezvous(model, z) > own {
 			rank++
 		}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -132,7 +132,8 @@
 
 // input builds what the planner sees; upstreams are by their index in it.
 func (t *term) input(now time.Duration, doc *config.Service, alive func(string) bool) (placement.Input, map[string]*upstream) {
-	in := placement.Input{Zone: t.d.opts.Self.Zone, Zones: t.zones(now)}
+	all := engineZones(doc)
+	in := placement.Input{Zone: t.d.opts.Self.Zone, Zones: among(t.zones(now), all), AllZones: all}
 	index := map[string]int{}
 	for _, m := range doc.Models {
 		name := doc.Service + "/" + m.Name
@@ -155,6 +156,11 @@
 	return in, byName
 }
 
+// among returns the zones that are in both lists, in the order of the first.
+func among(zones, all []string) []string {
+	return slices.DeleteFunc(zones, func(z string) bool { return !slices.Contains(all, z) })
+}
+
 func (t *term) describeModel(now time.Duration, m config.Model, name string, s *shard, alive func(string) bool) placement.Model {
 	known := t.model(name)
 	record, _ := s.view.Homes()
@@ -169,7 +175,7 @@
 		known.seen, known.changed = seen, now
 	}
 	return placement.Model{
-		Name: name, MemoryMB: m.MemoryMB, Fast: known.averages.Fast, Slow: known.averages.Slow,
+		Name: name, MemoryMB: m.MemoryMB, MinReplicas: m.MinReplicas, MaxReplicas: m.MaxReplicas, Fast: known.averages.Fast, Slow: known.averages.Slow,
 		Designated: designated, Lost: slices.Contains(record.Models[name], placement.Home{Zone: zone, Lost: true}),
 		Elsewhere: elsewhere, Since: now - known.changed, Idle: now - known.used,
 	}
