--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"log/slog"
 	"net"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/certs"
+	"github.com/eelgrassbay/eelgrassbay/internal/certs/certstest"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
 	"github.com/shoenig/test/must"
 )
@@ -23,8 +27,10 @@
 	return &peerpb.ExchangeRequest{Knowledge: &peerpb.Knowledge{Hash: hash}}
 }
 
-func serve(t *testing.T) *Server {
-	s, err := NewServer("127.0.0.1:0", nil)
+func serve(t *testing.T) *Server { return serveTLS(t, nil) }
+
+func serveTLS(t *testing.T, config *tls.Config) *Server {
+	s, err := NewServer("127.0.0.1:0", config)
 	must.NoError(t, err)
 	must.NoError(t, s.Register(echo{}, peerpb.DRPCSyncDescription{}))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -75,3 +81,23 @@
 	must.Eq(t, 2, dials.Load())
 	must.Positive(t, c.Traffic().Sent.Load())
 }
+
+// TestMutualTLS: peers with certificates of one authority reach each other, and
+// one of another authority reaches nobody.
+func TestMutualTLS(t *testing.T) {
+	own, other := certstest.NewAuthority(t), certstest.NewAuthority(t)
+	load := func(files certstest.Files) *certs.Store {
+		store, err := certs.Load(certs.Files(files), slog.New(slog.DiscardHandler))
+		must.NoError(t, err)
+		return store
+	}
+	s := serveTLS(t, load(own.Issue(t, "server.pem", 2)).Server())
+	exchange := func(store *certs.Store) error {
+		c := NewClient(ClientOptions{TLS: store.Client})
+		defer c.Close()
+		_, err := c.Exchange(context.Background(), s.Address(), request(1))
+		return err
+	}
+	must.NoError(t, exchange(load(own.Issue(t, "client.pem", 3))))
+	must.ErrorIs(t, exchange(load(other.Issue(t, "stranger.pem", 4))), ErrUnreachable)
+}
