--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -1,5 +1,7 @@
-// Package ctl holds the commands of eelgrassctl: operators check, apply and
-// read documents, issue and withdraw keys, and ask what is in force.
+// Package ctl holds the commands of eelgrassctl: operators check, apply, read
+// and delete documents, issue and withdraw keys, ask what is in force and why a
+// request was refused, and verify the service record. It speaks to the object
+// API only; Run returns the exit code.
 package ctl
 
 import (
