recorder: copies follow the holder; room after an outage; a stopping holder writes

By reading: an answer of a former holder could count as one of the present, and a copy that does not join what is held was acknowledged over the hole.

Ruled out: a copy of everything at each call (bytes).

Change: the holder is known by name and incarnation, answers of others are dropped, a holder takes only what joins, a stopping instance writes the copies of peers silent for 3 s, and all batches of a silent peer are written at once.

Runs with a mechanism off (go test ./internal/recorder): no second copy after a change of holder: entries from 3 on open, want 6; incarnation not compared: as said by TestCopiesFollowTheHolder/restarted; no adoption at a stop: open at 3, want 6; Full as before: still true after the outage. The late answer alone and the joining check alone are not shown by a test: each covers for the other.

--- a/internal/record/journal.go
+++ b/internal/record/journal.go
@@ -65,20 +65,28 @@
 // counts in the next gap entry.
 func (j *Journal) Append(wallMS int64, e Entry) (HLC, error) {
 	e.At = j.clock.Now(wallMS)
-	if j.lost > 0 && j.room() >= 2 {
-		j.closeGap(e.At)
-		e.At = j.clock.Now(wallMS)
-	}
-	// The last place is kept for a gap entry, and a gap stays open until
-	// there is room for it and for the entry after it.
-	if j.lost > 0 || j.room() < 2 {
+	if j.Full() {
 		j.lose(e)
 		return e.At, ErrFull
 	}
+	if j.lost > 0 {
+		j.closeGap(e.At)
+		e.At = j.clock.Now(wallMS)
+	}
 	j.push(e)
 	return e.At, nil
 }
 
+// Full reports whether the next entry would find no room. The last place is
+// kept for a gap entry, and a gap stays open until there is room for it and
+// for the entry after it.
+func (j *Journal) Full() bool {
+	if j.lost > 0 {
+		return j.room() < 3
+	}
+	return j.room() < 2
+}
+
 // Stop closes an open gap and the chain.
 func (j *Journal) Stop(wallMS int64) {
 	if j.lost > 0 {
--- a/internal/recorder/duty.go
+++ b/internal/recorder/duty.go
@@ -27,6 +27,9 @@
 	// in its place. Doing so for a live peer is harmless.
 	adoptAfter  = 15 * time.Second
 	adoptPeriod = 5 * time.Second
+	// stopSilence is the silence of a peer after which a stopping instance
+	// writes its copies; a live peer is heard with every flush.
+	stopSilence = 3 * time.Second
 	// maxCopies bounds the entries held for peers.
 	maxCopies = 4 * record.DefaultRing
 )
@@ -37,6 +40,7 @@
 	Store     platform.Store
 	Peers     peer.Caller
 	ZonePeers func() []platform.Instance
+	Journal   record.JournalOptions
 	Flusher   record.FlusherOptions
 	Now       func() time.Duration
 	WallMS    func() int64
@@ -53,13 +57,15 @@
 	copies  *record.Copies
 	heard   map[record.Origin]time.Duration // last copy of a peer
 	flushed uint64                          // the platform holds all up to it
-	peer    string                          // that holds the copies
-	full    bool                            // the last entry found no room
+	peer    holder                          // of the copies
 }
 
+// holder names one run of the peer that holds the copies.
+type holder struct{ name, incarnation string }
+
 // New returns a duty whose chain has begun.
 func New(opts Options) *Duty {
-	journal := record.NewJournal(origin(opts.Self), opts.WallMS(), record.JournalOptions{})
+	journal := record.NewJournal(origin(opts.Self), opts.WallMS(), opts.Journal)
 	return &Duty{
 		opts:    opts,
 		journal: journal,
@@ -78,8 +84,7 @@
 func (d *Duty) Append(e record.Entry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	_, err := d.journal.Append(d.opts.WallMS(), e)
-	d.full = err != nil
+	_, _ = d.journal.Append(d.opts.WallMS(), e)
 }
 
 // Stamp returns a stamp of the record's clock, to go with a message to a peer.
@@ -101,7 +106,7 @@
 func (d *Duty) Full() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.full
+	return d.journal.Full()
 }
 
 // Waiting returns how many entries the platform does not hold yet.
@@ -126,13 +131,13 @@
 		d.step(record.Tick{})
 		if now := d.opts.Now(); now-lastAdopt >= adoptPeriod {
 			lastAdopt = now
-			d.adopt(ctx)
+			d.adopt(ctx, adoptAfter)
 		}
 	}
 }
 
-// Stop closes the chain and waits until the platform holds it or ctx ends.
-// Run goes on meanwhile.
+// Stop closes the chain, waits until the platform holds it or ctx ends, and
+// writes what is held for peers that seem gone. Run goes on meanwhile.
 func (d *Duty) Stop(ctx context.Context) {
 	d.mu.Lock()
 	d.journal.Stop(d.opts.WallMS())
@@ -140,6 +145,7 @@
 	for ctx.Err() == nil && d.Waiting() > 0 {
 		time.Sleep(tickPeriod)
 	}
+	d.adopt(ctx, stopSilence)
 }
 
 // step steps the flusher and carries out what it asks for.
@@ -248,8 +254,11 @@
 	}
 	d.mu.Lock()
 	d.journal.Observe(fromStamp(ack.Stamp))
+	holds := d.peer == holder{p.Name, p.Incarnation}
 	d.mu.Unlock()
-	d.step(record.CopyAck{Seq: ack.Held})
+	if holds { // the answer of a former holder says nothing of the present one
+		d.step(record.CopyAck{Seq: ack.Held})
+	}
 }
 
 // followPeer copies everything that waits again when another peer holds the
@@ -257,8 +266,9 @@
 func (d *Duty) followPeer() {
 	p, _ := d.choosePeer()
 	d.mu.Lock()
-	changed := p.Name != d.peer
-	d.peer = p.Name
+	next := holder{p.Name, p.Incarnation}
+	changed := next != d.peer
+	d.peer = next
 	flushed := d.flushed
 	d.mu.Unlock()
 	if changed {
@@ -309,27 +319,36 @@
 	defer d.mu.Unlock()
 	d.heard[from] = d.opts.Now()
 	d.copies.Flushed(from, msg.Flushed)
-	if len(batch.Entries) > 0 && batch.Origin == from {
-		d.copies.Receive(batch)
-	}
 	held := max(msg.Flushed, d.copies.Through(from))
+	// What does not join is refused, so that no acknowledgement covers a hole.
+	if len(batch.Entries) > 0 && batch.Origin == from && batch.First() <= held+1 {
+		held = max(held, d.copies.Receive(batch))
+	}
 	d.journal.Observe(fromStamp(msg.Stamp))
 	return &peerpb.RecordAck{Held: held, Stamp: toStamp(d.journal.Stamp(d.opts.WallMS()))}, nil
 }
 
-// adopt writes the copies of peers that have been silent for long.
-func (d *Duty) adopt(ctx context.Context) {
-	for _, from := range d.silent() {
+// adopt writes the copies of peers that have been silent for so long.
+func (d *Duty) adopt(ctx context.Context, silence time.Duration) {
+	for _, from := range d.silent(silence) {
+		if err := d.adoptChain(ctx, from); err != nil {
+			d.opts.Log.Warn("write service record of a silent peer", "instance", from.Instance, "error", err)
+		}
+	}
+}
+
+// adoptChain writes all that is held of a chain, batch by batch.
+func (d *Duty) adoptChain(ctx context.Context, from record.Origin) error {
+	for {
 		d.mu.Lock()
 		batch, ok := d.copies.Adopt(from)
 		d.mu.Unlock()
 		if !ok {
-			continue
+			return nil
 		}
 		seq, err := d.write(ctx, batch)
 		if err != nil {
-			d.opts.Log.Warn("write service record of a silent peer", "batch", batch.Name(), "error", err)
-			continue
+			return err
 		}
 		d.opts.Log.Info("service record of a silent peer written", "instance", from.Instance, "through", seq)
 		d.mu.Lock()
@@ -338,14 +357,14 @@
 	}
 }
 
-func (d *Duty) silent() []record.Origin {
+func (d *Duty) silent(silence time.Duration) []record.Origin {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var list []record.Origin
 	held := map[record.Origin]bool{}
 	for _, from := range d.copies.Held() {
 		held[from] = true
-		if d.opts.Now()-d.heard[from] >= adoptAfter {
+		if d.opts.Now()-d.heard[from] >= silence {
 			list = append(list, from)
 		}
 	}
