--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -18,6 +18,9 @@
 // admit charges a call to its organisation's limits.
 func (s *Server) admit(ctx context.Context, c *call, tokens int64) *Error {
 	d := s.opts.Limiter.Admit(ctx, c.org.String(), tokens)
+	if !d.Admitted && s.opts.Limiter.Rate(c.org.String()) == 0 {
+		return refuseFor(http.StatusServiceUnavailable, CodeNoShare, "this instance has no share of the organisation's limits", d.RetryAfter)
+	}
 	if !d.Admitted {
 		return refuseFor(http.StatusTooManyRequests, CodeRateLimited, "the organisation's rate and burst are used up", d.RetryAfter)
 	}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -113,7 +113,7 @@
 		if !m.sink.restart() {
 			return nil, outcomeError(once.Unknown)
 		}
-		return m.server.acquire(ctx, m.slotRequest())
+		return m.server.acquire(ctx, m.call, m.slotRequest())
 	}
 	err := m.server.attempts(ctx, req, acquire, func(id string, slot *dispatch.Slot) once.Outcome {
 		outcome := m.attempt(ctx, id, slot, body)
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -40,6 +40,7 @@
 	CodeNotFound         Code = "not_found"
 	CodeMethod           Code = "method_not_allowed"
 	CodeRateLimited      Code = "rate_limited"
+	CodeNoShare          Code = "no_share"
 	CodeOverloaded       Code = "overloaded"
 	CodeNoUpstream       Code = "no_upstream"
 	CodeStopping         Code = "stopping"
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/certs"
@@ -25,6 +26,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/replica"
 	"github.com/eelgrassbay/eelgrassbay/internal/route"
 	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
+	"github.com/eelgrassbay/eelgrassbay/internal/wait"
 	"github.com/go-kratos/kratos/v2"
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
@@ -54,6 +56,9 @@
 	table     *tableFeed
 	placer    *placer.Duty
 	server    *Server
+
+	listing sync.Mutex // orders the calls to the instance list
+	leaving bool
 }
 
 // monotonic returns a clock that starts now and never goes back.
@@ -169,6 +174,7 @@
 		Upstream: upstream.NewClient(), Engines: engines, Budget: once.NewBudget(n.now(), once.BudgetOptions{}, rand.New(rand.NewPCG(rand.Uint64(), 0))),
 		Limiter: n.quota, Claimer: n.claims, Record: n.recorder, Metrics: n.metrics, Now: n.now, Log: n.log,
 		Prepared:  func() bool { return n.inventory.Swept() && n.quota.Filled() },
+		Able:      n.quota.Shares,
 		Placement: n.placer, Inventory: n.inventory,
 	})
 }
@@ -253,20 +259,39 @@
 // announceRetry spaces the tries to enter the instance list.
 const announceRetry = time.Second
 
-// announce enters the instance list.
+// announce enters the instance list, unless the instance leaves meanwhile.
 func (n *Node) announce(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := n.platform.Register(ctx, n.self)
+	for {
+		err := n.list(ctx)
 		if err == nil {
 			return nil
 		}
 		n.log.Warn("enter the instance list", "error", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(announceRetry):
+		if !wait.Sleep(ctx, announceRetry) {
+			return nil
 		}
 	}
-	return nil
+}
+
+// list enters the instance list as live. It does nothing once the instance
+// leaves, so that no late call shows a leaving instance as live.
+func (n *Node) list(ctx context.Context) error {
+	n.listing.Lock()
+	defer n.listing.Unlock()
+	if n.leaving {
+		return nil
+	}
+	return n.platform.Register(ctx, n.self)
+}
+
+// listLeaving marks the instance as leaving in the instance list.
+func (n *Node) listLeaving(ctx context.Context) error {
+	n.listing.Lock()
+	defer n.listing.Unlock()
+	n.leaving = true
+	self := n.self
+	self.State = platform.InstanceLeaving
+	return n.platform.Register(ctx, self)
 }
 
 // leave runs before the HTTP server stops: it tells the list and the peers,
@@ -274,9 +299,7 @@
 // as not run and waits for those that run.
 func (n *Node) leave(ctx context.Context) error {
 	n.log.Info("leaving", "lame_duck", n.settings.Stop.LameDuck.String())
-	leaving := n.self
-	leaving.State = platform.InstanceLeaving
-	if err := n.platform.Register(ctx, leaving); err != nil {
+	if err := n.listLeaving(ctx); err != nil {
 		n.log.Warn("mark as leaving in the instance list", "error", err)
 	}
 	if err := n.replica.Leave(ctx); err != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -44,8 +44,10 @@
 	Placement Placement
 	Inventory Inventory
 	Metrics   *metrics.Metrics
-	// Prepared reports whether the duties have what a first request needs.
+	// Prepared reports whether the duties have all that a first request needs,
+	// Able whether they have enough to serve any at all.
 	Prepared func() bool
+	Able     func() bool
 	Now      func() time.Duration
 	Log      *slog.Logger
 }
@@ -167,9 +169,9 @@
 		"code", string(err.Code), "ran", string(err.Ran), "message", err.Message)
 }
 
-// readyPatience is how long readiness waits for shares and reports once there
-// are documents. An instance that starts while the platform is away is ready
-// after it, with what it has.
+// readyPatience is how long readiness waits for full buckets and for reports
+// once there are documents. After it an instance is ready with what it has, if
+// that is anything: without a share of any limit it would refuse all.
 const readyPatience = 8 * time.Second
 
 func (s *Server) handleReady(w http.ResponseWriter, _ *http.Request) {
@@ -185,7 +187,7 @@
 	if s.refusing.Load() || !known.Ready {
 		return false
 	}
-	return s.opts.Prepared() || s.opts.Now() > readyPatience
+	return s.opts.Prepared() || s.opts.Now() > readyPatience && s.opts.Able()
 }
 
 // Refuse makes the server refuse new requests as not run.
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -142,7 +142,7 @@
 	var answer *plainAnswer
 	defer func() { p.settleClaim(claim, req, answer) }()
 	acquire := func() (*dispatch.Slot, *Error) {
-		return p.server.acquire(ctx, dispatch.Request{
+		return p.server.acquire(ctx, p.call, dispatch.Request{
 			Organisation: p.call.org.String(), Weight: p.call.weight(), Class: p.call.class,
 			Route: route.Request{Model: plainModel(p.call.service.Service), Deadline: deadline},
 		})
@@ -164,7 +164,9 @@
 }
 
 // acquire waits for a slot; its refusal is final.
-func (s *Server) acquire(ctx context.Context, req dispatch.Request) (*dispatch.Slot, *Error) {
+func (s *Server) acquire(ctx context.Context, c *call, req dispatch.Request) (*dispatch.Slot, *Error) {
+	asked := s.opts.Now()
+	defer func() { s.flow(c).Queue(s.opts.Now() - asked) }()
 	slot, err := s.opts.Dispatch.Acquire(ctx, req)
 	if err != nil {
 		return nil, refusalOf(err)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -168,7 +168,9 @@
 		}
 		l.observe(now, m.Object)
 	case WriteOK:
-		l.answered(requestPut)
+		if m.Attempt == l.number { // not a late answer to an earlier attempt
+			l.answered(requestPut)
+		}
 		l.observe(now, m.Object)
 	case WriteConflict:
 		l.unresolved(m.Attempt)
--- a/internal/limit/instance.go
+++ b/internal/limit/instance.go
@@ -154,6 +154,17 @@
 	return len(in.order) > 0
 }
 
+// Shares reports whether the instance has a share of any organisation's limit,
+// or there is no limit to share.
+func (in *Instance) Shares() bool {
+	for _, name := range in.order {
+		if in.orgs[name].share() != (Share{}) {
+			return true
+		}
+	}
+	return len(in.order) == 0
+}
+
 // Rate returns the rate of an organisation that is in force here, in tokens per
 // second.
 func (in *Instance) Rate(org string) int64 {
--- a/internal/quota/duty.go
+++ b/internal/quota/duty.go
@@ -57,8 +57,11 @@
 	instance *limit.Instance
 	zoneMu   sync.Mutex
 	zone     *limit.Zone
-	limits   *replica.Snapshot // the documents that the limits were taken from
-	version  uint64            // counts changes of the limits in this process
+	// listening names the incarnation that last asked from a peer address.
+	listening map[string]string
+	ended     map[string]bool   // incarnations that another one replaced
+	limits    *replica.Snapshot // the documents that the limits were taken from
+	version   uint64            // counts changes of the limits in this process
 }
 
 // held adapts a Leader to limit.Duty. The lease is checked on its own clock.
@@ -70,9 +73,10 @@
 // New returns a duty without shares.
 func New(opts Options) *Duty {
 	return &Duty{
-		opts:     opts,
-		instance: limit.NewInstance(opts.Limit, opts.Self.Name, opts.Self.Incarnation),
-		zone:     limit.NewZone(opts.Limit, opts.Self.Zone, held{opts.Leader}),
+		opts:      opts,
+		instance:  limit.NewInstance(opts.Limit, opts.Self.Name, opts.Self.Incarnation),
+		zone:      limit.NewZone(opts.Limit, opts.Self.Zone, held{opts.Leader}),
+		listening: map[string]string{}, ended: map[string]bool{},
 	}
 }
 
@@ -122,6 +126,13 @@
 	return d.instance.Filled(d.opts.Now())
 }
 
+// Shares reports whether this instance has a share of any organisation's limit.
+func (d *Duty) Shares() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.instance.Shares()
+}
+
 // Run drives both parts until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickPeriod)
@@ -173,7 +184,7 @@
 
 // ask sends a request to the duty holder and applies the grant.
 func (d *Duty) ask(ctx context.Context, r limit.Request) {
-	grant, err := d.askHolder(ctx, requestToWire(r))
+	grant, err := d.askHolder(ctx, requestToWire(r, d.opts.Self.PeerAddress))
 	if err != nil {
 		d.opts.Log.Debug("ask for shares", "error", err)
 		return
@@ -209,12 +220,37 @@
 // Ask implements peerpb.DRPCLimitsServer.
 func (d *Duty) Ask(ctx context.Context, r *peerpb.ShareRequest) (*peerpb.ShareReply, error) {
 	reply := &peerpb.ShareReply{}
+	if !d.noteReplaced(ctx, r) {
+		return reply, nil
+	}
 	if g := d.stepZone(ctx, requestFromWire(r)); g != nil {
 		reply.Grant = grantToWire(*g)
 	}
 	return reply, nil
 }
 
+// noteReplaced frees the shares of an incarnation that has certainly ended: a
+// later one listens at its peer address, which only one process can hold. It
+// reports false for a late request of an incarnation that has ended.
+func (d *Duty) noteReplaced(ctx context.Context, r *peerpb.ShareRequest) bool {
+	d.zoneMu.Lock()
+	if d.ended[r.Incarnation] {
+		d.zoneMu.Unlock()
+		return false
+	}
+	former := d.listening[r.PeerAddress]
+	d.listening[r.PeerAddress] = r.Incarnation
+	replaced := former != "" && former != r.Incarnation
+	if replaced {
+		d.ended[former] = true
+	}
+	d.zoneMu.Unlock()
+	if replaced {
+		d.stepZone(ctx, limit.Gone{Incarnation: former})
+	}
+	return true
+}
+
 // stepZone steps the zone's part and returns the grant that it made, if any.
 func (d *Duty) stepZone(ctx context.Context, msg limit.Message) *limit.Grant {
 	d.zoneMu.Lock()
--- a/internal/quota/wire.go
+++ b/internal/quota/wire.go
@@ -21,9 +21,10 @@
 	return limit.Share{RatePPM: s.GetRatePpm(), BurstPPM: s.GetBurstPpm()}
 }
 
-func requestToWire(r limit.Request) *peerpb.ShareRequest {
+func requestToWire(r limit.Request, peerAddress string) *peerpb.ShareRequest {
 	w := &peerpb.ShareRequest{
 		Instance: r.Instance, Incarnation: r.Incarnation, Seq: r.Seq, Applied: numberToWire(r.Applied), Leaving: r.Leaving,
+		PeerAddress: peerAddress,
 	}
 	for _, d := range r.Demand {
 		w.Demand = append(w.Demand, &peerpb.ShareDemand{Org: d.Org, RatePpm: d.RatePPM, Need: d.Need})
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -24,8 +24,10 @@
 // exchangeWithPeers compares knowledge with one instance of this zone, every
 // second time its reader, and one of another zone at each period.
 func (d *Duty) exchangeWithPeers(ctx context.Context) error {
-	d.exchangeWithSeeds(ctx)
 	for ctx.Err() == nil {
+		if !d.Snapshot().Ready {
+			d.exchangeWithSeeds(ctx)
+		}
 		var targets []platform.Instance
 		_ = d.step(ctx, func() { targets = d.chooseTargets() })
 		d.each(ctx, targets, func(ctx context.Context, p platform.Instance) { d.exchange(ctx, p) })
@@ -45,6 +47,8 @@
 	return append(same, other...)
 }
 
+// exchangeWithSeeds asks the peers named in the settings, until any source has
+// answered.
 func (d *Duty) exchangeWithSeeds(ctx context.Context) {
 	var seeds []platform.Instance
 	for _, address := range d.opts.Seeds {
