placer: let go of what leaves the documents, also under a new holder

Cause: a model deleted from a document was unloaded under its requests and stayed in the record of homes for good. A deleted service's engines lost their models the same way. A holder whose term began after an engine had left its document knew neither its address nor that it had models. An engine under a new name and the same address was still ordered about under the old name, which unloaded what the new one served.

Change: such models drain, then are unloaded, and each zone takes its own home out of the record. It takes proof that they were deleted: documents complete up to the revision of the record that names them, and none of the service that failed its check. A ledger now names its engine's zone, address and bound of late orders; a new holder reads the ledgers once and takes over those that no document names. It leaves alone an address that a document gives to another name, and an engine whose run is not the one that the ledger last saw.

Ruled out: a delay in place of the proof, since an instance may hold an old document for as long as its peers do; deleting the ledger of an engine that left, since late orders may still arrive at it.

Proof, go test ./internal/placer, each part switched off once: - no drain: "unloaded with a request in flight" - documents not asked for completeness: "unloaded on the word of an old document", for a model and for an engine - no takeover: "not within 1m0s: an empty engine" - address not compared: TestRenamedEngineKeepsItsModels, models not ready - run not compared: TestAddressOfAnotherEngineIsLeftAlone, its model gone - homes kept: "not within 1m0s: empty engines and record"

--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -101,6 +101,15 @@
 	return h.with(model, h.without(model, zone)), nil
 }
 
+// Forget returns the shard without a zone's home of a model that was deleted.
+func (h Homes) Forget(model, zone string) Homes {
+	next := h.with(model, h.without(model, zone))
+	if len(next.Models[model]) == 0 {
+		delete(next.Models, model)
+	}
+	return next
+}
+
 func (h Homes) without(model, zone string) []Home {
 	return slices.DeleteFunc(slices.Clone(h.Models[model]), func(x Home) bool { return x.Zone == zone })
 }
--- a/internal/placement/homesview.go
+++ b/internal/placement/homesview.go
@@ -85,6 +85,8 @@
 		return h.Designate(m.Model, v.zone), true
 	case m.Kind == MarkLost && has && !lost:
 		return h.MarkLost(m.Model, v.zone), true
+	case m.Kind == Forget && has:
+		return h.Forget(m.Model, v.zone), true
 	case m.Kind == Retire && has:
 		rest, err := h.Retire(m.Model, v.zone, alive)
 		return rest, err == nil
--- a/internal/placement/ledger/decide.go
+++ b/internal/placement/ledger/decide.go
@@ -21,11 +21,12 @@
 	next.Attempt = c.attempt + 1
 	next.MemoryMB = c.opt.MemoryMB
 	next.DurableFence = c.opt.Promise.DurableFence
+	next.Place = c.opt.Place
 	var orders []engine.Order
 	if c.State() == UpstreamLive && !c.awaiting {
 		next, orders = c.reserve(now, next)
 	}
-	if len(orders) == 0 && c.base.Owner == c.opt.Owner {
+	if len(orders) == 0 && c.base.Owner == c.opt.Owner && c.base.Place == c.opt.Place {
 		return nil
 	}
 	value, err := next.Encode()
--- a/internal/placement/ledger/ledger.go
+++ b/internal/placement/ledger/ledger.go
@@ -69,6 +69,8 @@
 	FenceLost bool `json:"fence_lost,omitempty"`
 	// MemoryMB is the accelerator's size in MB.
 	MemoryMB int64 `json:"memory_mb"`
+	// Place lets a later owner find the engine after it left the document.
+	Place Place `json:"place,omitzero"`
 	// Boot, Seq and SeenFence come from the latest report; Boot is empty
 	// before the first one.
 	Boot      string            `json:"boot"`
@@ -80,6 +82,13 @@
 	Orders []engine.Order `json:"orders"`
 }
 
+// Place is where an engine is, and what its document said of late orders.
+type Place struct {
+	Zone            string `json:"zone"`
+	Address         string `json:"address"` // IP:port
+	MaxOrderDelayMS int64  `json:"max_order_delay_ms,omitempty"`
+}
+
 // New returns the ledger of an upstream that was never observed. All its
 // memory counts as committed until the first report.
 func New(memoryMB int64, durableFence bool) Ledger {
--- a/internal/placement/ledger/messages.go
+++ b/internal/placement/ledger/messages.go
@@ -27,6 +27,7 @@
 	Owner    uint64
 	MemoryMB int64
 	Promise  Promise
+	Place    Place
 	// SendWindow is how long after the start of its intent write an order may
 	// still be sent.
 	SendWindow time.Duration
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -97,10 +97,11 @@
 	Designate
 	Retire
 	MarkLost
+	Forget // the model was deleted: this zone's home goes, though it be the last
 )
 
 func (k Kind) String() string {
-	return [...]string{"load", "unload", "drain", "resume", "designate", "retire", "mark lost"}[k]
+	return [...]string{"load", "unload", "drain", "resume", "designate", "retire", "mark lost", "forget"}[k]
 }
 
 // Move is one step. Upstream is empty for changes of the record of homes.
--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"math"
 	"os"
 	"sync"
 	"testing"
@@ -148,6 +149,8 @@
 	leaders map[string]string // by zone
 	fence   uint64
 	leaving map[string]bool // addresses of upstreams
+	deleted bool            // the document
+	behind  bool            // documents are not known to be complete
 	log     io.Writer
 }
 
@@ -224,7 +227,16 @@
 func (s *site) known(self string) *replica.Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	snap := &replica.Snapshot{Services: map[string]*config.Service{s.doc.Service: s.doc}, Leaving: maps.Clone(s.leaving)}
+	snap := &replica.Snapshot{
+		Services: map[string]*config.Service{s.doc.Service: s.doc}, Versions: map[string]uint64{s.doc.Service: 1},
+		Leaving: maps.Clone(s.leaving), Complete: math.MaxUint64,
+	}
+	if s.deleted {
+		clear(snap.Services)
+	}
+	if s.behind {
+		snap.Complete = 0
+	}
 	for name, n := range s.nodes {
 		if name != self {
 			snap.Peers = append(snap.Peers, n.self)
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -74,36 +74,15 @@
 	var moves []placement.Move
 	for _, name := range slices.Sorted(maps.Keys(known.Services)) {
 		doc := known.Services[name]
-		t.forgetModels(doc)
+		t.forgetModels(now, doc, known)
 		moves = append(moves, t.planService(now, doc, alive)...)
 	}
+	moves = append(moves, t.homes.deleted(known)...)
 	t.homes.apply(moves, alive)
 	t.forgetAdapters(now)
 	t.d.heed(t.drains(now, true))
 }
 
-// forgetModels takes models and adapters that left the document out of the
-// wanted sets.
-func (t *term) forgetModels(doc *config.Service) {
-	for _, u := range t.upstreams {
-		if u.service != doc.Service || u.retired {
-			continue
-		}
-		before := len(u.want)
-		maps.DeleteFunc(u.want, func(k ledger.Key, _ *wanted) bool {
-			m, ok := doc.Model(k.Model)
-			if !ok || k.Adapter == "" {
-				return !ok
-			}
-			_, ok = m.Adapter(k.Adapter)
-			return !ok
-		})
-		if len(u.want) != before {
-			u.sendWanted()
-		}
-	}
-}
-
 func (t *term) planService(now time.Duration, doc *config.Service, alive func(string) bool) []placement.Move {
 	b := t.budget(doc)
 	free := b.loads(now, t.loading(doc.Service))
--- a/internal/placer/term.go
+++ b/internal/placer/term.go
@@ -32,6 +32,7 @@
 	budgets   map[string]*budget // by service
 	instances map[string]instanceUse
 	waiters   []*waiter
+	strays    []stray // that may have left the document, until it is known
 }
 
 // instanceUse is what one instance of the zone reported last.
@@ -48,6 +49,7 @@
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.homes = newHomes(t)
 	go t.homes.watch(t.ctx)
+	go t.findStrays()
 	return t
 }
 
@@ -127,10 +129,11 @@
 
 // syncUpstreams brings the upstreams in step with the documents.
 func (t *term) syncUpstreams(now time.Duration, known *replica.Snapshot) {
-	named := map[string]bool{}
+	named, addresses := map[string]bool{}, map[string]bool{}
 	engines := 0
 	targets := inventory.Targets(known)
 	for _, target := range targets {
+		addresses[target.Upstream.Address] = true
 		if t.mine(target) {
 			engines++
 		}
@@ -148,8 +151,14 @@
 		}
 		u.list(known.Leaving[target.Upstream.Address])
 	}
-	for name, u := range t.upstreams {
-		if !named[name] {
+	t.adoptStrays(now, known, named, addresses)
+	for _, u := range t.sorted() {
+		switch {
+		case named[u.target.Name]:
+		case u.foreign || addresses[u.target.Upstream.Address]:
+			u.stop()
+			delete(t.upstreams, u.target.Name)
+		default:
 			t.retire(now, u, known)
 		}
 	}
@@ -164,27 +173,21 @@
 const retiredKept = 10 * time.Minute
 
 // retire lets go of an upstream that no document names any more: its models
-// stay until they are ready elsewhere.
+// stay until they are ready elsewhere or deleted.
 func (t *term) retire(now time.Duration, u *upstream, known *replica.Snapshot) {
 	if !u.retired {
 		u.retired = true
 		u.retiredAt = now
 		t.d.opts.Log.Info("upstream retired", "upstream", u.target.Name)
 	}
-	doc := known.Services[u.service]
-	before := len(u.want)
-	for k := range u.want {
+	for _, k := range u.wantedModels() {
 		scoped := u.service + "/" + k.Model
-		needed := false
-		if doc != nil {
-			_, needed = doc.Model(k.Model)
+		switch {
+		case t.deleted(known, u.service, k.Model), t.readyBeside(u, k.Model), t.homes.elsewhere(scoped, t.alive(now)) > 0:
+			t.letGo(now, u, k.Model)
+		default:
+			delete(u.draining, k.Model)
 		}
-		if !needed || t.readyBeside(u, k.Model) || t.homes.elsewhere(scoped, t.alive(now)) > 0 {
-			delete(u.want, k)
-		}
-	}
-	if len(u.want) != before {
-		u.sendWanted()
 	}
 	l := u.c.Ledger()
 	empty := u.adopted && len(u.want) == 0 && len(l.Resident) == 0
--- a/internal/placer/upstream.go
+++ b/internal/placer/upstream.go
@@ -52,6 +52,8 @@
 	invalid   bool // its ledger cannot be read
 	retired   bool
 	retiredAt time.Duration
+	expect    string // the run of an engine that no document names, "" for others
+	foreign   bool   // it reported another run: it is no longer the same engine
 }
 
 // decided is an order and when it was decided to send it.
@@ -78,6 +80,10 @@
 			DurableFence:  target.Upstream.Fencing,
 			MaxOrderDelay: time.Duration(target.Upstream.MaxOrderDelayS) * time.Second,
 		},
+		Place: ledger.Place{
+			Zone: target.Upstream.Zone, Address: target.Upstream.Address,
+			MaxOrderDelayMS: int64(target.Upstream.MaxOrderDelayS) * time.Second.Milliseconds(),
+		},
 		SendWindow: sendWindow, RetryAfter: retryAfter, CallTimeout: callTimeout,
 		PollEvery: u.pollEvery, PollBusy: busyPeriod, AwaitWanted: true,
 	})
@@ -214,6 +220,11 @@
 // polled takes a report. What the engine held when the term began is wanted
 // until the planner decides otherwise.
 func (u *upstream) polled(m ledger.PollDone) {
+	if u.expect != "" && m.Err == nil && m.Report.Boot != u.expect && !u.adopted {
+		u.foreign = true
+		u.stop()
+		return
+	}
 	if m.Err == nil && !u.adopted {
 		u.adopt(m.Report)
 	}
