record: a mode in which the platform holds heads only and entries are log lines

Cause: at the planned size 6,400 entries/s do not fit the platform; the setting that chooses heads and the lines did not exist.

Ruled out: heads riding on the copies to a peer (there are none in this mode), a read before each write (19 reads/s more), heads from every instance (400 writes/s).

Heads mode is refused unless the log is JSON at info or debug.

Partial: not run as processes.

--- a/internal/ctl/commands_test.go
+++ b/internal/ctl/commands_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -182,6 +183,29 @@
 	must.StrContains(t, b.run(cli.ExitFailure, "record", "verify"), "changed: instance n1, incarnation j")
 }
 
+// TestRecordVerifyReadsLogs: entries that are log lines are checked against the
+// heads that the platform holds.
+func TestRecordVerifyReadsLogs(t *testing.T) {
+	b := newBench(t, nil)
+	journal := record.NewJournal(record.Origin{Instance: "n1", Incarnation: "i"}, 1, record.JournalOptions{})
+	journal.Stop(2)
+	b.put(platform.KindRecord, record.HeadsName("north"), record.Heads{Heads: []record.Head{journal.Head()}})
+	batch, _ := journal.Next(0)
+	var log bytes.Buffer
+	lines := slog.New(slog.NewJSONHandler(&log, nil))
+	for _, e := range batch.Entries {
+		lines.Info("service record", record.LogKey, record.Placed{Origin: batch.Origin, Entry: e})
+	}
+	path := filepath.Join(t.TempDir(), "log")
+	must.NoError(t, os.WriteFile(path, log.Bytes(), 0o600))
+	must.StrContains(t, b.run(cli.ExitFailure, "record", "verify"), "missing: instance n1, incarnation i, entry 1 to 2")
+	must.StrContains(t, b.run(cli.ExitOK, "record", "verify", "--log", path), "1 batches checked, 0 findings")
+	cut := bytes.LastIndexByte(bytes.TrimSpace(log.Bytes()), '\n')
+	must.NoError(t, os.WriteFile(path, log.Bytes()[:cut], 0o600))
+	must.StrContains(t, b.run(cli.ExitFailure, "record", "verify", "--log", path), "missing: instance n1, incarnation i, entry 2")
+	b.run(cli.ExitFailure, "record", "verify", "--log", path+".none")
+}
+
 // TestBashCompletes: the script completes commands in a shell.
 func TestBashCompletes(t *testing.T) {
 	var script strings.Builder
--- a/internal/ctl/record.go
+++ b/internal/ctl/record.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -19,13 +20,15 @@
 // RecordVerify checks the chains of the service record.
 type RecordVerify struct {
 	*Globals     `no-flag:"true"`
-	Service      string `long:"service" description:"with --organisation: print its entries in order"`
-	Organisation string `long:"organisation" description:"organisation whose entries are printed in order"`
+	Service      string   `long:"service" description:"with --organisation: print its entries in order"`
+	Organisation string   `long:"organisation" description:"organisation whose entries are printed in order"`
+	Logs         []string `long:"log" value-name:"FILE" description:"log of instances whose entries are log lines; may be repeated"`
 }
 
 // verified is the output of RecordVerify.
 type verified struct {
 	Batches  int              `json:"batches"`
+	Heads    int              `json:"heads"`
 	Findings []record.Finding `json:"findings"`
 	Entries  []record.Placed  `json:"entries,omitempty"`
 }
@@ -34,12 +37,18 @@
 func (c *RecordVerify) Execute([]string) error {
 	ctx, cancel := c.context()
 	defer cancel()
-	batches, err := readRecord(ctx, c.store())
+	// The heads are read before the logs, which then reach at least as far.
+	stored, err := readRecord(ctx, c.store())
 	if err != nil {
 		return err
 	}
-	report := record.Verify(batches, nil)
-	out := verified{Batches: len(batches), Findings: report.Findings}
+	lines, err := readLogs(c.Logs)
+	if err != nil {
+		return err
+	}
+	batches := append(stored.Batches, lines...)
+	report := record.Verify(batches, stored.Heads)
+	out := verified{Batches: len(batches), Heads: len(stored.Heads), Findings: report.Findings}
 	if c.Organisation != "" {
 		out.Entries = slices.DeleteFunc(report.Order(c.Organisation), func(p record.Placed) bool {
 			return c.Service != "" && p.Service != c.Service
@@ -72,6 +81,9 @@
 		}
 		fmt.Fprintln(&b)
 	}
+	if v.Heads > 0 {
+		fmt.Fprintf(&b, "%d heads known: entries of their chains are log lines, to be given with --log\n", v.Heads)
+	}
 	fmt.Fprintf(&b, "%d batches checked, %d findings", v.Batches, len(v.Findings))
 	return b.String()
 }
@@ -94,25 +106,38 @@
 	return line + fmt.Sprintf(" config %d", p.ConfigVersion)
 }
 
-// readRecord returns all batches in the order of their names.
-func readRecord(ctx context.Context, store platform.Store) ([]record.Batch, error) {
+// readRecord returns what the platform holds of the record, in the order of the
+// objects' names.
+func readRecord(ctx context.Context, store platform.Store) (record.Stored, error) {
+	var stored record.Stored
 	list, err := store.List(ctx, platform.KindRecord)
 	if err != nil {
-		return nil, err
+		return stored, err
 	}
 	slices.SortFunc(list.Objects, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
-	var batches []record.Batch
 	for _, obj := range list.Objects {
 		if obj.Deleted {
 			continue
 		}
-		var b record.Batch
-		if err := json.Unmarshal(obj.Value, &b); err != nil || len(b.Entries) == 0 {
-			return nil, fmt.Errorf("%w: object %s cannot be read", ErrRecordBroken, obj.Name)
+		if err := stored.Add(obj.Name, obj.Value); err != nil {
+			return stored, fmt.Errorf("%w: %w", ErrRecordBroken, err)
+		}
+	}
+	return stored, nil
+}
+
+// readLogs returns the entries in log files.
+func readLogs(paths []string) ([]record.Batch, error) {
+	var logs []io.Reader
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, fmt.Errorf("ctl: %w", err)
 		}
-		batches = append(batches, b)
+		defer f.Close()
+		logs = append(logs, f)
 	}
-	return batches, nil
+	return record.ReadLog(logs...)
 }
 
 // Explain prints what the record says of one request.
@@ -127,13 +152,13 @@
 func (c *Explain) Execute([]string) error {
 	ctx, cancel := c.context()
 	defer cancel()
-	batches, err := readRecord(ctx, c.store())
+	stored, err := readRecord(ctx, c.store())
 	if err != nil {
 		return err
 	}
 	var entries []record.Placed
 	var lines []string
-	for _, b := range batches {
+	for _, b := range stored.Batches {
 		for _, e := range b.Entries {
 			if e.RequestID != c.Args.Request {
 				continue
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -21,6 +21,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/placer"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 	"github.com/eelgrassbay/eelgrassbay/internal/quota"
+	"github.com/eelgrassbay/eelgrassbay/internal/record"
 	"github.com/eelgrassbay/eelgrassbay/internal/recorder"
 	"github.com/eelgrassbay/eelgrassbay/internal/replica"
 	"github.com/eelgrassbay/eelgrassbay/internal/route"
@@ -138,6 +139,8 @@
 	})
 	n.recorder = recorder.New(recorder.Options{
 		Self: n.self, Store: n.platform, Peers: n.peers, ZonePeers: n.zonePeers,
+		Flusher: record.FlusherOptions{FlushEvery: n.settings.Record.FlushEvery.Std()},
+		Leader:  n.leader, Line: n.settings.recordLines(n.log),
 		Now: n.now, WallMS: func() int64 { return time.Now().UnixMilli() }, Log: n.log,
 	})
 	n.replica = replica.NewDuty(replica.Options{
--- /dev/null
+++ b/internal/entry/recordsettings.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/record"
+	"github.com/eelgrassbay/eelgrassbay/internal/settings"
+)
+
+// RecordMode says where the entries of the service record go.
+type RecordMode string
+
+// The modes. With RecordHeads the entries are lines of the instance's log, and
+// the platform holds the head of each chain.
+const (
+	RecordPlatform RecordMode = "platform"
+	RecordHeads    RecordMode = "heads"
+)
+
+// RecordSettings set how the service record is kept.
+type RecordSettings struct {
+	Mode RecordMode `json:"mode"`
+	// FlushEvery is the time between two batches, in mode platform.
+	FlushEvery settings.Duration `json:"flush_every"`
+}
+
+var defaultRecord = RecordSettings{Mode: RecordPlatform, FlushEvery: settings.Duration(record.DefaultFlushEvery)}
+
+// Bounds of RecordSettings.FlushEvery: what neither the platform nor a peer
+// holds is lost in a crash.
+const (
+	minFlushEvery = 100 * time.Millisecond
+	maxFlushEvery = time.Minute
+)
+
+func (r RecordSettings) check(c *settings.Checks, log LogSettings) {
+	c.Want(r.Mode == RecordPlatform || r.Mode == RecordHeads, "record/mode", "want platform or heads, got %q", string(r.Mode))
+	c.Want(r.FlushEvery >= settings.Duration(minFlushEvery) && r.FlushEvery <= settings.Duration(maxFlushEvery),
+		"record/flush_every", "want %s to %s", minFlushEvery, maxFlushEvery)
+	level, err := parseLevel(log.Level)
+	lines := log.Format == "json" && err == nil && level <= slog.LevelInfo
+	c.Want(r.Mode != RecordHeads || lines, "record/mode", "heads needs the log in format json at level info or debug, since entries are log lines")
+}
+
+// recordLines returns where the entries go in mode heads, nil in mode platform.
+func (s *Settings) recordLines(log *slog.Logger) func(record.Placed) {
+	if s.Record.Mode != RecordHeads {
+		return nil
+	}
+	return func(p record.Placed) { log.Info("service record", record.LogKey, p) }
+}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -27,6 +27,7 @@
 	Platform PlatformSettings `json:"platform"`
 	Requests RequestSettings  `json:"requests"`
 	Limits   LimitSettings    `json:"limits"`
+	Record   RecordSettings   `json:"record"`
 	Stop     StopSettings     `json:"stop"`
 	Log      LogSettings      `json:"log"`
 	TLS      TLSSettings      `json:"tls"`
@@ -118,6 +119,7 @@
 			ExtraTerm:   settings.Duration(limit.DefaultExtraTerm),
 			BasePercent: limit.DefaultBase.RatePPM * 100 / limit.PPM,
 		},
+		Record: defaultRecord,
 		Stop: StopSettings{
 			LameDuck: settings.Duration(3 * time.Second),
 			Drain:    settings.Duration(2 * time.Minute),
@@ -151,6 +153,7 @@
 	c.Want(s.Requests.BytesPerToken > 0, "requests/bytes_per_token", "want more than 0 bytes")
 	c.Want(s.Requests.MaxConcurrent > 0, "requests/max_concurrent", "want more than 0")
 	s.Limits.check(c)
+	s.Record.check(c, s.Log)
 	c.Want(s.Stop.LameDuck >= 0, "stop/lame_duck", "want 0 or more")
 	c.Want(s.Stop.Drain > 0, "stop/drain", "want more than 0")
 	s.Log.check(c)
--- a/internal/record/heads.go
+++ b/internal/record/heads.go
@@ -64,3 +64,9 @@
 	})
 	return list
 }
+
+// headsPrefix begins the names of objects that hold heads.
+const headsPrefix = "heads-"
+
+// HeadsName returns the name of the object that holds the heads of a zone.
+func HeadsName(zone string) string { return headsPrefix + zone }
--- /dev/null
+++ b/internal/record/stored.go
@@ -0,0 +1,101 @@
+package record
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+)
+
+// LogKey is the key under which a log line holds an entry, as a Placed.
+const LogKey = "service_record"
+
+// ErrUnreadable means that something stored is no part of a record.
+var ErrUnreadable = errors.New("record: cannot be read")
+
+// Stored is what the platform holds of the record.
+type Stored struct {
+	Batches []Batch
+	Heads   []Head
+}
+
+// Add takes in the value of an object of platform.KindRecord: a batch or the
+// heads of a zone. It fails with ErrUnreadable.
+func (s *Stored) Add(name string, value []byte) error {
+	var v struct {
+		Batch
+		Heads *[]Head `json:"heads"`
+	}
+	err := json.Unmarshal(value, &v)
+	switch {
+	case err == nil && v.Heads != nil && len(v.Entries) == 0:
+		s.Heads = append(s.Heads, *v.Heads...)
+	case err == nil && len(v.Entries) > 0:
+		s.Batches = append(s.Batches, v.Batch)
+	default:
+		return fmt.Errorf("%w: object %s", ErrUnreadable, name)
+	}
+	return nil
+}
+
+// maxLine bounds one log line, in bytes.
+const maxLine = 1 << 20
+
+// ReadLog returns the entries in JSON log lines, as one batch a chain. Other
+// lines are skipped. The order of lines does not count: entries are numbered.
+func ReadLog(logs ...io.Reader) ([]Batch, error) {
+	chains := map[Origin][]Entry{}
+	for _, log := range logs {
+		lines := bufio.NewScanner(log)
+		lines.Buffer(nil, maxLine)
+		for lines.Scan() {
+			p, ok, err := readLine(lines.Bytes())
+			if err != nil {
+				return nil, err
+			}
+			if ok {
+				chains[p.Origin] = append(chains[p.Origin], p.Entry)
+			}
+		}
+		if err := lines.Err(); err != nil {
+			return nil, fmt.Errorf("record: log: %w", err)
+		}
+	}
+	return toBatches(chains), nil
+}
+
+func readLine(line []byte) (p Placed, ok bool, err error) {
+	if !bytes.Contains(line, []byte(`"`+LogKey+`"`)) {
+		return p, false, nil
+	}
+	var outer map[string]json.RawMessage
+	if err := json.Unmarshal(line, &outer); err != nil {
+		return p, false, nil // a line of other software, or cut short: its entry is missing
+	}
+	raw, ok := outer[LogKey]
+	if !ok {
+		return p, false, nil
+	}
+	if err := json.Unmarshal(raw, &p); err != nil || p.Seq == 0 {
+		return p, false, fmt.Errorf("%w: log line %.80s", ErrUnreadable, line)
+	}
+	return p, true, nil
+}
+
+func toBatches(chains map[Origin][]Entry) []Batch {
+	batches := make([]Batch, 0, len(chains))
+	for o, entries := range chains {
+		slices.SortStableFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Seq, b.Seq) })
+		b := Batch{Origin: o, Entries: entries}
+		if b.First() == 1 {
+			b.Prev = o.first()
+		}
+		batches = append(batches, b)
+	}
+	slices.SortFunc(batches, func(a, b Batch) int { return cmp.Compare(a.Name(), b.Name()) })
+	return batches
+}
--- a/internal/recorder/duty.go
+++ b/internal/recorder/duty.go
@@ -45,6 +45,17 @@
 	Now       func() time.Duration
 	WallMS    func() int64
 	Log       *slog.Logger
+	// Leader tells who stores the zone's heads.
+	Leader Leader
+	// Line, if set, takes the entries in order in place of the platform, which
+	// then holds the heads of chains only.
+	Line func(record.Placed)
+}
+
+// Leader tells who holds the zone's duty; leader.Duty implements it.
+type Leader interface {
+	Held() (fence uint64, ok bool)
+	Holder() string
 }
 
 // Duty owns the journal, its flusher and the copies held for peers; a mutex
@@ -58,6 +69,8 @@
 	heard   map[record.Origin]time.Duration // last copy of a peer
 	flushed uint64                          // the platform holds all up to it
 	peer    holder                          // of the copies
+	zone    zoneHeads
+	stored  uint64 // the platform has a head at it or later
 }
 
 // holder names one run of the peer that holds the copies.
@@ -66,13 +79,15 @@
 // New returns a duty whose chain has begun.
 func New(opts Options) *Duty {
 	journal := record.NewJournal(origin(opts.Self), opts.WallMS(), opts.Journal)
-	return &Duty{
+	d := &Duty{
 		opts:    opts,
 		journal: journal,
 		flusher: record.NewFlusher(journal, opts.Flusher),
 		copies:  record.NewCopies(maxCopies),
 		heard:   map[record.Origin]time.Duration{},
 	}
+	d.writeLines()
+	return d
 }
 
 func origin(self platform.Instance) record.Origin {
@@ -85,6 +100,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	_, _ = d.journal.Append(d.opts.WallMS(), e)
+	d.writeLines()
 }
 
 // Stamp returns a stamp of the record's clock, to go with a message to a peer.
@@ -118,6 +134,7 @@
 
 // Run copies, flushes and adopts until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
+	go d.keepHeads(ctx)
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	lastAdopt := d.opts.Now()
@@ -127,8 +144,10 @@
 			return nil
 		case <-ticker.C:
 		}
-		d.followPeer()
-		d.step(record.Tick{})
+		if d.opts.Line == nil {
+			d.followPeer()
+			d.step(record.Tick{})
+		}
 		if now := d.opts.Now(); now-lastAdopt >= adoptPeriod {
 			lastAdopt = now
 			d.adopt(ctx, adoptAfter)
@@ -141,8 +160,9 @@
 func (d *Duty) Stop(ctx context.Context) {
 	d.mu.Lock()
 	d.journal.Stop(d.opts.WallMS())
+	d.writeLines()
 	d.mu.Unlock()
-	for ctx.Err() == nil && d.Waiting() > 0 {
+	for ctx.Err() == nil && (d.Waiting() > 0 || d.headWaits()) {
 		time.Sleep(tickPeriod)
 	}
 	d.adopt(ctx, stopSilence)
--- a/internal/recorder/duty_test.go
+++ b/internal/recorder/duty_test.go
@@ -1,13 +1,15 @@
 package recorder
 
 import (
+	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,16 +28,68 @@
 	*Duty
 	self platform.Instance
 	stop context.CancelFunc
+	// delay of its answers, in nanoseconds.
+	delay atomic.Int64
 }
 
-// zone is a few duties that call each other directly. Only the test's own
-// goroutine changes the members, while all others are blocked.
+// zone is a few duties that call each other directly.
 type zone struct {
 	store *platform.Memory
+	mu    sync.Mutex      // guards runs and holder
 	runs  map[string]*run // by name; those that are gone are not listed
 	boots int
-	delay map[string]time.Duration // of the answers of an instance
 	began time.Time
+	// holder is the name of the instance that holds the zone's duty.
+	holder string
+	lines  bool
+	logger *slog.Logger
+	log    bytes.Buffer // of all instances, if they write lines
+}
+
+// view is the lease as one instance sees it.
+type view struct {
+	z    *zone
+	name string
+}
+
+func (v view) Held() (uint64, bool) { return 1, v.Holder() == v.name }
+
+func (v view) Holder() string {
+	v.z.mu.Lock()
+	defer v.z.mu.Unlock()
+	return v.z.holder
+}
+
+func (z *zone) give(holder string) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.holder = holder
+}
+
+func (z *zone) member(name string) *run {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.runs[name]
+}
+
+// leave takes a run off the list of members; it may still run.
+func (z *zone) leave(r *run) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.runs[r.self.Name] == r {
+		delete(z.runs, r.self.Name)
+	}
+}
+
+func (z *zone) peersOf(self platform.Instance) (peers []platform.Instance) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	for _, other := range z.runs {
+		if other.self != self {
+			peers = append(peers, other.self)
+		}
+	}
+	return peers
 }
 
 // conn carries a copy to one duty.
@@ -46,6 +100,12 @@
 }
 
 func (c conn) Invoke(ctx context.Context, _ string, _ drpc.Encoding, in, out drpc.Message) error {
+	if head, ok := in.(*peerpb.RecordHead); ok {
+		answer, err := c.to.Head(ctx, head)
+		reply := out.(*peerpb.RecordHeadReply)
+		reply.Stored, reply.Stamp = answer.GetStored(), answer.GetStamp()
+		return err
+	}
 	ack, err := c.to.Copy(ctx, in.(*peerpb.RecordCopy))
 	time.Sleep(c.delay)
 	if err == nil {
@@ -56,31 +116,31 @@
 }
 
 func (z *zone) Call(ctx context.Context, address string, call func(context.Context, drpc.Conn) error) error {
-	r := z.runs[address]
+	r := z.member(address)
 	if r == nil {
 		return errors.New("no such peer")
 	}
-	return call(ctx, conn{to: r.Duty, delay: z.delay[address]})
+	return call(ctx, conn{to: r.Duty, delay: time.Duration(r.delay.Load())})
 }
 
 func (z *zone) start(name string) *run {
 	z.boots++
-	self := platform.Instance{Name: name, Incarnation: fmt.Sprint(z.boots), PeerAddress: name}
+	self := platform.Instance{Name: name, Incarnation: fmt.Sprint(z.boots), Zone: "z", PeerAddress: name}
 	ctx, cancel := context.WithCancel(context.Background())
+	var line func(record.Placed)
+	if z.lines {
+		line = func(p record.Placed) { z.logger.Info("service record", record.LogKey, p) }
+	}
 	r := &run{self: self, stop: cancel, Duty: New(Options{
+		Leader: view{z, name}, Line: line,
 		Self: self, Store: z.store, Peers: z, Journal: record.JournalOptions{Ring: ring},
-		ZonePeers: func() (peers []platform.Instance) {
-			for _, other := range z.runs {
-				if other.self != self {
-					peers = append(peers, other.self)
-				}
-			}
-			return peers
-		},
-		Now:    func() time.Duration { return time.Since(z.began) },
-		WallMS: func() int64 { return time.Now().UnixMilli() }, Log: slog.New(slog.DiscardHandler),
+		ZonePeers: func() []platform.Instance { return z.peersOf(self) },
+		Now:       func() time.Duration { return time.Since(z.began) },
+		WallMS:    func() int64 { return time.Now().UnixMilli() }, Log: slog.New(slog.DiscardHandler),
 	})}
+	z.mu.Lock()
 	z.runs[name] = r
+	z.mu.Unlock()
 	go func() { _ = r.Run(ctx) }()
 	return r
 }
@@ -89,24 +149,23 @@
 func (z *zone) kill(r *run) {
 	r.stop()
 	synctest.Wait()
-	if z.runs[r.self.Name] == r {
-		delete(z.runs, r.self.Name)
-	}
+	z.leave(r)
+}
+
+func newZone() *zone {
+	z := &zone{store: platform.NewMemory(0), runs: map[string]*run{}, began: time.Now()}
+	z.logger = slog.New(slog.NewJSONHandler(&z.log, nil))
+	return z
 }
 
 // inZone runs a test in a zone of instances of these names.
 func inZone(t *testing.T, test func(t *testing.T, z *zone), names ...string) {
 	synctest.Test(t, func(t *testing.T) {
-		z := &zone{store: platform.NewMemory(0), runs: map[string]*run{}, delay: map[string]time.Duration{}, began: time.Now()}
+		z := newZone()
 		for _, name := range names {
 			z.start(name)
 		}
-		defer func() {
-			for _, r := range z.runs {
-				r.stop()
-			}
-			time.Sleep(2 * callTimeout)
-		}()
+		defer z.end()
 		time.Sleep(record.DefaultFlushEvery + tickPeriod)
 		for _, name := range names {
 			z.runs[name].append(1) // is flushed at once, what follows within a second is not
@@ -116,6 +175,13 @@
 	})
 }
 
+func (z *zone) end() {
+	for _, r := range z.runs {
+		r.stop()
+	}
+	time.Sleep(2 * callTimeout)
+}
+
 func (r *run) append(n int) {
 	for range n {
 		r.Append(record.Entry{Kind: record.KindOutcome, Organisation: "org"})
@@ -133,13 +199,15 @@
 	list, err := z.store.List(context.Background(), platform.KindRecord)
 	must.NoError(t, err)
 	slices.SortFunc(list.Objects, func(a, b platform.Object) int { return cmp.Compare(a.Name, b.Name) })
-	var batches []record.Batch
+	var stored record.Stored
 	for _, obj := range list.Objects {
-		var b record.Batch
-		must.NoError(t, json.Unmarshal(obj.Value, &b))
-		batches = append(batches, b)
+		must.NoError(t, stored.Add(obj.Name, obj.Value))
 	}
-	for _, f := range record.Verify(batches, heads).Findings {
+	lines, err := record.ReadLog(bytes.NewReader(z.log.Bytes()))
+	must.NoError(t, err)
+	stored.Batches = append(stored.Batches, lines...)
+	heads = append(heads, stored.Heads...)
+	for _, f := range record.Verify(stored.Batches, heads).Findings {
 		if f.Origin == origin(of.self) {
 			found = append(found, f)
 		}
@@ -241,11 +309,11 @@
 				z.store.SetFaults(platform.Faults{Outage: true})
 				p, ok := a.choosePeer()
 				must.True(t, ok)
-				z.delay[p.Name] = c.delay
+				z.member(p.Name).delay.Store(int64(c.delay))
 				a.append(3)
 				time.Sleep(2*tickPeriod + c.delay/2)
 				former := z.runs[p.Name]
-				delete(z.runs, p.Name)
+				z.leave(former)
 				if c.restart {
 					z.start(p.Name)
 				}
