--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: demo build test format vet lint unit generate evaluate clean
+.PHONY: demo build test format vet lint unit generate evaluate capacity clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -35,5 +35,14 @@
 	$(GO) build -o $(BIN)/eelgrass-evaluate ./cmd/eelgrass-evaluate
 	$(BIN)/eelgrass-evaluate --seed $(SEED) workloads/lakeshore.hujson workloads/laufzeit.hujson
 
+# capacity prints what control costs at the planned size, from benchmarks and
+# from processes that it starts on loopback and stops; takes two minutes.
+CAPACITY_BENCHMARKS := config inventory keys limit placement placement/ledger replica route
+capacity: build
+	mkdir -p out
+	$(GO) test -run xxx -bench . -benchtime 0.2s $(CAPACITY_BENCHMARKS:%=./internal/%) >out/capacity-benchmarks.txt
+	scripts/capacity.sh out/capacity
+	$(BIN)/eelgrass-capacity --benchmarks out/capacity-benchmarks.txt out/capacity
+
 clean:
 	rm -rf $(BIN) out
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,99 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"testing/fstest"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// TestLeastSquaresFindsTheSlopes fits values made from slopes that are known.
+func TestLeastSquaresFindsTheSlopes(t *testing.T) {
+	rapidtest.Check(t, func(t *rapid.T) {
+		slopes := rapid.SliceOfN(rapid.Float64Range(-1e3, 1e3), 3, 3).Draw(t, "slopes")
+		var f fitting
+		for i := range rapid.IntRange(6, 20).Draw(t, "samples") {
+			x, y := float64(i), float64(i*i%7)
+			f.add(slopes[0]+slopes[1]*x+slopes[2]*y, 1, x, y)
+		}
+		fit, err := LeastSquares(f.drivers, f.values)
+		must.NoError(t, err)
+		for i, s := range slopes {
+			must.InDelta(t, s, fit.Slopes[i], 1e-6)
+		}
+	})
+}
+
+func TestLeastSquaresRefusesDriversThatMoveTogether(t *testing.T) {
+	_, err := LeastSquares([][]float64{{1, 2}, {2, 4}, {3, 6}}, []float64{1, 2, 3})
+	must.ErrorIs(t, err, ErrUndetermined)
+	_, err = LeastSquares([][]float64{{1, 2}}, []float64{1})
+	must.ErrorIs(t, err, ErrUndetermined)
+}
+
+func TestReadBenchmarks(t *testing.T) {
+	b, err := ReadBenchmarks(strings.NewReader("goos: linux\nBenchmarkRelay/load/engines=8-10   \t 9 \t 6446 ns/op\t 26.00 wire-B/entry\t 2247 B/op\nPASS\n"))
+	must.NoError(t, err)
+	must.Eq(t, Benchmarks{"Relay/load/engines=8": {"ns/op": 6446, "wire-B/entry": 26, "B/op": 2247}}, b)
+}
+
+// sampleFiles holds one window of one instance: it began 5 exchanges a second
+// and two changes came into force after 0.5 s and 1 s.
+func sampleFiles() fstest.MapFS {
+	file := func(text string) *fstest.MapFile { return &fstest.MapFile{Data: []byte(text)} }
+	const inForce = `{"time":"1970-01-01T00:00:%sZ","msg":"document in force","instance":"entry-0","version":%d}` + "\n"
+	return fstest.MapFS{
+		"s-changes/site.json":     file(`{"nodes": 1, "zones": 1, "engines": 0, "window": "changes", "changes": 2}`),
+		"s-changes/entry-0.start": file("eelgrass_control_uptime_seconds 10\neelgrass_control_peer_calls 100\n"),
+		"s-changes/entry-0.end":   file("eelgrass_control_uptime_seconds 14\neelgrass_control_peer_calls 120\neelgrass_control_platform_calls{operation=\"instances\"} 8\n"),
+		"s-changes/calls.start":   file(`{"get": 3}`),
+		"s-changes/calls.end":     file(`{"get": 5, "watch": 1}`),
+		"s-changes/applied":       file("4 1000000000\n7 2000000000\n"),
+		"s-changes/in_force":      file(fmt.Sprintf(inForce, "00.5", 4) + fmt.Sprintf(inForce, "01.5", 7) + fmt.Sprintf(inForce, "03", 9)),
+	}
+}
+
+func TestReadSites(t *testing.T) {
+	sites, err := ReadSites(sampleFiles())
+	must.NoError(t, err)
+	must.Len(t, 1, sites)
+	s := sites[0]
+	must.Eq(t, 5.0, s.Entries[0].PeerCalls)
+	must.Eq(t, 2.0, s.Entries[0].ListReads)
+	must.Eq(t, 4.0, s.Seconds)
+	must.Eq(t, map[string]float64{"get": 2, "watch": 1}, s.Calls)
+	must.Eq(t, []float64{0.5, 1}, s.Arrivals)
+}
+
+func TestReadSitesNamesTheBadFile(t *testing.T) {
+	files := sampleFiles()
+	files["s-changes/entry-0.end"] = &fstest.MapFile{Data: []byte("eelgrass_control_uptime_seconds much\n")}
+	_, err := ReadSites(files)
+	must.ErrorIs(t, err, ErrSamples)
+	must.ErrorContains(t, err, "entry-0.end")
+	_, err = ReadSites(fstest.MapFS{})
+	must.ErrorIs(t, err, ErrSamples)
+}
+
+// TestCostOfAnInstanceDoesNotGrowWithItsZone: where instances and engines grow
+// together, an instance reads and relays no more than a bound.
+func TestCostOfAnInstanceDoesNotGrowWithItsZone(t *testing.T) {
+	for n := 1.0; n <= 100; n++ {
+		z := size{nodesPerZone: n, enginesPerZone: 5.5 * n, zones: 19, loaded: true}
+		must.LessEq(t, enginesPerPeriod/basePeriodS, z.entries())
+		must.LessEq(t, 5.5/basePeriodS, z.reads())
+		must.False(t, math.IsNaN(z.relayCalls()))
+	}
+}
+
+func TestPlan(t *testing.T) {
+	p, err := ReadPlan("../../workloads/plan.hujson")
+	must.NoError(t, err)
+	must.Eq(t, 400.0, p.Nodes)
+	must.InDelta(t, 0.0787, p.changesPerS(), 1e-4)
+}
--- /dev/null
+++ b/internal/capacity/plan.go
@@ -0,0 +1,78 @@
+// Package capacity works out what control costs at a planned size. It reads
+// samples that running instances gave at several smaller sizes and the output
+// of Go benchmarks, fits slopes to them and multiplies the slopes by the
+// planned size.
+package capacity
+
+import "github.com/eelgrassbay/eelgrassbay/internal/settings"
+
+// Plan is the size to extrapolate to.
+type Plan struct {
+	Nodes           float64 `json:"nodes"`
+	Zones           float64 `json:"zones"`
+	Servers         float64 `json:"servers"`
+	Models          float64 `json:"models"`
+	ModelsPerServer float64 `json:"models_per_server"`
+	Organisations   float64 `json:"organisations"`
+	RequestsPerS    float64 `json:"requests_per_s"`
+	TokensPerS      float64 `json:"tokens_per_s"`
+	NonIdempotent   float64 `json:"non_idempotent_percent"`
+	ChangesPerDay   float64 `json:"changes_per_day"`
+	DocumentBytes   float64 `json:"document_bytes"`
+	FailedPerDay    float64 `json:"failed_per_day"`
+	ReplacedPerDay  float64 `json:"replaced_per_day"`
+	Bounds          Bounds  `json:"bounds"`
+}
+
+// Bounds are what control may cost.
+type Bounds struct {
+	CorePercent     float64 `json:"core_percent"`
+	MemoryMB        float64 `json:"memory_mb"`
+	BytesPerS       float64 `json:"bytes_per_s"`
+	ChangeS         float64 `json:"change_s"`
+	PlatformWritesS float64 `json:"platform_writes_per_s"`
+	PlatformReadsS  float64 `json:"platform_reads_per_s"`
+}
+
+const secondsPerDay = 86400
+
+// ReadPlan reads and checks a HuJSON file.
+func ReadPlan(file string) (*Plan, error) {
+	p := &Plan{}
+	if err := settings.Load(file, p); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Check implements settings.Checker.
+func (p *Plan) Check(src *settings.Source) error {
+	c := settings.NewChecks(src)
+	for _, f := range []struct {
+		name  string
+		value float64
+	}{
+		{"nodes", p.Nodes}, {"zones", p.Zones}, {"servers", p.Servers}, {"models", p.Models},
+		{"models_per_server", p.ModelsPerServer}, {"organisations", p.Organisations},
+		{"changes_per_day", p.ChangesPerDay}, {"document_bytes", p.DocumentBytes},
+		{"bounds/core_percent", p.Bounds.CorePercent}, {"bounds/memory_mb", p.Bounds.MemoryMB},
+		{"bounds/bytes_per_s", p.Bounds.BytesPerS}, {"bounds/change_s", p.Bounds.ChangeS},
+		{"bounds/platform_writes_per_s", p.Bounds.PlatformWritesS},
+		{"bounds/platform_reads_per_s", p.Bounds.PlatformReadsS},
+	} {
+		c.Want(f.value > 0, f.name, "want more than 0")
+	}
+	return c.Err()
+}
+
+// nodesPerZone is the number of entry instances of one zone.
+func (p *Plan) nodesPerZone() float64 { return p.Nodes / p.Zones }
+
+// enginesPerZone is the number of model servers of one zone.
+func (p *Plan) enginesPerZone() float64 { return p.Servers / p.Zones }
+
+// listed is the number of entries of the instance list.
+func (p *Plan) listed() float64 { return p.Nodes + p.Servers }
+
+// changesPerS is the mean rate of changes of documents.
+func (p *Plan) changesPerS() float64 { return p.ChangesPerDay / secondsPerDay }
--- /dev/null
+++ b/internal/capacity/print.go
@@ -0,0 +1,93 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+)
+
+func (m *Model) printSlopes(w io.Writer) {
+	fmt.Fprint(w, "### Slopes\n\n| figure | per | slope | samples | largest deviation from the fit |\n|---|---|---|---|---|\n")
+	for _, s := range []Slope{
+		m.Exchange, m.Call, m.LoadEntry, m.Confirm, m.Report, m.Change, m.ReadsPerZone, m.WritesPerZone,
+		m.ReadsPerChange, m.ChangeReadsZone, m.WritesPerChange, m.ChangeWritesZone, m.StartReads, m.StartWrites,
+		m.CPUBase, m.CPUCall, m.CPURead, m.CPUKnown, m.CPUChange, m.MemoryBase, m.MemoryNode, m.MemoryUp, m.Arrival,
+	} {
+		fmt.Fprintf(w, "| %s | %s | %s %s | %d | %.0f%% |\n", s.Name, s.Driver, short(s.Value), s.Unit, s.Samples, 100*s.Residual)
+	}
+}
+
+// short writes a figure with three digits.
+func short(v float64) string {
+	switch abs := math.Abs(v); {
+	case abs >= 100:
+		return fmt.Sprintf("%.0f", v)
+	case abs >= 0.01 || abs == 0:
+		return fmt.Sprintf("%.3g", v)
+	}
+	return fmt.Sprintf("%.2e", v)
+}
+
+func (r Role) print(w io.Writer) {
+	fmt.Fprintf(w, "\n### %s\n\n", r.Name)
+	if len(r.Lines) > 0 {
+		fmt.Fprint(w, "| what | mechanism | slope × size | B/s | % of a core |\n|---|---|---|---|---|\n")
+	}
+	for _, l := range r.Lines {
+		fmt.Fprintf(w, "| %s | %s | %s | %.0f | %.3f |\n", l.Carrier, l.Mechanism, l.Sum, l.BytesPerS, 100*l.CorePart)
+	}
+	if len(r.Lines) > 0 {
+		fmt.Fprintln(w)
+	}
+	fmt.Fprint(w, "| total | value | bound | ratio | verdict |\n|---|---|---|---|---|\n")
+	for _, b := range r.Bounds {
+		verdict := "met"
+		if !b.Met() {
+			verdict = "missed"
+		}
+		fmt.Fprintf(w, "| %s | %s %s | %s | %.2f | %s |\n", b.What, short(b.Value), b.Unit, short(b.Most), b.Value/b.Most, verdict)
+	}
+}
+
+// expected are benchmarks of packages that may not have them yet.
+var expected = []string{"Claim", "RecordAppend"}
+
+func (b Benchmarks) print(w io.Writer) {
+	fmt.Fprint(w, "\n### Decision packages\n\n| benchmark | µs/op | B/op | allocs/op | own figure |\n|---|---|---|---|---|\n")
+	for _, name := range slices.Sorted(maps.Keys(b)) {
+		r := b[name]
+		if heap, ok := r["heap-B"]; ok {
+			fmt.Fprintf(w, "| %s | | | | %s heap-B |\n", name, short(heap))
+			continue
+		}
+		fmt.Fprintf(w, "| %s | %s | %.0f | %.0f | %s |\n", name, short(r["ns/op"]/1000), r["B/op"], r["allocs/op"], r.own())
+	}
+	for _, name := range expected {
+		if !b.has(name) {
+			fmt.Fprintf(w, "| %s | not measured yet | | | |\n", name)
+		}
+	}
+}
+
+func (b Benchmarks) has(prefix string) bool {
+	for name := range b {
+		if strings.HasPrefix(name, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// own returns the figures that the benchmark reports itself.
+func (b Benchmark) own() string {
+	var own []string
+	for _, unit := range slices.Sorted(maps.Keys(b)) {
+		if unit != "ns/op" && unit != "B/op" && unit != "allocs/op" {
+			own = append(own, short(b[unit])+" "+unit)
+		}
+	}
+	return strings.Join(own, ", ")
+}
--- a/internal/inventory/bench_test.go
+++ b/internal/inventory/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
+	"github.com/eelgrassbay/eelgrassbay/internal/heaptest"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 	"google.golang.org/protobuf/proto"
@@ -95,3 +96,18 @@
 		})
 	}
 }
+
+// BenchmarkReportsHeap measures what one instance keeps of reports.
+func BenchmarkReportsHeap(b *testing.B) {
+	for _, n := range []int{12, 550, 2200} {
+		b.Run(fmt.Sprintf("reports=%d", n), func(b *testing.B) {
+			heaptest.Report(b, func() *State {
+				s := NewState()
+				for _, e := range zoneReports(n) {
+					s.Observe(e)
+				}
+				return s
+			})
+		})
+	}
+}
--- a/internal/limit/bench_test.go
+++ b/internal/limit/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/heaptest"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 )
 
@@ -67,3 +68,20 @@
 	}
 	b.ReportMetric(float64(writes)/now.Seconds(), "writes/s")
 }
+
+// BenchmarkLimitHeap measures what one instance keeps of limits.
+func BenchmarkLimitHeap(b *testing.B) {
+	for _, orgs := range []int{5, 50, 200} {
+		b.Run(fmt.Sprintf("orgs=%d", orgs), func(b *testing.B) {
+			heaptest.Report(b, func() *Instance {
+				limits := Limits{Version: 1, Orgs: map[string]Limit{}}
+				for i := range orgs {
+					limits.Orgs[fmt.Sprintf("service-%d/organisation-%d", i%40, i)] = Limit{Rate: 10_000, Burst: 60_000}
+				}
+				in := NewInstance(Options{}, "i", "run")
+				in.Step(0, limits)
+				return in
+			})
+		})
+	}
+}
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
+	"github.com/eelgrassbay/eelgrassbay/internal/heaptest"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 	"google.golang.org/protobuf/proto"
 )
@@ -135,3 +136,32 @@
 	}
 	return len(raw)
 }
+
+// BenchmarkReplicaHeap measures what one instance keeps of documents, members
+// and the list.
+func BenchmarkReplicaHeap(b *testing.B) {
+	for _, s := range sites {
+		b.Run(s.String(), func(b *testing.B) { heaptest.Report(b, func() *State { return s.state(0) }) })
+	}
+}
+
+// BenchmarkDocumentExchange learns one document by exchange instead of a push.
+func BenchmarkDocumentExchange(b *testing.B) {
+	for _, s := range sites {
+		b.Run(s.String(), func(b *testing.B) {
+			from, to := s.state(0), s.state(s.zones)
+			wire := 0
+			for i := uint64(1000); b.Loop(); i++ {
+				to.set.OfferAccepted(config.Accepted{Service: "service-0", Version: i, Raw: largeDocument(int(i))})
+				wire = 0
+				req := from.Request(time.Second)
+				for round := 0; req != nil && round < maxRounds; round++ {
+					reply, _ := to.Answer(time.Second, req)
+					wire += encoded(b, req) + encoded(b, reply)
+					req, _ = from.Absorb(time.Second, time.Second, req, reply)
+				}
+			}
+			b.ReportMetric(float64(wire), "wire-B/op")
+		})
+	}
+}
--- /dev/null
+++ b/internal/route/bench_heap_test.go
@@ -0,0 +1,32 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/heaptest"
+)
+
+// BenchmarkTableHeap measures the routing table with four models an upstream.
+func BenchmarkTableHeap(b *testing.B) {
+	for _, s := range []struct{ upstreams, models int }{{12, 20}, {550, 128}, {2200, 510}} {
+		b.Run(fmt.Sprintf("upstreams=%d/models=%d", s.upstreams, s.models), func(b *testing.B) {
+			heaptest.Report(b, func() *Table { return tableOf(s.upstreams, s.models) })
+		})
+	}
+}
+
+func tableOf(upstreams, models int) *Table {
+	t := New(Options{})
+	for i := range upstreams {
+		name := fmt.Sprintf("service-%d/engine-%04d", i%40, i)
+		t.SetUpstream(Upstream{Name: name, Zone: "z", PrefillRate: 10_000, MaxRunning: 32})
+		var resident []Resident
+		for m := range 4 {
+			resident = append(resident, Resident{Model: fmt.Sprintf("service-%d/model-%d", i%40, (i*4+m)%models), Ready: true})
+		}
+		t.SetResident(name, resident)
+		t.Report(0, name, Load{Running: 3, FreeKV: 1 << 20})
+	}
+	return t
+}
