--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -90,6 +90,10 @@
 // as a mean over the zone.
 func (z size) leaseCalls() float64 { return (z.nodesPerZone - 1) / z.nodesPerZone / renewalS }
 
+// copies is how often an instance sends or receives a changed document at
+// least, as a mean over the zone: all but the reader get it once, from it.
+func (z size) copies() float64 { return 2 * (z.nodesPerZone - 1) / z.nodesPerZone }
+
 // entries is the number of relayed reports that it sends in a second.
 func (z size) entries() float64 { return z.reads() * (z.nodesPerZone - 1) }
 
@@ -109,7 +113,7 @@
 type Model struct {
 	Exchange, Call, LoadEntry, Confirm Slope // bytes, sent and received together
 	Report                             Slope // bytes
-	Change                             Slope // bytes relayed per byte of the document
+	Change                             Slope // bytes relayed per byte that must be
 	ReadsPerZone, WritesPerZone        Slope // platform calls a second
 	ReadsPerChange, WritesPerChange    Slope
 	ChangeReadsZone, ChangeWritesZone  Slope
@@ -200,7 +204,7 @@
 	for i, s := range m.window(WindowChanges) {
 		if s.Nodes > 1 {
 			spent := s.mean(peerBytes) - idle[i].mean(peerBytes)
-			bytes.add(spent, float64(s.Changes*s.DocumentBytes)/s.Seconds)
+			bytes.add(spent, s.size().copies()*float64(s.Changes*s.DocumentBytes)/s.Seconds)
 		}
 		if len(s.Arrivals) > 0 {
 			m.Arrival.Value = max(m.Arrival.Value, slices.Max(s.Arrivals))
@@ -208,7 +212,7 @@
 		}
 	}
 	m.Arrival.Name, m.Arrival.Driver, m.Arrival.Unit = "arrival", "change and instance, the latest", "s"
-	return bytes.slopes("change bytes", []*Slope{&m.Change}, []string{"byte of the document"}, []string{"B"})
+	return bytes.slopes("change bytes", []*Slope{&m.Change}, []string{"byte of the document, sent or received"}, []string{"B"})
 }
 
 func reads(calls map[string]float64) float64 {
--- a/internal/capacity/print.go
+++ b/internal/capacity/print.go
@@ -1,11 +1,13 @@
 package capacity
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -57,7 +59,7 @@
 
 func (b Benchmarks) print(w io.Writer) {
 	fmt.Fprint(w, "\n### Decision packages\n\n| benchmark | µs/op | B/op | allocs/op | own figure |\n|---|---|---|---|---|\n")
-	for _, name := range slices.Sorted(maps.Keys(b)) {
+	for _, name := range slices.SortedFunc(maps.Keys(b), bySize) {
 		r := b[name]
 		if heap, ok := r["heap-B"]; ok {
 			fmt.Fprintf(w, "| %s | | | | %s heap-B |\n", name, short(heap))
@@ -72,6 +74,29 @@
 	}
 }
 
+// bySize orders names with numbers in them by the numbers.
+func bySize(a, b string) int {
+	for a != "" && b != "" {
+		na, restA := leadingNumber(a)
+		nb, restB := leadingNumber(b)
+		if restA != a && restB != b && na != nb {
+			return cmp.Compare(na, nb)
+		}
+		if a[0] != b[0] {
+			return cmp.Compare(a[0], b[0])
+		}
+		a, b = a[1:], b[1:]
+	}
+	return cmp.Compare(len(a), len(b))
+}
+
+// leadingNumber splits the digits off that a text begins with.
+func leadingNumber(text string) (n int, rest string) {
+	rest = strings.TrimLeft(text, "0123456789")
+	n, _ = strconv.Atoi(text[:len(text)-len(rest)])
+	return n, rest
+}
+
 func (b Benchmarks) has(prefix string) bool {
 	for name := range b {
 		if strings.HasPrefix(name, prefix) {
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -50,8 +50,8 @@
 		line("reports of engines", "each engine read by one instance of its zone (rendezvous hashing)", z.reads(), m.Report, m.CPURead),
 		{
 			Carrier: "changes of documents", Mechanism: "reader pushes to its zone; exchanges spread between zones",
-			Sum:       fmt.Sprintf("%.3f changes/s × %.0f B × %.2f", changes, p.DocumentBytes, m.Change.Value),
-			BytesPerS: changes * p.DocumentBytes * m.Change.Value, CorePart: changes * m.CPUChange.Value,
+			Sum:       fmt.Sprintf("%.3f changes/s × %.0f B × %.2f copies × %.2f", changes, p.DocumentBytes, z.copies(), m.Change.Value),
+			BytesPerS: changes * p.DocumentBytes * z.copies() * m.Change.Value, CorePart: changes * m.CPUChange.Value,
 		},
 		{
 			Carrier: "changes of the instance list", Mechanism: "the parts that differ, in exchanges",
