engine: a report that answers another call is an error

Cause: the ledger's promise says that a poll carries an attempt id that the answer echoes, but the client sent none. A report that crossed with an earlier one could show a state before an order that the ledger counts as seen.

Change: Client.Report sends X-Attempt-Id, unique to the client and call; an answer that names another, or none, is ErrCrossed and is not read, so its connection is closed and serves no other call. The stand-in echoes.

Ruled out: taking an answer without an id as the right one, since a crossed one from such an engine could not be told; the same for replies to orders, which decide nothing about memory.

TestReportEchoesItsAttempt without the echo: "asked as ..., answered as """.

--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -28,7 +28,7 @@
 // /v1/chat/completions.
 const (
 	PathOrders      = "/engine/orders"       // POST Order, answers OrderReply
-	PathReport      = "/engine/report"       // GET Report
+	PathReport      = "/engine/report"       // GET Report; echoes HeaderAttempt
 	PathCacheEvents = "/engine/cache-events" // GET ?since=SEQ, answers CacheEvents
 	PathCancel      = "/engine/cancel/"      // POST attempt id
 	PathKVExport    = "/engine/kv/export"    // POST model and prompt, as of a completion; answers KVPrefix
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/traffic"
@@ -17,6 +19,10 @@
 // reached it.
 var ErrUnreachable = errors.New("engine: unreachable")
 
+// ErrCrossed means that an answer is one to another call, or does not say to
+// which: it may show an earlier state.
+var ErrCrossed = errors.New("engine: answer to another call")
+
 const (
 	maxReportBytes  = 1 << 20
 	controlTimeout  = time.Second
@@ -26,8 +32,10 @@
 // Client reads engines' reports and sends them orders. It is safe for
 // concurrent use.
 type Client struct {
-	http  *http.Client
-	bytes *traffic.Counter
+	http    *http.Client
+	bytes   *traffic.Counter
+	prefix  string // of the ids of this client's calls
+	reports atomic.Uint64
 }
 
 // NewClient returns a client whose calls take at most a second each. They
@@ -36,13 +44,26 @@
 	transport := &http.Transport{
 		DialContext: bytes.Dial(), MaxIdleConnsPerHost: idleControlConn, IdleConnTimeout: time.Minute,
 	}
-	return &Client{http: &http.Client{Transport: transport, Timeout: controlTimeout}, bytes: bytes}
+	return &Client{http: &http.Client{Transport: transport, Timeout: controlTimeout}, bytes: bytes, prefix: rand.Text() + "-"}
 }
 
-// Report reads the report of the engine at address (IP:port).
+// Report reads the report of the engine at address (IP:port). It fails with
+// ErrCrossed if the answer does not name this very call.
 func (c *Client) Report(ctx context.Context, address string) (Report, error) {
+	attempt := c.prefix + strconv.FormatUint(c.reports.Add(1), 10)
+	resp, err := c.send(ctx, http.MethodGet, address, PathReport, nil, attempt)
+	if err != nil {
+		return Report{}, err
+	}
+	defer resp.Body.Close() // unread if crossed, so its connection serves no other call
+	if echoed := resp.Header.Get(HeaderAttempt); echoed != attempt && resp.StatusCode == http.StatusOK {
+		return Report{}, fmt.Errorf("%w: %s%s: asked as %q, answered as %q", ErrCrossed, address, PathReport, attempt, echoed)
+	}
 	var r Report
-	return r, c.call(ctx, http.MethodGet, address, PathReport, nil, &r)
+	if err := decode(resp, &r); err != nil {
+		return Report{}, err
+	}
+	return r, nil
 }
 
 // CacheEvents reads the cache events of an engine from a sequence number on.
@@ -64,23 +85,35 @@
 }
 
 func (c *Client) call(ctx context.Context, method, address, path string, in, out any) error {
+	resp, err := c.send(ctx, method, address, path, in, "")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return decode(resp, out)
+}
+
+// send makes a call; an attempt that is not empty goes with it.
+func (c *Client) send(ctx context.Context, method, address, path string, in any, attempt string) (*http.Response, error) {
 	c.bytes.Call()
 	var body bytes.Buffer
 	if in != nil {
 		if err := json.NewEncoder(&body).Encode(in); err != nil {
-			return fmt.Errorf("engine: encode: %w", err)
+			return nil, fmt.Errorf("engine: encode: %w", err)
 		}
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, &body)
 	if err != nil {
-		return fmt.Errorf("%w: %s%s: %w", ErrUnreachable, address, path, err)
+		return nil, fmt.Errorf("%w: %s%s: %w", ErrUnreachable, address, path, err)
+	}
+	if attempt != "" {
+		req.Header.Set(HeaderAttempt, attempt)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("%w: %s%s: %w", ErrUnreachable, address, path, err)
+		return nil, fmt.Errorf("%w: %s%s: %w", ErrUnreachable, address, path, err)
 	}
-	defer resp.Body.Close()
-	return decode(resp, out)
+	return resp, nil
 }
 
 func decode(resp *http.Response, out any) error {
--- a/internal/standin/modelengine/control.go
+++ b/internal/standin/modelengine/control.go
@@ -58,7 +58,10 @@
 	reply.JSON(w, http.StatusOK, Cancelled{Cancelled: running})
 }
 
-func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) report(w http.ResponseWriter, r *http.Request) {
+	if attempt := r.Header.Get(engine.HeaderAttempt); attempt != "" {
+		w.Header().Set(engine.HeaderAttempt, attempt)
+	}
 	reply.JSON(w, http.StatusOK, s.Report())
 }
 
--- a/internal/standin/modelengine/modelengine_test.go
+++ b/internal/standin/modelengine/modelengine_test.go
@@ -269,3 +269,10 @@
 	other := strings.Replace(string(kv), `"m"`, `"n"`, 1)
 	must.Eq(t, http.StatusNotFound, to.post(engine.PathKVImport, other, nil).StatusCode)
 }
+
+func TestReportEchoesItsAttempt(t *testing.T) {
+	r := newRig(t, 0)
+	report, err := engine.NewClient(nil).Report(t.Context(), strings.TrimPrefix(r.url, "http://"))
+	must.NoError(t, err)
+	must.Eq(t, "m", report.Resident[0].Model)
+}
