proctest: Pause returns once all threads have stopped

On a busy machine the signal was still on its way when the test sent its request, which was answered (TestPauseAndFaults, 2 of 4 runs of make test).

--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -1,6 +1,7 @@
 package proctest
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -126,8 +127,39 @@
 	<-p.ended
 }
 
-// Pause stops the process from running until Resume; its connections stay.
-func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
+// Pause stops the process from running until Resume; its connections stay. It
+// returns once the process has stopped: the signal alone is sent ahead of that.
+func (p *Process) Pause() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	for range pausePolls {
+		if p.stopped() {
+			return
+		}
+		time.Sleep(pausePoll)
+	}
+	p.t.Fatalf("process %d has not stopped", p.cmd.Process.Pid)
+}
+
+// How often Pause looks whether the process has stopped.
+const (
+	pausePoll  = time.Millisecond
+	pausePolls = 5000
+)
+
+// stopped reports whether the kernel shows all threads as stopped.
+func (p *Process) stopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	for _, thread := range threads {
+		stat, readErr := os.ReadFile(thread)
+		// The state follows the command's name, which stands in parentheses.
+		_, state, ok := strings.Cut(string(stat), ") ")
+		if readErr != nil || !ok || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return err == nil && len(threads) > 0
+}
 
 // Resume lets a paused process run on.
 func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
