--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,8 @@
 # evaluate measures the policies beside their baselines.
 SEED ?= 20261203
 evaluate:
-	$(GO) build -o $(BIN)/eelgrass-evaluate ./cmd/eelgrass-evaluate
-	$(BIN)/eelgrass-evaluate --seed $(SEED) workloads/lakeshore.hujson workloads/laufzeit.hujson
+	$(GO) build -o $(BIN)/eelgrass-load ./cmd/eelgrass-load
+	$(BIN)/eelgrass-load evaluate --seed $(SEED) workloads/lakeshore.hujson workloads/laufzeit.hujson
 
 clean:
 	rm -rf $(BIN) out
--- a/cmd/eelgrass-load/main.go
+++ b/cmd/eelgrass-load/main.go
@@ -1,5 +1,5 @@
 // Command eelgrass-load sends open-loop load to real processes and reports
-// what became of it.
+// what became of it. It also measures the policies in virtual time.
 package main
 
 import (
@@ -22,9 +22,10 @@
 type options struct {
 	Version func() `long:"version" description:"print the version and exit"`
 
-	Run     runCommand     `command:"run" description:"send an experiment's load and report"`
-	Compare compareCommand `command:"compare" description:"send the same load to a baseline and to the targets, in turns"`
-	Plot    plotCommand    `command:"plot" description:"draw a report as PNG or SVG"`
+	Run      runCommand      `command:"run" description:"send an experiment's load and report"`
+	Compare  compareCommand  `command:"compare" description:"send the same load to a baseline and to the targets, in turns"`
+	Evaluate evaluateCommand `command:"evaluate" description:"measure the policies on workloads in virtual time, beside baselines"`
+	Plot     plotCommand     `command:"plot" description:"draw a report as PNG or SVG"`
 }
 
 // exitError is an error with its own exit code.
--- a/internal/evaluate/evaluate.go
+++ b/internal/evaluate/evaluate.go
@@ -147,26 +147,41 @@
 	}
 }
 
-// Print measures a workload under all policies and prints one line per
-// measure: workload, measure, baseline, ours and the ratio of the two.
-func Print(out io.Writer, w *Workload, seed uint64) {
+// Comparison holds the figures of a workload under all policies, from runs of
+// one trace.
+type Comparison struct {
+	Workload                         *Workload
+	Baseline, Ours, OnDemand         Measures
+	BaselineAfterKill, OursAfterKill Measures // a server dies
+}
+
+// Compare measures a workload under all policies.
+func Compare(w *Workload, seed uint64) *Comparison {
 	baseKill, oursKill := Baseline(), Ours()
 	baseKill.Kill = seconds(w.Seconds * killShare)
 	oursKill.Kill = baseKill.Kill
 	m := runAll(w, seed, Baseline(), Ours(), OnDemand(), baseKill, oursKill)
-	base, ours, demand, baseKilled, oursKilled := m[0], m[1], m[2], m[3], m[4]
+	return &Comparison{
+		Workload: w, Baseline: m[0], Ours: m[1], OnDemand: m[2], BaselineAfterKill: m[3], OursAfterKill: m[4],
+	}
+}
+
+// Print prints one line per measure: workload, measure, baseline, ours and the
+// ratio of the two.
+func (c *Comparison) Print(out io.Writer) {
 	line := func(measure string, a, b float64) {
 		quotient := "-"
 		if a != 0 {
 			quotient = fmt.Sprintf("%.3f", b/a)
 		}
-		fmt.Fprintf(out, "%s %s %.4g %.4g %s\n", w.Name, measure, a, b, quotient)
+		fmt.Fprintf(out, "%s %s %.4g %.4g %s\n", c.Workload.Name, measure, a, b, quotient)
 	}
-	accelerators := float64(w.Servers)
+	base, ours := &c.Baseline, &c.Ours
+	accelerators := float64(c.Workload.Servers)
 	line("attainment_per_accelerator", base.Attainment/accelerators, ours.Attainment/accelerators)
 	line("attainment", base.Attainment, ours.Attainment)
-	line("attainment_on_demand", demand.Attainment, ours.Attainment)
-	line("model_moves_on_demand", float64(demand.Moves), float64(ours.Moves))
+	line("attainment_on_demand", c.OnDemand.Attainment, ours.Attainment)
+	line("model_moves_on_demand", float64(c.OnDemand.Moves), float64(ours.Moves))
 	line("worst_over_best_organisation", base.Worst/base.Best, ours.Worst/ours.Best)
 	line("worst_over_best_of_the_others", base.WorstOther/base.BestOther, ours.WorstOther/ours.BestOther)
 	line("worst_organisation", base.Worst, ours.Worst)
@@ -178,7 +193,7 @@
 	line("refused_for_overload", base.Refused, ours.Refused)
 	line("refused_within_rate", base.Limited+base.Refused, ours.Limited+ours.Refused)
 	line("tokens_beyond_rate_and_burst", base.Beyond, ours.Beyond)
-	line("attempts_after_kill", baseKilled.Attempts, oursKilled.Attempts)
-	line("attainment_after_kill", baseKilled.Attainment, oursKilled.Attainment)
+	line("attempts_after_kill", c.BaselineAfterKill.Attempts, c.OursAfterKill.Attempts)
+	line("attainment_after_kill", c.BaselineAfterKill.Attainment, c.OursAfterKill.Attainment)
 	line("home_load_max_over_mean", base.Skew, ours.Skew)
 }
--- a/internal/evaluate/evaluate_test.go
+++ b/internal/evaluate/evaluate_test.go
@@ -1,6 +1,7 @@
 package evaluate
 
 import (
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -86,3 +87,12 @@
 	must.LessEq(t, 1.1, ours.Attempts)
 	must.Greater(t, ours.Attempts, without.Attempts)
 }
+
+// TestPlot: a comparison is drawn as an image.
+func TestPlot(t *testing.T) {
+	w := short(t)
+	m := Measures{Organisations: make([]float64, len(w.Organisations))}
+	file := filepath.Join(t.TempDir(), "a.png")
+	must.NoError(t, (&Comparison{Workload: w, Baseline: m, Ours: m}).WritePlot(file))
+	must.FileExists(t, file)
+}
--- a/internal/evaluate/measure.go
+++ b/internal/evaluate/measure.go
@@ -11,6 +11,9 @@
 	// Attainment is the share of live requests within rate that met both
 	// deadlines, Worst and Best those of organisations, while one floods.
 	Attainment, Worst, Best float64
+	// Organisations are the attainments behind Worst and Best, in the
+	// workload's order.
+	Organisations []float64
 	// WorstOther and BestOther leave out the organisation that floods.
 	WorstOther, BestOther float64
 	// FloodShare is the number of tokens admitted of the flood over those that
@@ -114,6 +117,7 @@
 		}
 	}
 	for i, o := range orgs {
+		m.Organisations = append(m.Organisations, o.value())
 		m.Worst = min(m.Worst, o.value())
 		m.Best = max(m.Best, o.value())
 		if x.load.Organisations[i].Name != x.load.Flood.Organisation {
