placement: a home that stands in counts against the maximum

Cause: a zone without a part of max_replicas that had taken a model for want of a home was not counted, so the zone with the part loaded one more to fill free memory: two replicas where one may be. And it gave its home up as excess though the sum was within the maximum. Found by TestHolderAsksWhichZonesAreAliveBeforeItPlans.

Change: homes elsewhere count, one replica each; a zone that stands in keeps its home while the maximum allows.

Proof: without the count TestReplicasAboveTheMaximumLeave fails with "the other zone holds the one replica".

--- a/internal/placement/replicas.go
+++ b/internal/placement/replicas.go
@@ -43,13 +43,14 @@
 
 // full says whether one replica more here might exceed a model's maximum. The
 // zones' parts of it rest on the document alone, so no view of who is alive
-// lets them add up to more. A model without a home is loaded all the same.
+// lets them add up to more. A model without a home is loaded all the same: a
+// zone without a part may stand in for one, and counts for as long.
 func (p *plan) full(m int) bool {
 	model := p.in.Models[m]
 	if model.MaxReplicas == 0 || p.held[m] == 0 && model.Elsewhere == 0 {
 		return false
 	}
-	return p.held[m] >= p.most(m)
+	return p.held[m] >= p.most(m) || p.held[m]+model.Elsewhere >= model.MaxReplicas
 }
 
 // most returns this zone's part of a model's maximum.
@@ -68,7 +69,8 @@
 		if model.MaxReplicas == 0 {
 			continue
 		}
-		for excess := len(p.where[m]) - p.most(m); excess > 0 && p.rooms > 0; excess-- {
+		standsIn := len(p.where[m]) == 1 && 1+model.Elsewhere <= model.MaxReplicas
+		for excess := len(p.where[m]) - p.most(m); !standsIn && excess > 0 && p.rooms > 0; excess-- {
 			id, ok := p.leastLoss(m)
 			if !ok {
 				break
--- a/internal/placement/replicas_test.go
+++ b/internal/placement/replicas_test.go
@@ -100,4 +100,10 @@
 		retired += len(planner.Plan(in))
 	}
 	must.Eq(t, 1, retired, must.Sprint("one of two homes gives way"))
+	in.Upstreams[0] = Upstream{Name: "u", MemoryMB: 60, Live: true}
+	in.Models[0].Designated, in.Loads = false, 1
+	for _, own := range in.AllZones {
+		in.Zone = own
+		must.SliceEmpty(t, planner.Plan(in), must.Sprint("the other zone holds the one replica"))
+	}
 }
