placer: prove the lease at each use and the greeting before the plan

Cause: no test failed if a write or an order did not ask for the lease, or if a holder planned before it knew which zones were alive.

Change: tests alone. One takes the lease away between the ticks of its holder with slow calls under way, one between a decision and its call for each kind of call, and one begins terms while another zone, slow to answer, is the only home of all models.

Proof, each mechanism switched off once: the order's check, 3 orders without the lease; the ledger's, 1 or 2 writes; those of homes and budget fail TestLeaseIsAskedForAtThePointOfUse ("homes lapsed=true", "budget lapsed=true"), as the others do; without the wait for the greeting, "loaded though its home is alive".

--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -10,6 +10,7 @@
 	"math"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -151,6 +152,8 @@
 	leaving map[string]bool // addresses of upstreams
 	deleted bool            // the document
 	behind  bool            // documents are not known to be complete
+	slow    [2]atomic.Int64 // what a call to a peer, or to an engine, takes, in ns
+	unheld  []string        // writes and orders without the lease
 	log     io.Writer
 }
 
@@ -183,7 +186,7 @@
 	}, done: make(chan struct{})}
 	opt := placement.DefaultDemandOptions()
 	n.duty = New(Options{
-		Self: n.self, Store: s.store, Peers: s, Engines: s, Known: func() *replica.Snapshot { return s.known(name) },
+		Self: n.self, Store: leased{s.store, n}, Peers: s, Engines: leased{s.store, n}, Known: func() *replica.Snapshot { return s.known(name) },
 		Held: func() (uint64, bool) { return s.held(n) }, Holder: func() string { return s.leader(zone) },
 		DrainsChanged: func([]string) {}, Count: func(string) {}, Planner: placement.Demand{Options: opt},
 		Now: func() time.Duration { return time.Since(s.began) }, Log: slog.New(slog.NewTextHandler(s.log, nil)).With("instance", name),
@@ -254,12 +257,35 @@
 	s.doc = &next
 }
 
-func (s *site) Report(_ context.Context, address string) (engine.Report, error) {
-	return s.engines[address].report()
+// leased is the store and the engines as one instance calls them. It notes
+// what the instance does without the lease.
+type leased struct {
+	platform.Store
+	n *node
 }
 
-func (s *site) Order(_ context.Context, address string, o engine.Order) (engine.OrderReply, error) {
-	return s.engines[address].order(o)
+func (l leased) note(what string) {
+	if _, ok := l.n.site.held(l.n); !ok {
+		l.n.site.mu.Lock()
+		defer l.n.site.mu.Unlock()
+		l.n.site.unheld = append(l.n.site.unheld, what)
+	}
+}
+
+func (l leased) Put(ctx context.Context, obj platform.Object) (platform.Object, error) {
+	l.note("write " + string(obj.Kind))
+	return l.Store.Put(ctx, obj)
+}
+
+func (l leased) Report(_ context.Context, address string) (engine.Report, error) {
+	time.Sleep(time.Duration(l.n.site.slow[1].Load()))
+	return l.n.site.engines[address].report()
+}
+
+func (l leased) Order(_ context.Context, address string, o engine.Order) (engine.OrderReply, error) {
+	l.note("order")
+	time.Sleep(time.Duration(l.n.site.slow[1].Load()))
+	return l.n.site.engines[address].order(o)
 }
 
 // conn carries calls to one duty.
@@ -269,6 +295,7 @@
 }
 
 func (s *site) Call(ctx context.Context, address string, call func(context.Context, drpc.Conn) error) error {
+	time.Sleep(time.Duration(s.slow[0].Load()))
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	s.mu.Lock()
