quota: pace requests, tell of every charge, repeat a lost return of shares

Cause: tests of four duties over the in-memory platform. A flood of refused charges made 1,576 requests in 13 s, where a pause of 10 ms allows 1,078: each grant was followed by the next request at once. A planned stop sent its message once; lost, the shares stay unused for the base term (rates 624 of 700). A charge that came while another's request was under way was refused although the zone could lend.

Ruled out: no request after a grant in internal/limit: TestWrongfulRefusals of limitsim then fails (greedy: escrow 1,712, static division 1,686).

Change: what follows a grant waits for the next tick; a charge borrows up to three times; the shared request outlives its first caller; Stop repeats its message for up to 500 ms.

Runs with a mechanism off (go test ./internal/quota): pace off: 1,688 requests; no pause: 6,879; one or two tries: the second of two charges refused; one message at a stop: 624, want 696; shares read twice as large: as printed by the oracle in TestHolderDiesUnderLoad. Not shown by a test: that the shared request outlives its caller; and the pause of extras after a takeover, switched off in internal/limit, is not caught here (internal/limit's own world test covers it).

--- a/internal/quota/duty.go
+++ b/internal/quota/duty.go
@@ -28,6 +28,12 @@
 	// borrowPause is the least time between two requests for loans, so that a
 	// flood of refused charges makes no flood of requests.
 	borrowPause = 10 * time.Millisecond
+	// borrowTries is three: the request under way when a charge comes does not
+	// tell of that charge, and neither may the one that followed from a grant.
+	borrowTries = 3
+	// stopTimeout bounds the return of shares, and stopRetry spaces its tries.
+	stopTimeout = 500 * time.Millisecond
+	stopRetry   = 50 * time.Millisecond
 )
 
 // Leader tells who holds the zone's duty; leader.Duty implements it.
@@ -36,11 +42,17 @@
 	Holder() string
 }
 
+// Documents tells the documents and members that are known; replica.Duty
+// implements it.
+type Documents interface {
+	Snapshot() *replica.Snapshot
+}
+
 // Options configure a Duty.
 type Options struct {
 	Self    platform.Instance
 	Limit   limit.Options
-	Replica *replica.Duty
+	Replica Documents
 	Leader  Leader
 	Store   platform.Store
 	Peers   peer.Caller
@@ -55,6 +67,7 @@
 	borrow   singleflight.Group
 	mu       sync.Mutex
 	instance *limit.Instance
+	due      []*limit.Request // that followed from grants
 	zoneMu   sync.Mutex
 	zone     *limit.Zone
 	limits   *replica.Snapshot // the documents that the limits were taken from
@@ -80,17 +93,22 @@
 // a loan from the zone may cover waits for it, briefly.
 func (d *Duty) Admit(ctx context.Context, org string, charge int64) limit.Decision {
 	decision := d.admit(org, charge)
-	if decision.Admitted || !decision.Borrowing {
-		return decision
+	for range borrowTries {
+		if decision.Admitted || !decision.Borrowing || ctx.Err() != nil {
+			return decision
+		}
+		// Its first caller may go away while others wait for the same loan.
+		shared := context.WithoutCancel(ctx)
+		_, _, _ = d.borrow.Do("", func() (any, error) {
+			ctx, cancel := context.WithTimeout(shared, borrowTimeout)
+			defer cancel()
+			d.stepInstance(ctx, limit.Tick{})
+			wait.Sleep(ctx, borrowPause)
+			return nil, nil
+		})
+		decision = d.admit(org, charge)
 	}
-	_, _, _ = d.borrow.Do("", func() (any, error) {
-		ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
-		defer cancel()
-		d.stepInstance(ctx, limit.Tick{})
-		wait.Sleep(ctx, borrowPause)
-		return nil, nil
-	})
-	return d.admit(org, charge)
+	return decision
 }
 
 func (d *Duty) admit(org string, charge int64) limit.Decision {
@@ -138,8 +156,29 @@
 	}
 }
 
-// Stop returns all shares to the zone's duty holder.
-func (d *Duty) Stop(ctx context.Context) { d.stepInstance(ctx, limit.Stop{}) }
+// Stop returns all shares to the zone's duty holder: what it does not hear of
+// stays unused for the base term, so a lost request is repeated.
+func (d *Duty) Stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if r := d.nextRequest(limit.Stop{}); r != nil {
+		d.tell(ctx, requestToWire(*r))
+	}
+}
+
+// tell sends a request until the duty holder has it or ctx ends.
+func (d *Duty) tell(ctx context.Context, r *peerpb.ShareRequest) {
+	for {
+		_, err := d.askHolder(ctx, r)
+		if err == nil {
+			return
+		}
+		if !wait.Sleep(ctx, stopRetry) {
+			d.opts.Log.Warn("return shares", "error", err)
+			return
+		}
+	}
+}
 
 // takeLimits passes the organisations of newly accepted documents on.
 func (d *Duty) takeLimits(ctx context.Context) {
@@ -159,28 +198,45 @@
 	d.stepZone(ctx, limit.Limits{Version: d.version, Orgs: orgs})
 }
 
-// stepInstance steps this instance's part and sends what it asks for.
+// stepInstance steps this instance's part, sends the request that it asks for
+// and applies the grant.
 func (d *Duty) stepInstance(ctx context.Context, msg limit.Message) {
-	d.mu.Lock()
-	actions := d.instance.Step(d.opts.Now(), msg)
-	d.mu.Unlock()
-	for _, a := range actions {
-		if send, ok := a.(limit.SendRequest); ok {
-			d.ask(ctx, send.Request)
-		}
+	request := d.nextRequest(msg)
+	if request == nil {
+		return
 	}
-}
-
-// ask sends a request to the duty holder and applies the grant.
-func (d *Duty) ask(ctx context.Context, r limit.Request) {
-	grant, err := d.askHolder(ctx, requestToWire(r))
+	grant, err := d.askHolder(ctx, requestToWire(*request))
 	if err != nil {
 		d.opts.Log.Debug("ask for shares", "error", err)
 		return
 	}
-	if grant != nil {
-		d.stepInstance(ctx, grantFromWire(grant))
+	if grant == nil {
+		return
+	}
+	if next := d.nextRequest(grantFromWire(grant)); next != nil {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.due = append(d.due, next)
+	}
+}
+
+// nextRequest steps this instance's part and returns the request to send, if
+// any. One that followed from a grant was left for the next tick, so that
+// ticks set the pace.
+func (d *Duty) nextRequest(msg limit.Message) *limit.Request {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, tick := msg.(limit.Tick); tick && len(d.due) > 0 {
+		r := d.due[0]
+		d.due = d.due[1:]
+		return r
+	}
+	for _, a := range d.instance.Step(d.opts.Now(), msg) {
+		if send, ok := a.(limit.SendRequest); ok {
+			return &send.Request
+		}
 	}
+	return nil
 }
 
 // errNoHolder means that no duty holder of the zone is known.
