--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -36,8 +36,8 @@
 func DefaultDemandOptions() DemandOptions {
 	return DemandOptions{
 		Target:        0.85,
-		Threshold:     0.05,
-		MinStay:       3 * time.Minute,
+		Threshold:     0.02,
+		MinStay:       time.Minute,
 		Stagger:       time.Minute,
 		Extra:         time.Minute,
 		HomesWanted:   2,
