once: a claim that comes during a seal is not written over a known one

A claim of a key that another request holds sets the head to be read again; if a segment was being written at that moment, the write of the head that follows a seal took the claim in over the known entry, and granted it.

Ruled out: answering such claims as in progress at once (the run may have been settled since the head was read).

Change: a batch leaves out claims of keys that the index knows; they are answered from it after the write.

Run with the check off: TestClaimDuringASealIsNotWrittenOver grants the second run.

--- a/internal/once/claimer_test.go
+++ b/internal/once/claimer_test.go
@@ -393,3 +393,22 @@
 	out = c.Step(2, Claim{Key: Key{Digest: Digest{2}}, Holder: Holder{"w", 2}})
 	must.EqOp(t, ReasonUnavailable, out[0].(Answer).Reply.Reason)
 }
+
+// A claim that comes while the head is being sealed, of a key that another
+// request holds, is not written over it.
+func TestClaimDuringASealIsNotWrittenOver(t *testing.T) {
+	c := NewClaimer(ClaimerOptions{Roll: time.Minute}, newRand())
+	key := Key{Digest: Digest{1}, TimeMS: 1}
+	get := c.Step(0, Claim{Key: key, Holder: Holder{"first", 1}})[0].(Get)
+	put := c.Step(0, StoreRead{Op: get.Op})[0].(Put)
+	must.True(t, c.Step(0, StoreWritten{Op: put.Op, Version: 1})[0].(Answer).Reply.Granted)
+	seal := c.Step(time.Hour, Claim{Key: Key{Digest: Digest{2}, TimeMS: 2}, Holder: Holder{"other", 1}})[0].(Put)
+	must.EqOp(t, segmentName(0, 1), seal.Name)
+	must.SliceEmpty(t, c.Step(time.Hour, Claim{Key: key, Holder: Holder{"second", 1}}))
+	head := c.Step(time.Hour, StoreWritten{Op: seal.Op, Version: 2})[0].(Put)
+	for _, a := range c.Step(time.Hour, StoreWritten{Op: head.Op, Version: 3}) {
+		if answer, ok := a.(Answer); ok && answer.Key == key.Digest {
+			must.False(t, answer.Reply.Granted, must.Sprint("a second run of the key"))
+		}
+	}
+}
--- a/internal/once/commit.go
+++ b/internal/once/commit.go
@@ -294,7 +294,9 @@
 	}
 	for i := range c.claims {
 		p := &c.claims[i]
-		if taken[p.Key.Digest] {
+		// A claim that came while a segment was written may be of a key that
+		// is known: it is answered from the index, never written.
+		if _, known := c.index[p.Key.Digest]; known || taken[p.Key.Digest] {
 			continue
 		}
 		e := entry{Key: p.Key.Digest, State: StateClaimed, Holder: p.Holder, Print: p.Fingerprint, TimeMS: p.Key.TimeMS}
