once: settle at once where claims are rare

Cause: a settlement waits up to 1 s for a claim to ride with, also on a shard that gets none, so that a retry through another instance reads in_progress.

Ruled out: settling at once whenever nothing waits (writes grow at load).

Change: no wait while the last two claims came SettleDelay or more apart; the interval between writes stays.

Runs with the rule switched to never or always: TestSettlementWaitsOnlyWhereClaimsCome fails for both.

--- a/internal/once/bench_test.go
+++ b/internal/once/bench_test.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -43,6 +44,77 @@
 	b.ReportMetric(float64(written)/float64(b.N), "B/claim")
 }
 
+// BenchmarkArrivals lets claims come at random to one shard, each settled
+// 200 ms after it was granted, and gives the writes a claim and the time from a
+// settlement to its write.
+func BenchmarkArrivals(b *testing.B) {
+	for _, gap := range []time.Duration{5 * time.Second, time.Second, 100 * time.Millisecond} {
+		b.Run("every "+gap.String(), func(b *testing.B) {
+			var a arrivals
+			for range b.N {
+				a = arrivals{gap: gap, claims: 1000}
+				a.run()
+			}
+			b.ReportMetric(float64(a.writes)/float64(a.claims), "writes/claim")
+			b.ReportMetric(a.delay.Seconds()*1000/float64(a.settled), "settle-ms")
+		})
+	}
+}
+
+// arrivals is one shard's Claimer before an object API that answers at once.
+type arrivals struct {
+	gap             time.Duration
+	claims, settled int
+	writes          uint64
+	delay           time.Duration // sum
+	now             time.Duration
+	claimer         *Claimer
+	runs            []Settle // by the time of their end
+	ends            []time.Duration
+	asked           map[Digest]time.Duration
+}
+
+func (a *arrivals) run() {
+	const step = 20 * time.Millisecond
+	rng := newRand()
+	a.claimer, a.asked = NewClaimer(ClaimerOptions{Roll: 24 * time.Hour, SegmentBytes: 1 << 30}, newRand()), map[Digest]time.Duration{}
+	next := time.Duration(0)
+	for n := 0; a.settled < a.claims; a.now += step {
+		for ; n < a.claims && next <= a.now; n++ {
+			key := Key{Digest: digest("s", "o", fmt.Sprint(n)), TimeMS: int64(n + 1)}
+			a.step(Claim{Key: key, Holder: Holder{"i", uint64(n + 1)}})
+			next += time.Duration(rng.ExpFloat64() * float64(a.gap))
+		}
+		for len(a.runs) > 0 && a.ends[0] <= a.now {
+			a.asked[a.runs[0].Key] = a.now
+			a.step(a.runs[0])
+			a.runs, a.ends = a.runs[1:], a.ends[1:]
+		}
+		a.step(Tick{})
+	}
+	a.writes = a.claimer.Stats().Writes
+}
+
+func (a *arrivals) step(m Message) {
+	for queue := a.claimer.Step(a.now, m); len(queue) > 0; queue = queue[1:] {
+		switch x := queue[0].(type) {
+		case Get:
+			queue = append(queue, a.claimer.Step(a.now, StoreRead{Op: x.Op})...)
+		case Put:
+			for _, e := range a.claimer.batch {
+				if e.State == StateDone {
+					a.settled++
+					a.delay += a.now - a.asked[e.Key]
+				}
+			}
+			queue = append(queue, a.claimer.Step(a.now, StoreWritten{Op: x.Op, Version: uint64(a.now) + a.claimer.Stats().Writes})...)
+		case Answer:
+			a.runs = append(a.runs, Settle{Key: x.Key, Holder: x.Holder, State: StateDone, Result: &Result{Status: 200}})
+			a.ends = append(a.ends, a.now+200*time.Millisecond)
+		}
+	}
+}
+
 // BenchmarkRequest is one request that is answered at its first attempt.
 func BenchmarkRequest(b *testing.B) {
 	budget := NewBudget(0, BudgetOptions{}, newRand())
--- a/internal/once/claimer.go
+++ b/internal/once/claimer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -40,7 +41,8 @@
 	Roll time.Duration
 	// Interval is the least time between two writes of the head.
 	Interval time.Duration
-	// SettleDelay is how long a settlement waits for a claim to ride with.
+	// SettleDelay is how long a settlement waits for a claim to ride with. It
+	// does not wait while claims come further apart than that.
 	SettleDelay time.Duration
 	// ClaimTimeout is how long a claim waits before it is refused.
 	ClaimTimeout time.Duration
@@ -141,6 +143,8 @@
 	unsure   bool   // the last write's outcome is not known
 	orphan   uint64 // segment made here that no head names yet
 
+	lastClaim time.Duration // when the last claim came
+	claimGap  time.Duration // between the last two claims
 	nextWrite time.Duration
 	retryAt   time.Duration
 	failures  int
@@ -158,6 +162,8 @@
 		cache:   map[uint64][]entry{},
 		objects: map[uint64]uint64{},
 		seen:    map[uint64]time.Duration{},
+		// Before the first two claims nothing tells that more will come.
+		claimGap: math.MaxInt64,
 	}
 }
 
@@ -201,6 +207,7 @@
 	if slices.ContainsFunc(c.claims, func(p pendingClaim) bool { return p.Holder == m.Holder }) {
 		return
 	}
+	c.noteArrival(now)
 	p := pendingClaim{Claim: m, since: now}
 	if c.runsElsewhere(p) {
 		c.loaded = false // the run may have been settled since: read again
@@ -217,6 +224,17 @@
 	}
 }
 
+// noteArrival keeps the gap between the last two claims; the first has none.
+func (c *Claimer) noteArrival(now time.Duration) {
+	if c.lastClaim != 0 {
+		c.claimGap = now - c.lastClaim
+	}
+	c.lastClaim = now
+}
+
+// quiet reports that a settlement would probably wait in vain for a claim.
+func (c *Claimer) quiet() bool { return c.claimGap >= c.opts.SettleDelay }
+
 // runsElsewhere reports that the key was claimed and not settled when the head
 // was last read.
 func (c *Claimer) runsElsewhere(p pendingClaim) bool {
--- a/internal/once/claimer_test.go
+++ b/internal/once/claimer_test.go
@@ -412,3 +412,36 @@
 		}
 	}
 }
+
+// A settlement is written within an interval where claims are rare, and waits
+// for a claim to ride with where they are not.
+func TestSettlementWaitsOnlyWhereClaimsCome(t *testing.T) {
+	for _, gap := range []time.Duration{2 * DefaultSettleDelay, DefaultSettleDelay / 10} {
+		c := NewClaimer(ClaimerOptions{}, newRand())
+		now, version := time.Second, uint64(0)
+		run := func(m Message) (puts int) {
+			for queue := c.Step(now, m); len(queue) > 0; queue = queue[1:] {
+				switch a := queue[0].(type) {
+				case Get:
+					queue = append(queue, c.Step(now, StoreRead{Op: a.Op})...)
+				case Put:
+					version++
+					puts++
+					queue = append(queue, c.Step(now, StoreWritten{Op: a.Op, Version: version})...)
+				}
+			}
+			return puts
+		}
+		for i := range 3 {
+			now += gap
+			run(Claim{Key: Key{Digest: Digest{byte(i + 1)}, TimeMS: 1}, Holder: Holder{"w", uint64(i + 1)}})
+		}
+		puts := run(Settle{Key: Digest{3}, Holder: Holder{"w", 3}, State: StateDone, Result: &Result{Status: 200}})
+		now += DefaultInterval
+		puts += run(Tick{})
+		must.Eq(t, gap >= DefaultSettleDelay, puts == 1, must.Sprint("claims each ", gap))
+		now += DefaultSettleDelay
+		puts += run(Tick{})
+		must.EqOp(t, 1, puts)
+	}
+}
--- a/internal/once/commit.go
+++ b/internal/once/commit.go
@@ -187,7 +187,7 @@
 
 func (c *Claimer) settleDue(now time.Duration) bool {
 	return slices.ContainsFunc(c.settles, func(s pendingSettle) bool {
-		return now-s.since >= c.opts.SettleDelay && (c.holds(s) || s.late)
+		return (c.quiet() || now-s.since >= c.opts.SettleDelay) && (c.holds(s) || s.late)
 	})
 }
 
