--- a/internal/ctl/record.go
+++ b/internal/ctl/record.go
@@ -31,6 +31,8 @@
 	Heads    int              `json:"heads"`
 	Findings []record.Finding `json:"findings"`
 	Entries  []record.Placed  `json:"entries,omitempty"`
+
+	logs bool // log files were given
 }
 
 // Execute implements flags.Commander.
@@ -48,7 +50,7 @@
 	}
 	batches := append(stored.Batches, lines...)
 	report := record.Verify(batches, stored.Heads)
-	out := verified{Batches: len(batches), Heads: len(stored.Heads), Findings: report.Findings}
+	out := verified{Batches: len(batches), Heads: len(stored.Heads), Findings: report.Findings, logs: len(c.Logs) > 0}
 	if c.Organisation != "" {
 		out.Entries = slices.DeleteFunc(report.Order(c.Organisation), func(p record.Placed) bool {
 			return c.Service != "" && p.Service != c.Service
@@ -81,7 +83,7 @@
 		}
 		fmt.Fprintln(&b)
 	}
-	if v.Heads > 0 {
+	if v.Heads > 0 && !v.logs {
 		fmt.Fprintf(&b, "%d heads known: entries of their chains are log lines, to be given with --log\n", v.Heads)
 	}
 	fmt.Fprintf(&b, "%d batches checked, %d findings", v.Batches, len(v.Findings))
