--- a/internal/once/claimer_test.go
+++ b/internal/once/claimer_test.go
@@ -393,3 +393,55 @@
 	out = c.Step(2, Claim{Key: Key{Digest: Digest{2}}, Holder: Holder{"w", 2}})
 	must.EqOp(t, ReasonUnavailable, out[0].(Answer).Reply.Reason)
 }
+
+// A claim that comes while the head is being sealed, of a key that another
+// request holds, is not written over it.
+func TestClaimDuringASealIsNotWrittenOver(t *testing.T) {
+	c := NewClaimer(ClaimerOptions{Roll: time.Minute}, newRand())
+	key := Key{Digest: Digest{1}, TimeMS: 1}
+	get := c.Step(0, Claim{Key: key, Holder: Holder{"first", 1}})[0].(Get)
+	put := c.Step(0, StoreRead{Op: get.Op})[0].(Put)
+	must.True(t, c.Step(0, StoreWritten{Op: put.Op, Version: 1})[0].(Answer).Reply.Granted)
+	seal := c.Step(time.Hour, Claim{Key: Key{Digest: Digest{2}, TimeMS: 2}, Holder: Holder{"other", 1}})[0].(Put)
+	must.EqOp(t, segmentName(0, 1), seal.Name)
+	must.SliceEmpty(t, c.Step(time.Hour, Claim{Key: key, Holder: Holder{"second", 1}}))
+	head := c.Step(time.Hour, StoreWritten{Op: seal.Op, Version: 2})[0].(Put)
+	for _, a := range c.Step(time.Hour, StoreWritten{Op: head.Op, Version: 3}) {
+		if answer, ok := a.(Answer); ok && answer.Key == key.Digest {
+			must.False(t, answer.Reply.Granted, must.Sprint("a second run of the key"))
+		}
+	}
+}
+
+// A settlement is written within an interval where claims are rare, and waits
+// for a claim to ride with where they are not.
+func TestSettlementWaitsOnlyWhereClaimsCome(t *testing.T) {
+	for _, gap := range []time.Duration{2 * DefaultSettleDelay, DefaultSettleDelay / 10} {
+		c := NewClaimer(ClaimerOptions{}, newRand())
+		now, version := time.Second, uint64(0)
+		run := func(m Message) (puts int) {
+			for queue := c.Step(now, m); len(queue) > 0; queue = queue[1:] {
+				switch a := queue[0].(type) {
+				case Get:
+					queue = append(queue, c.Step(now, StoreRead{Op: a.Op})...)
+				case Put:
+					version++
+					puts++
+					queue = append(queue, c.Step(now, StoreWritten{Op: a.Op, Version: version})...)
+				}
+			}
+			return puts
+		}
+		for i := range 3 {
+			now += gap
+			run(Claim{Key: Key{Digest: Digest{byte(i + 1)}, TimeMS: 1}, Holder: Holder{"w", uint64(i + 1)}})
+		}
+		puts := run(Settle{Key: Digest{3}, Holder: Holder{"w", 3}, State: StateDone, Result: &Result{Status: 200}})
+		now += DefaultInterval
+		puts += run(Tick{})
+		must.Eq(t, gap >= DefaultSettleDelay, puts == 1, must.Sprint("claims each ", gap))
+		now += DefaultSettleDelay
+		puts += run(Tick{})
+		must.EqOp(t, 1, puts)
+	}
+}
--- a/internal/once/commit.go
+++ b/internal/once/commit.go
@@ -187,7 +187,7 @@
 
 func (c *Claimer) settleDue(now time.Duration) bool {
 	return slices.ContainsFunc(c.settles, func(s pendingSettle) bool {
-		return now-s.since >= c.opts.SettleDelay && (c.holds(s) || s.late)
+		return (c.quiet() || now-s.since >= c.opts.SettleDelay) && (c.holds(s) || s.late)
 	})
 }
 
@@ -294,7 +294,9 @@
 	}
 	for i := range c.claims {
 		p := &c.claims[i]
-		if taken[p.Key.Digest] {
+		// A claim that came while a segment was written may be of a key that
+		// is known: it is answered from the index, never written.
+		if _, known := c.index[p.Key.Digest]; known || taken[p.Key.Digest] {
 			continue
 		}
 		e := entry{Key: p.Key.Digest, State: StateClaimed, Holder: p.Holder, Print: p.Fingerprint, TimeMS: p.Key.TimeMS}
