--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -13,6 +13,9 @@
 	basePeriodS      = 0.25 // inventory: between reads of a report
 	enginesPerPeriod = 20   // inventory: engines by which the period grows
 	renewalS         = 2.0  // leader: between renewals of a zone's lease
+	placerPeriodS    = 1.0  // placer: between reads of a report by the holder
+	placerEngines    = 32   // placer: engines by which that period grows
+	shareRequestsS   = 1.0  // limit: requests for shares of one instance in a second
 )
 
 // readPeriodS is the time between two reads of an engine's report.
@@ -72,6 +75,12 @@
 	return z.enginesPerZone / z.nodesPerZone / readPeriodS(z.enginesPerZone)
 }
 
+// placerReads is the number of reports that the holder reads in a second to
+// place models.
+func (z size) placerReads() float64 {
+	return z.enginesPerZone / (placerPeriodS * (1 + math.Floor(z.enginesPerZone/placerEngines)))
+}
+
 // relayCalls is the number of relays of reports that it begins in a second: one
 // to each peer of the zone for each period.
 func (z size) relayCalls() float64 {
@@ -90,8 +99,8 @@
 // as a mean over the zone.
 func (z size) leaseCalls() float64 { return (z.nodesPerZone - 1) / z.nodesPerZone / renewalS }
 
-// copies is how often an instance sends or receives a changed document at
-// least, as a mean over the zone: all but the reader get it once, from it.
+// copies is how often an instance sends or receives what the zone's reader
+// exchanges with each of the others, as a mean over the zone.
 func (z size) copies() float64 { return 2 * (z.nodesPerZone - 1) / z.nodesPerZone }
 
 // entries is the number of relayed reports that it sends in a second.
@@ -111,6 +120,7 @@
 
 // Model holds the slopes of a set of samples.
 type Model struct {
+	Share                              Slope // bytes a second of a request for shares and its grant
 	Exchange, Call, LoadEntry, Confirm Slope // bytes, sent and received together
 	Report                             Slope // bytes
 	Change                             Slope // bytes relayed per byte that must be
@@ -119,7 +129,7 @@
 	ChangeReadsZone, ChangeWritesZone  Slope
 	StartReads, StartWrites            Slope // platform calls per instance that starts
 	CPUBase, CPUCall, CPURead          Slope // seconds
-	CPUKnown, CPUChange                Slope
+	CPUKnown, CPUChange, CPUShare      Slope
 	MemoryBase, MemoryNode, MemoryUp   Slope // bytes
 	Arrival                            Slope // seconds, the latest of all
 	Sites                              []Site
@@ -180,10 +190,11 @@
 		if !z.loaded {
 			load, confirm = 0, z.enginesPerZone/z.nodesPerZone*(z.nodesPerZone-1)/max(1, readPeriodS(z.enginesPerZone))
 		}
-		f.add(s.mean(peerBytes), z.exchanges(), calls, load, confirm)
+		f.add(s.mean(peerBytes), z.exchanges(), calls, load, confirm, z.copies()*float64(s.Organisations))
 	}
-	return f.slopes("peer bytes", []*Slope{&m.Exchange, &m.Call, &m.LoadEntry, &m.Confirm},
-		[]string{"exchange", "relay call", "relayed load entry", "relayed confirmation"}, []string{"B", "B", "B", "B"})
+	return f.slopes("peer bytes", []*Slope{&m.Exchange, &m.Call, &m.LoadEntry, &m.Confirm, &m.Share},
+		[]string{"exchange, with what else is steady", "other call", "relayed load entry", "relayed confirmation", "organisation, request and grant of its shares"},
+		[]string{"B", "B", "B", "B", "B/s"})
 }
 
 func (m *Model) fitReports() error {
@@ -272,11 +283,11 @@
 	for _, s := range m.Sites {
 		f.add(s.mean(func(e Entry) float64 { return e.CPU }), 1,
 			s.mean(func(e Entry) float64 { return e.PeerCalls }), s.mean(func(e Entry) float64 { return e.EngineCalls }),
-			s.size().known, float64(s.Changes)/s.Seconds)
+			s.size().known, float64(s.Changes)/s.Seconds, s.size().copies()/2*float64(s.Organisations))
 	}
-	return f.slopes("processor", []*Slope{&m.CPUBase, &m.CPUCall, &m.CPURead, &m.CPUKnown, &m.CPUChange},
-		[]string{"instance", "peer call begun, and one answered", "report read", "upstream known", "change"},
-		[]string{"s/s", "s", "s", "s/s", "s"})
+	return f.slopes("processor", []*Slope{&m.CPUBase, &m.CPUCall, &m.CPURead, &m.CPUKnown, &m.CPUChange, &m.CPUShare},
+		[]string{"instance", "peer call begun, and one answered", "report read", "upstream known", "change", "organisation whose shares are asked for"},
+		[]string{"s/s", "s", "s", "s/s", "s", "s/s"})
 }
 
 func (m *Model) fitMemory() error {
--- a/internal/capacity/print.go
+++ b/internal/capacity/print.go
@@ -14,9 +14,9 @@
 func (m *Model) printSlopes(w io.Writer) {
 	fmt.Fprint(w, "### Slopes\n\n| figure | per | slope | samples | largest deviation from the fit |\n|---|---|---|---|---|\n")
 	for _, s := range []Slope{
-		m.Exchange, m.Call, m.LoadEntry, m.Confirm, m.Report, m.Change, m.ReadsPerZone, m.WritesPerZone,
+		m.Exchange, m.Call, m.LoadEntry, m.Confirm, m.Share, m.Report, m.Change, m.ReadsPerZone, m.WritesPerZone,
 		m.ReadsPerChange, m.ChangeReadsZone, m.WritesPerChange, m.ChangeWritesZone, m.StartReads, m.StartWrites,
-		m.CPUBase, m.CPUCall, m.CPURead, m.CPUKnown, m.CPUChange, m.MemoryBase, m.MemoryNode, m.MemoryUp, m.Arrival,
+		m.CPUBase, m.CPUCall, m.CPURead, m.CPUKnown, m.CPUChange, m.CPUShare, m.MemoryBase, m.MemoryNode, m.MemoryUp, m.Arrival,
 	} {
 		fmt.Fprintf(w, "| %s | %s | %s %s | %d | %.0f%% |\n", s.Name, s.Driver, short(s.Value), s.Unit, s.Samples, 100*s.Residual)
 	}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -54,10 +54,11 @@
 	lists := listChangesPerDay(p) / secondsPerDay
 	r := Role{Name: "Entry instance"}
 	r.Lines = []Line{
-		line("documents and members", "exchange with one peer of the zone and one of another", z.exchanges(), m.Exchange, m.CPUCall),
+		line("documents, members, record", "exchange with one peer of the zone and one of another; heads and copies", z.exchanges(), m.Exchange, m.CPUCall),
 		line("lease", "relay of the zone's lease to its instances", z.leaseCalls(), m.Call, m.CPUCall),
 		line("load of engines, calls", "one relay to each peer of the zone for each period", z.relayCalls(), m.Call, m.CPUCall),
 		line("load of engines, entries", "digest and figures of each report that changed", z.entries(), m.LoadEntry, Slope{}),
+		line("shares of limits, calls", "one request to the zone's holder", shareRequestsS, m.Call, m.CPUCall),
 		line("reports of engines", "each engine read by one instance of its zone (rendezvous hashing)", z.reads(), m.Report, m.CPURead),
 		{
 			Carrier: "changes of documents", Mechanism: "reader pushes to its zone; exchanges spread between zones",
@@ -69,6 +70,11 @@
 			Sum:       fmt.Sprintf("%.4f changes/s × %.0f B × 2", lists, listChangeBytes),
 			BytesPerS: lists * listChangeBytes * 2,
 		},
+		{
+			Carrier: "shares of limits, organisations", Mechanism: "all named in each request and grant",
+			Sum:       fmt.Sprintf("%.0f organisations × %.1f B/s", p.Organisations, m.Share.Value),
+			BytesPerS: p.Organisations * m.Share.Value, CorePart: p.Organisations * m.CPUShare.Value,
+		},
 		{Carrier: "upstreams known", Mechanism: "table, members and reports in memory", Sum: fmt.Sprintf("%.0f × %.3g s/s", z.known, m.CPUKnown.Value), CorePart: z.known * m.CPUKnown.Value},
 		{Carrier: "timers and metrics", Mechanism: "an instance by itself", Sum: "1", CorePart: m.CPUBase.Value},
 	}
@@ -137,6 +143,12 @@
 			Sum:       fmt.Sprintf("%.4f changes/s × %.0f entries × %.0f B", lists, z.listed, listEntryBytes),
 			BytesPerS: lists * z.listed * listEntryBytes,
 		},
+		line("placement", "the holder reads the reports of all the zone's engines itself", z.placerReads(), m.Report, m.CPURead),
+		{
+			Carrier: "shares of limits, bytes", Mechanism: "request and grant of every other instance each second",
+			Sum:       fmt.Sprintf("%.0f × %.0f organisations × %.1f B/s", z.nodesPerZone-1, p.Organisations, m.Share.Value),
+			BytesPerS: (z.nodesPerZone - 1) * p.Organisations * m.Share.Value,
+		},
 		m.shares(p, b),
 	}
 	r.Bounds = m.totals(r, p)
@@ -147,8 +159,8 @@
 const zoneRequest = "ZoneRequest/instances=21/orgs=200"
 
 func (m *Model) shares(p *Plan, b Benchmarks) Line {
-	perS := p.nodesPerZone()
-	l := Line{Carrier: "shares of limits", Mechanism: "each instance asks once a second (benchmark only)"}
+	perS := shareRequestsS * p.nodesPerZone()
+	l := Line{Carrier: "shares of limits, processor", Mechanism: "the same, by the benchmark of the decision"}
 	if ns := b[zoneRequest]["ns/op"]; ns > 0 {
 		l.Sum = fmt.Sprintf("%.0f requests/s × %.2f ms", perS, ns/1e6)
 		l.CorePart = perS * ns / 1e9
@@ -164,7 +176,7 @@
 	reads := p.Zones*m.ReadsPerZone.Value + changes*(m.ReadsPerChange.Value+p.Zones*m.ChangeReadsZone.Value) + starts*m.StartReads.Value
 	writes := p.Zones*m.WritesPerZone.Value + changes*(m.WritesPerChange.Value+p.Zones*m.ChangeWritesZone.Value) + starts*m.StartWrites.Value
 	return Role{
-		Name: "What the platform sees (leases, documents, status, list; claims, shares, placement and record not counted)",
+		Name: "What the platform sees (leases, documents, status, list; claims and records of requests not counted)",
 		Bounds: []Bound{
 			{"reads, waiting watches counted", reads, p.Bounds.PlatformReadsS, "calls/s", m.ReadsPerZone.Residual},
 			{"writes", writes, p.Bounds.PlatformWritesS, "calls/s", m.WritesPerZone.Residual},
--- a/internal/capacity/sample.go
+++ b/internal/capacity/sample.go
@@ -27,6 +27,7 @@
 	Zones         int    `json:"zones"`
 	Engines       int    `json:"engines"`
 	Far           int    `json:"far"` // upstreams known in another zone
+	Organisations int    `json:"organisations"`
 	Window        string `json:"window"`
 	Changes       int    `json:"changes"`
 	DocumentBytes int    `json:"document_bytes"`
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -77,11 +77,11 @@
   done
 }
 
-# write_changed fills the document that changes with organisations up to 4 KB.
-write_changed() { # edit
+# write_changed writes the document that changes.
+write_changed() { # edit organisations
   local i
   echo "{\"service\": \"changed\", \"organisations\": ["
-  for ((i = 100; i < 156; i++)); do
+  for ((i = 100; i < 100 + $2; i++)); do
     echo "{\"name\": \"organisation-$i\", \"rate_tokens_per_s\": $((1000 + $1)), \"burst_tokens\": 60000},"
   done
   echo "]}"
@@ -111,15 +111,15 @@
 
 create() { ctl "$1" apply --if-version 0 "$2" >/dev/null; } # site file
 
-edit_changed() { # site edit
+edit_changed() { # site edit organisations
   local version
   version=$(ctl "$1" get changed | sed -n 's,^// version: *,,p')
-  write_changed "$2" >"$dir/changed-$1.hujson"
+  write_changed "$2" "$3" >"$dir/changed-$1.hujson"
   echo "$((version)) $(date +%s%N)" >>"$out/site$1-changes/applied"
   ctl "$1" apply --if-version "$version" "$dir/changed-$1.hujson" >/dev/null
 }
 
-start_site() { # site nodes zones engines far
+start_site() { # site nodes zones engines far organisations
   local i
   if fetch "http://127.0.0.1:$(port_of "$1" 0)/calls" >/dev/null 2>&1; then
     echo "capacity: port $(port_of "$1" 0) is taken" >&2
@@ -141,7 +141,7 @@
     fetch --no-progress-meter --parallel --parallel-max 4 --config "$dir/far-$1.curl" >/dev/null
   fi
   write_document "$1" "$3" "$4" "$5" >"$dir/fleet-$1.hujson"
-  write_changed 0 >"$dir/changed-$1.hujson"
+  write_changed 0 "$6" >"$dir/changed-$1.hujson"
   if (($4 > 0)); then create "$1" "$dir/fleet-$1.hujson"; fi
   create "$1" "$dir/changed-$1.hujson"
   write_load "$1" "$4" >"$dir/load-$1.hujson"
@@ -151,14 +151,14 @@
   done
 }
 
-sample() { # site nodes zones engines far window edge changes
-  local i base="$out/site$1-$6"
+sample() { # site nodes zones engines far organisations window edge changes
+  local i base="$out/site$1-$7"
   mkdir -p "$base"
-  echo "{\"nodes\": $2, \"zones\": $3, \"engines\": $4, \"far\": $5, \"window\": \"$6\", \"changes\": $8, \"settle_s\": $settle, \"document_bytes\": $(wc -c <"$dir/changed-$1.hujson")}" >"$base/site.json"
+  echo "{\"nodes\": $2, \"zones\": $3, \"engines\": $4, \"far\": $5, \"organisations\": $(($6 + 1)), \"window\": \"$7\", \"changes\": $9, \"settle_s\": $settle, \"document_bytes\": $(wc -c <"$dir/changed-$1.hujson")}" >"$base/site.json"
   for ((i = 0; i < $2; i++)); do
-    fetch "http://127.0.0.1:$(port_of "$1" $((100 + i)))/metrics" | grep '^eelgrass_control_' >"$base/entry-$i.$7"
+    fetch "http://127.0.0.1:$(port_of "$1" $((100 + i)))/metrics" | grep '^eelgrass_control_' >"$base/entry-$i.$8"
   done
-  fetch "http://127.0.0.1:$(port_of "$1" 0)/calls" >"$base/calls.$7"
+  fetch "http://127.0.0.1:$(port_of "$1" 0)/calls" >"$base/calls.$8"
 }
 
 samples() { # window edge changes; of all sites of the batch
@@ -170,7 +170,7 @@
   local s n
   for ((n = 1; n <= changes; n++)); do
     for s in "${batch[@]}"; do
-      edit_changed "${s%% *}" "$n"
+      edit_changed "${s%% *}" "$n" "${s##* }"
     done
     sleep "$(awk "BEGIN {print $window / $changes * 0.9}")"
   done
@@ -180,7 +180,7 @@
 load_all() {
   local s site loads=()
   for s in "${batch[@]}"; do
-    [[ $s == *" 0 0" ]] && continue # without engines
+    [[ $s == *" 0 0 "* ]] && continue # without engines
     site=${s%% *}
     start "load-$site" bin/eelgrass-load run --config "$dir/load-$site.hujson"
     loads+=("load-$site")
@@ -195,7 +195,7 @@
   done
 }
 
-run_batch() { # sites, each "site nodes zones engines far"
+run_batch() { # sites, each "site nodes zones engines far organisations"
   batch=("$@")
   local s
   for s in "${batch[@]}"; do start_site $s; done
@@ -215,5 +215,5 @@
 
 rm -rf "$out"
 mkdir -p "$out"
-run_batch "0 1 1 0 0" "1 3 1 8 0" "2 6 1 8 0" "3 6 1 32 0" "4 12 1 8 0" "5 3 1 8 500" "6 3 1 8 1000" "7 3 1 8 2000"
-run_batch "8 12 1 64 0" "9 12 2 32 0" "10 24 4 32 0"
+run_batch "0 1 1 0 0 20" "1 3 1 8 0 50" "2 6 1 8 0 10" "3 6 1 32 0 80" "4 12 1 8 0 50" "5 3 1 8 500 20" "6 3 1 8 1000 50" "7 3 1 8 2000 20"
+run_batch "8 12 1 64 0 20" "9 12 2 32 0 80" "10 24 4 32 0 50"
