proctest: keep ports from being taken

Cause: FreeAddress asked the system for a port and let it go again. Until its process listened, any connection or listener of any test could take that port, the more so as tests start more processes.

Ruled out: holding the listener until just before the start; the gap gets smaller, not none.

Change: FreeAddress takes ports below the range from which the system takes its own, from another place in each process that runs tests, and none twice.

--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -8,7 +8,9 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -198,15 +200,36 @@
 	}
 }
 
-// FreeAddress returns a loopback address whose port is free.
+// Ports given out by FreeAddress are below the range from which systems take
+// ports for connections and for listeners without a port, so that none is
+// taken before its process listens.
+const (
+	firstPort = 12_000
+	lastPort  = 31_999
+)
+
+// nextPort starts at another place in each process that runs tests.
+var nextPort atomic.Int64
+
+func init() {
+	const portsPerProcess = 97
+	nextPort.Store(int64(os.Getpid()) * portsPerProcess)
+}
+
+// FreeAddress returns a loopback address whose port is free. It returns no
+// address twice, but after many thousands.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("proctest: free port: %v", err)
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort+1)
+		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(port, 10))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("proctest: no free port")
+	return ""
 }
 
 // Faults changes the faults of a stand-in at a base URL.
