dispatch: refuse live requests only once they would be late by a second deadline

A live request is now refused once its first token is expected, or has waited, past its deadline by as much again.

Tried and dropped: four deadlines more. A RefusalMargin of 100 or 200 instead of 50, without the queue: no consistent gain.

--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -12,6 +12,10 @@
 const (
 	// DefaultRefusalMargin is that of route.Options, in percent.
 	DefaultRefusalMargin = 50
+	// DefaultPatience is by how many percent of the time to its deadline the
+	// first token of a live request may come late before the request is refused:
+	// a late answer serves a caller better than none.
+	DefaultPatience = 100
 	// DefaultBatchRoom is the percentage of an upstream's sequences that batch
 	// requests may fill unless their least share is due.
 	DefaultBatchRoom = 50
@@ -29,7 +33,8 @@
 type Options struct {
 	Route route.Options
 	Fair  fair.Options
-	// BatchRoom, OverPercent and BusyPercent are percentages, or Off.
+	// Patience, BatchRoom, OverPercent and BusyPercent are percentages, or Off.
+	Patience    int
 	BatchRoom   int
 	OverPercent int
 	BusyPercent int
@@ -43,6 +48,7 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.Route.RefusalMargin, DefaultRefusalMargin)
+	setDefault(&o.Patience, DefaultPatience)
 	setDefault(&o.BatchRoom, DefaultBatchRoom)
 	setDefault(&o.OverPercent, DefaultOverPercent)
 	setDefault(&o.BusyPercent, DefaultBusyPercent)
@@ -101,6 +107,7 @@
 type waiter struct {
 	req       Request
 	submitted time.Duration
+	refuseAt  time.Duration
 	canceled  bool
 }
 
@@ -141,8 +148,9 @@
 	s.nextID++
 	id := s.nextID
 	q := s.queue(req.Route.Model)
-	s.waiting[id] = &waiter{req: req, submitted: now}
-	if err := q.Enqueue(now, s.queued(id, &req)); err != nil {
+	w := &waiter{req: req, submitted: now, refuseAt: s.refuseAt(now, &req)}
+	s.waiting[id] = w
+	if err := q.Enqueue(now, s.queued(id, w)); err != nil {
 		s.end(Outcome{ID: id, Err: err})
 	}
 	s.expire(now, q)
@@ -151,11 +159,12 @@
 
 // queued describes a request to its queue, which it has to leave early enough
 // for its prompt to be computed.
-func (s *Scheduler) queued(id uint64, req *Request) fair.Request {
+func (s *Scheduler) queued(id uint64, w *waiter) fair.Request {
+	req := &w.req
 	r := &req.Route
 	q := fair.Request{
 		ID: id, Organisation: req.Organisation, Class: req.Class,
-		Prefill: r.PromptTokens, Decode: r.MaxTokens, Deadline: r.Deadline,
+		Prefill: r.PromptTokens, Decode: r.MaxTokens, Deadline: w.refuseAt,
 	}
 	if q.Deadline > 0 && req.Class == fair.Live {
 		q.Deadline -= s.table.PromptTime(r.Model, r.PromptTokens)
@@ -163,6 +172,15 @@
 	return q
 }
 
+// refuseAt is by when the first token must be expected, 0 for never.
+func (s *Scheduler) refuseAt(now time.Duration, req *Request) time.Duration {
+	deadline := req.Route.Deadline
+	if deadline == 0 || req.Class != fair.Live {
+		return deadline
+	}
+	return deadline + max(0, deadline-now)/100*time.Duration(s.opts.Patience)
+}
+
 // Cancel forgets a request whose caller has left. It has no effect once the
 // outcome was returned.
 func (s *Scheduler) Cancel(id uint64) {
@@ -234,6 +252,7 @@
 // routed is a request as the routing table sees it now.
 func (s *Scheduler) routed(q *queue, w *waiter) route.Request {
 	r := w.req.Route
+	r.Deadline = w.refuseAt
 	if w.req.Class == fair.Batch && !q.BatchOwed() {
 		r.RoomPercent = s.opts.BatchRoom
 	}
--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -85,6 +85,17 @@
 	must.True(t, errors.As(err, &overloaded))
 }
 
+// TestPatience: a request is refused once its first token is expected later
+// than the deadline by more than the patience, not before.
+func TestPatience(t *testing.T) {
+	const deadline = time.Second
+	for _, c := range []struct{ patience, granted int }{{0, 1}, {Off, 0}} {
+		s := scheduler(Options{Patience: c.patience})
+		must.Eq(t, c.granted, granted(s, live("a", prefillRate*18/10, deadline)))
+		must.Eq(t, 0, granted(s, live("a", prefillRate*100, deadline)))
+	}
+}
+
 // TestOverShareGivesWay: while the upstream is busy, the organisation that got
 // most is refused and the others are not.
 func TestOverShareGivesWay(t *testing.T) {
--- a/internal/evaluate/evaluate.go
+++ b/internal/evaluate/evaluate.go
@@ -104,6 +104,7 @@
 		{"refusal_margin", changeDispatch(func(o *dispatch.Options) { o.Route.RefusalMargin = dispatch.Off })},
 		{"shares", changeDispatch(func(o *dispatch.Options) { o.OverPercent = dispatch.Off })},
 		{"deadline", func(p *Policies) { p.NoDeadline = true }},
+		{"patience", changeDispatch(func(o *dispatch.Options) { o.Patience = dispatch.Off })},
 		{"priorities", func(p *Policies) { p.Priorities = false }},
 		{"limiter", func(p *Policies) { p.Limiter = newDividedLimiter }},
 		{"placement", func(p *Policies) { p.Planner = newStaticPlanner }},
