--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -38,7 +38,7 @@
 	return DemandOptions{
 		Target:        0.85,
 		Threshold:     0.05,
-		MinStay:       3 * time.Minute,
+		MinStay:       time.Minute,
 		Stagger:       time.Minute,
 		Extra:         time.Minute,
 		HomesWanted:   2,
