Grant and ask only for what differs

Cause: every request and grant named every organisation each second, the largest cost of control at the planned size (59.2 B/s an organisation and instance, by the slopes in docs/CAPACITY.md).

Change: a request names the organisations with demand; a grant whose predecessor is known to be applied states only the shares that differ from it, and is ignored by an instance that has not applied that one. With the check off TestGrantThatBuildsOnALostOneIsIgnored fails: the grant counts as applied.

--- a/internal/claims/duty.go
+++ b/internal/claims/duty.go
@@ -120,7 +120,7 @@
 			return nil
 		case m := <-d.inbox:
 			d.step(m)
-		case <-ticker.C:
+		case <-d.tick(ticker):
 			for shard := range d.claimers {
 				d.step(message{shard: shard, msg: once.Tick{}})
 			}
@@ -128,6 +128,15 @@
 	}
 }
 
+// tick returns the ticker's channel while a claimer has anything to do: an idle
+// instance does not wake up for its claims.
+func (d *Duty) tick(ticker *time.Ticker) <-chan time.Time {
+	if d.idle() {
+		return nil
+	}
+	return ticker.C
+}
+
 // flushPoll is how often Flush looks whether anything is open.
 const flushPoll = 10 * time.Millisecond
 
--- a/internal/e2e/answer_test.go
+++ b/internal/e2e/answer_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
-	"github.com/eelgrassbay/eelgrassbay/internal/proctest"
 	"github.com/eelgrassbay/eelgrassbay/internal/standin/fault"
 	"github.com/eelgrassbay/eelgrassbay/internal/standin/modelengine"
 	"github.com/eelgrassbay/eelgrassbay/internal/standin/observe"
@@ -58,7 +57,7 @@
 func (f *fleet) engineFaults(json string) {
 	f.t.Helper()
 	for _, u := range f.upstreams {
-		proctest.Faults(f.t, u.engine, json)
+		Faults(f.t, u.engine, json)
 	}
 }
 
@@ -90,7 +89,7 @@
 func (f *fleet) crossPlain() (crossed int) {
 	f.t.Helper()
 	for _, u := range f.upstreams {
-		proctest.Faults(f.t, u.plain, `{"cross_answers": 1}`)
+		Faults(f.t, u.plain, `{"cross_answers": 1}`)
 	}
 	var wg sync.WaitGroup
 	answers := make([]answer, 4)
@@ -105,7 +104,7 @@
 	}
 	for _, u := range f.upstreams {
 		crossed += 1 - readJSON[fault.View](f.t, u.plain+fault.Path).CrossAnswers
-		proctest.Faults(f.t, u.plain, `{"cross_answers": 0}`)
+		Faults(f.t, u.plain, `{"cross_answers": 0}`)
 	}
 	return crossed
 }
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -13,12 +13,11 @@
 
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
-	"github.com/eelgrassbay/eelgrassbay/internal/proctest"
 	"github.com/eelgrassbay/eelgrassbay/internal/standin"
 	"github.com/shoenig/test/must"
 )
 
-func TestMain(m *testing.M) { os.Exit(proctest.Main(m)) }
+func TestMain(m *testing.M) { os.Exit(Main(m)) }
 
 // Waits of the tests.
 const (
@@ -69,14 +68,14 @@
 // upstreams are the stand-ins of one zone, in one process.
 type upstreams struct {
 	engine, plain string // base URLs
-	proc          *proctest.Process
+	proc          *Process
 }
 
 // entry is one entry instance.
 type entry struct {
 	name, zone    string
 	address, peer string // IP:port
-	proc          *proctest.Process
+	proc          *Process
 }
 
 func (e *entry) url() string { return "http://" + e.address }
@@ -120,7 +119,7 @@
 func (f *fleet) startPlatform() {
 	f.t.Helper()
 	const watchWaitMS = 2000
-	address := proctest.FreeAddress(f.t)
+	address := FreeAddress(f.t)
 	f.platform = "http://" + address
 	f.startStandin(standin.Config{ObjectAPI: &standin.ObjectAPI{Address: address, WatchWaitMS: watchWaitMS}}, f.platform+"/instances")
 	f.store = platform.NewClient(platform.ClientOptions{BaseURL: f.platform})
@@ -131,7 +130,7 @@
 
 func (f *fleet) startUpstreams(zone string) {
 	f.t.Helper()
-	engine, plain := proctest.FreeAddress(f.t), proctest.FreeAddress(f.t)
+	engine, plain := FreeAddress(f.t), FreeAddress(f.t)
 	c := standin.Config{
 		InstanceList:  f.platform,
 		StopTimeoutMS: startTimeout.Milliseconds(),
@@ -149,17 +148,17 @@
 	f.upstreams[zone] = u
 }
 
-func (f *fleet) startStandin(c standin.Config, ready string) *proctest.Process {
+func (f *fleet) startStandin(c standin.Config, ready string) *Process {
 	f.t.Helper()
 	text, err := json.Marshal(c)
 	must.NoError(f.t, err)
-	return proctest.Start(f.t, proctest.Spec{Binary: "eelgrass-standin", Settings: string(text), Ready: ready})
+	return Start(f.t, Spec{Binary: "eelgrass-standin", Settings: string(text), Ready: ready})
 }
 
 // newEntry returns an instance that has not been started.
 func (f *fleet) newEntry(name, zone string) *entry {
 	f.t.Helper()
-	return &entry{name: name, zone: zone, address: proctest.FreeAddress(f.t), peer: proctest.FreeAddress(f.t)}
+	return &entry{name: name, zone: zone, address: FreeAddress(f.t), peer: FreeAddress(f.t)}
 }
 
 // startEntry starts an entry instance, also again, without waiting for it.
@@ -171,7 +170,7 @@
 			peers = append(peers, fmt.Sprintf("%q", p.peer))
 		}
 	}
-	e.proc = proctest.Start(f.owner, proctest.Spec{Binary: "eelgrass-entry", Settings: fmt.Sprintf(`{
+	e.proc = Start(f.owner, Spec{Binary: "eelgrass-entry", Settings: fmt.Sprintf(`{
 		"name": %q, "zone": %q, "listen": %q, "peer_listen": %q, "peers": [%s],
 		"platform": {"url": %q, "timeout": "1s", "watch_timeout": "4s"},
 		"stop": {"lame_duck": "2s", "drain": "20s"},
@@ -249,7 +248,7 @@
 func (f *fleet) ctl(args ...string) string {
 	f.t.Helper()
 	var stderr strings.Builder
-	cmd := exec.Command(proctest.Binary(f.t, "eelgrassctl"), append([]string{"--platform", f.platform}, args...)...)
+	cmd := exec.Command(Binary(f.t, "eelgrassctl"), append([]string{"--platform", f.platform}, args...)...)
 	cmd.Stderr = &stderr
 	out, err := cmd.Output()
 	if err != nil {
@@ -295,7 +294,7 @@
 // faults changes the faults of the platform.
 func (f *fleet) faults(json string) {
 	f.t.Helper()
-	proctest.Faults(f.t, f.platform, json)
+	Faults(f.t, f.platform, json)
 }
 
 // eventually polls until ok or fails the test.
--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"testing"
 
-	"github.com/eelgrassbay/eelgrassbay/internal/proctest"
 	"github.com/eelgrassbay/eelgrassbay/internal/standin/plain"
 	"github.com/shoenig/test/must"
 )
@@ -14,7 +13,7 @@
 func (f *fleet) plainFaults(json string) {
 	f.t.Helper()
 	for _, u := range f.upstreams {
-		proctest.Faults(f.t, u.plain, json)
+		Faults(f.t, u.plain, json)
 	}
 }
 
--- a/internal/proctest/placement_test.go
+++ b/internal/e2e/placement_test.go
@@ -1,4 +1,4 @@
-package proctest
+package e2e
 
 import (
 	"context"
--- a/internal/proctest/process.go
+++ b/internal/e2e/process_test.go
@@ -1,4 +1,4 @@
-package proctest
+package e2e
 
 import (
 	"fmt"
@@ -97,7 +97,7 @@
 	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
 		select {
 		case <-p.ended:
-			p.t.Fatalf("proctest: %s ended before it was ready: %s", p.name, p.cmd.ProcessState)
+			p.t.Fatalf("e2e: %s ended before it was ready: %s", p.name, p.cmd.ProcessState)
 		default:
 		}
 		res, err := client.Get(url)
@@ -109,7 +109,7 @@
 			return
 		}
 	}
-	p.t.Fatalf("proctest: %s not ready within %s at %s", p.name, readyTimeout, url)
+	p.t.Fatalf("e2e: %s not ready within %s at %s", p.name, readyTimeout, url)
 }
 
 // PID returns the process id.
@@ -183,7 +183,7 @@
 	case <-p.ended:
 		return p.cmd.ProcessState.ExitCode()
 	case <-time.After(stopTimeout):
-		p.t.Fatalf("proctest: %s did not end within %s", p.name, stopTimeout)
+		p.t.Fatalf("e2e: %s did not end within %s", p.name, stopTimeout)
 		return -1
 	}
 }
@@ -196,7 +196,7 @@
 func (p *Process) check(err error) {
 	p.t.Helper()
 	if err != nil {
-		p.t.Fatalf("proctest: %s: %v", p.name, err)
+		p.t.Fatalf("e2e: %s: %v", p.name, err)
 	}
 }
 
@@ -228,7 +228,7 @@
 			return address
 		}
 	}
-	t.Fatal("proctest: no free port")
+	t.Fatal("e2e: no free port")
 	return ""
 }
 
@@ -237,10 +237,10 @@
 	t.Helper()
 	res, err := http.Post(baseURL+"/faults", "application/json", strings.NewReader(json))
 	if err != nil {
-		t.Fatalf("proctest: faults: %v", err)
+		t.Fatalf("e2e: faults: %v", err)
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		t.Fatalf("proctest: faults %s: %s", json, res.Status)
+		t.Fatalf("e2e: faults %s: %s", json, res.Status)
 	}
 }
--- a/internal/proctest/proctest_test.go
+++ b/internal/e2e/processes_test.go
@@ -1,4 +1,4 @@
-package proctest
+package e2e
 
 import (
 	"bufio"
@@ -16,8 +16,6 @@
 	"github.com/shoenig/test/must"
 )
 
-func TestMain(m *testing.M) { os.Exit(Main(m)) }
-
 // startEngine runs a stand-in of one engine with model m.
 func startEngine(t *testing.T) (*Process, string) {
 	t.Helper()
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -3,7 +3,6 @@
 import (
 	"testing"
 
-	"github.com/eelgrassbay/eelgrassbay/internal/proctest"
 	"github.com/eelgrassbay/eelgrassbay/internal/standin/observe"
 	"github.com/shoenig/test/must"
 )
@@ -52,7 +51,7 @@
 	leaving := f.upstreams["north"]
 	for _, base := range []string{leaving.engine, leaving.plain} {
 		must.Positive(t, readJSON[observe.Arrivals](t, base+"/counters").Work, must.Sprint(base))
-		proctest.Faults(t, base, `{"leaving": true}`)
+		Faults(t, base, `{"leaving": true}`)
 	}
 	const quiet = 60 // requests elsewhere that show that nothing new comes
 	arrived := func() uint64 {
--- /dev/null
+++ b/internal/limit/delta_test.go
@@ -0,0 +1,54 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestGrantThatBuildsOnALostOneIsIgnored: only what differs is sent, so the
+// grant before must have been applied.
+func TestGrantThatBuildsOnALostOneIsIgnored(t *testing.T) {
+	in := escrowInstance(1000)
+	in.Step(time.Second, grantOf(2, tenth, tenth))
+	onLost := Grant{Incarnation: "run", Number: GrantNumber{1, 4}, Base: GrantNumber{1, 3}, Request: 1}
+	in.Step(time.Second, onLost)
+	must.Eq(t, GrantNumber{1, 2}, in.applied)
+
+	request := in.Step(3*time.Second, Tick{})[0].(SendRequest).Request
+	must.SliceEmpty(t, request.Demand, must.Sprint("an idle organisation is not named"))
+	in.Admit(3500*time.Millisecond, "a", 1)
+	must.Eq(t, tenth, in.orgs["a"].share(), must.Sprint("the extra has lapsed"))
+	same := Grant{Incarnation: "run", Number: GrantNumber{1, 5}, Base: GrantNumber{1, 2}, Request: request.Seq}
+	in.Step(3500*time.Millisecond, same)
+	must.Eq(t, Share{PPM / 5, PPM / 5}, in.orgs["a"].share(), must.Sprint("and is granted again"))
+}
+
+// TestGrantSaysOnlyWhatDiffers: a holder sends all shares unless it knows that
+// the instance applied its last grant, for the same organisations.
+func TestGrantSaysOnlyWhatDiffers(t *testing.T) {
+	member := Member{Instance: "i", Base: Shares{"a": tenth}}
+	z, _ := zoneWith(t, Claims{Zones: map[string]ZoneClaim{"z": {Fence: 9, Shares: Shares{"a": whole}}}},
+		Ledger{Fence: 9, Members: map[string]Member{"run": member}})
+	seq := uint64(0)
+	ask := func(applied GrantNumber) Grant {
+		seq++
+		got := grants(z.Step(9*time.Second, Request{Instance: "i", Incarnation: "run", Seq: seq, Applied: applied}))
+		must.SliceLen(t, 1, got)
+		return got[0]
+	}
+	full := func(g Grant) bool { return g.Base == GrantNumber{} && len(g.Shares) == len(z.order) }
+	first := ask(GrantNumber{})
+	must.True(t, full(first))
+	lost := ask(GrantNumber{})
+	must.True(t, full(lost), must.Sprint("the first is not known to be applied"))
+	second := ask(lost.Number)
+	must.Eq(t, lost.Number, second.Base)
+	third := ask(second.Number)
+	must.Eq(t, second.Number, third.Base)
+	must.SliceEmpty(t, third.Shares, must.Sprint("nothing has changed"))
+
+	z.Step(9*time.Second, Limits{Version: 2, Orgs: map[string]Limit{"a": {Rate: 1, Burst: 1}, "b": {Rate: 1, Burst: 1}}})
+	must.True(t, full(ask(third.Number)), must.Sprint("an organisation is new"))
+}
--- a/internal/limit/instance.go
+++ b/internal/limit/instance.go
@@ -64,6 +64,7 @@
 	order       []string
 
 	applied    GrantNumber
+	granted    map[string]OrgShare // as of applied
 	baseUntil  time.Duration
 	extraUntil time.Duration
 
@@ -270,7 +271,9 @@
 			o.demand.update(o.offered, span)
 			o.offered = 0
 		}
-		r.Demand = append(r.Demand, Demand{Org: name, RatePPM: o.demand.ppm(o.limit), Need: o.need})
+		if d := (Demand{Org: name, RatePPM: o.demand.ppm(o.limit), Need: o.need}); d.RatePPM > 0 || d.Need > 0 {
+			r.Demand = append(r.Demand, d)
+		}
 		o.need = 0
 	}
 	if span >= in.opts.ExtraTerm/requestsATerm {
@@ -333,13 +336,18 @@
 	if g.Incarnation != in.incarnation || in.leaving || sent.seq != g.Request || !g.Number.after(in.applied) {
 		return
 	}
-	granted := map[string]OrgShare{}
+	if g.Base != (GrantNumber{}) && g.Base != in.applied {
+		return // what it builds on was lost
+	}
+	if g.Base == (GrantNumber{}) {
+		in.granted = map[string]OrgShare{}
+	}
 	for _, s := range g.Shares {
-		granted[s.Org] = s
+		in.granted[s.Org] = s
 	}
 	for _, o := range in.orgs {
 		in.advance(now, o)
-		o.base, o.extra = granted[o.name].Base, granted[o.name].Extra
+		o.base, o.extra = in.granted[o.name].Base, in.granted[o.name].Extra
 	}
 	in.applied = g.Number
 	in.extraUntil = sent.at + in.opts.ExtraTerm
--- a/internal/limit/message.go
+++ b/internal/limit/message.go
@@ -56,7 +56,8 @@
 // Messages between instances and the duty holder of their zone.
 type (
 	// Request asks for shares. It is sent by an instance and says what the
-	// instance has applied.
+	// instance has applied. An organisation that it does not name has no
+	// demand.
 	Request struct {
 		Instance    string        `json:"instance"`
 		Incarnation string        `json:"incarnation"`
@@ -67,11 +68,13 @@
 		LoanRefunds []LoanRefund  `json:"loan_refunds,omitempty"`
 		Leaving     bool          `json:"leaving,omitempty"` // all shares are returned
 	}
-	// Grant is the duty holder's answer to Request number Request. It states
-	// all shares of the instance and replaces every earlier grant.
+	// Grant is the duty holder's answer to Request number Request. It replaces
+	// every earlier grant. It states all shares of the instance or, if Base is
+	// set, those that differ from what that grant made them.
 	Grant struct {
 		Incarnation string      `json:"incarnation"`
 		Number      GrantNumber `json:"number"`
+		Base        GrantNumber `json:"base,omitzero"`
 		Request     uint64      `json:"request"`
 		Shares      []OrgShare  `json:"shares"`
 		Loans       []Loan      `json:"loans,omitempty"`
--- a/internal/limit/zonegrant.go
+++ b/internal/limit/zonegrant.go
@@ -57,6 +57,9 @@
 	}
 	before := m.steady
 	m.wants, m.steady = map[string]int64{}, map[string]float64{}
+	for org, steady := range before {
+		m.steady[org] = steady * (1 - part)
+	}
 	for _, d := range demand {
 		m.wants[d.Org] = d.RatePPM
 		m.steady[d.Org] = before[d.Org] + (float64(d.RatePPM)-before[d.Org])*part
@@ -116,6 +119,7 @@
 // grant decides the shares of a member and adds them to its bounds.
 func (z *Zone) grant(now time.Duration, m *member, r Request) Grant {
 	z.seq++
+	former, base := m.grantToBuildOn(r, z.order)
 	m.grant = GrantNumber{Fence: z.fence, Seq: z.seq}
 	m.granted = map[string]OrgShare{}
 	if m.baseBound == nil {
@@ -124,14 +128,16 @@
 	if m.extraBound == nil {
 		m.extraBound = Shares{}
 	}
-	g := Grant{Incarnation: r.Incarnation, Number: m.grant, Request: r.Seq}
+	g := Grant{Incarnation: r.Incarnation, Number: m.grant, Base: base, Request: r.Seq}
 	for _, org := range z.order {
 		z.sizeReserve(now, org)
 		s := OrgShare{Org: org, Base: z.baseGrant(r.Incarnation, org), Extra: z.extraGrant(now, r.Incarnation, org)}
 		m.granted[org] = s
 		m.baseBound[org] = m.baseBound[org].max(s.Base)
 		m.extraBound[org] = m.extraBound[org].max(s.Extra)
-		g.Shares = append(g.Shares, s)
+		if before, known := former[org]; !known || before != s {
+			g.Shares = append(g.Shares, s)
+		}
 	}
 	m.extraExpires = now + stretch(z.opts.ExtraTerm, z.opts.DriftPPM)
 	m.baseExpires = now + stretch(z.opts.BaseTerm, z.opts.DriftPPM)
@@ -143,6 +149,20 @@
 	return g
 }
 
+// grantToBuildOn returns the shares of the last grant and its number, if the
+// instance has applied it and the organisations are the same as then.
+func (m *member) grantToBuildOn(r Request, orgs []string) (map[string]OrgShare, GrantNumber) {
+	if m.granted == nil || r.Applied != m.grant || len(m.granted) != len(orgs) {
+		return nil, GrantNumber{}
+	}
+	for _, org := range orgs {
+		if _, ok := m.granted[org]; !ok {
+			return nil, GrantNumber{}
+		}
+	}
+	return m.granted, m.grant
+}
+
 // baseGrant is what the ledger holds for certain, or the target if that is
 // clearly lower.
 func (z *Zone) baseGrant(inc, org string) Share {
--- a/internal/quota/wire.go
+++ b/internal/quota/wire.go
@@ -55,7 +55,7 @@
 }
 
 func grantToWire(g limit.Grant) *peerpb.ShareGrant {
-	w := &peerpb.ShareGrant{Incarnation: g.Incarnation, Number: numberToWire(g.Number), Request: g.Request}
+	w := &peerpb.ShareGrant{Incarnation: g.Incarnation, Number: numberToWire(g.Number), Base: numberToWire(g.Base), Request: g.Request}
 	for _, s := range g.Shares {
 		w.Shares = append(w.Shares, &peerpb.OrgShare{Org: s.Org, Base: shareToWire(s.Base), Extra: shareToWire(s.Extra)})
 	}
@@ -66,7 +66,7 @@
 }
 
 func grantFromWire(w *peerpb.ShareGrant) limit.Grant {
-	g := limit.Grant{Incarnation: w.Incarnation, Number: numberFromWire(w.Number), Request: w.Request}
+	g := limit.Grant{Incarnation: w.Incarnation, Number: numberFromWire(w.Number), Base: numberFromWire(w.Base), Request: w.Request}
 	for _, s := range w.Shares {
 		g.Shares = append(g.Shares, limit.OrgShare{Org: s.Org, Base: shareFromWire(s.Base), Extra: shareFromWire(s.Extra)})
 	}
