--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -104,3 +104,19 @@
 	must.Eq(t, 400.0, p.Nodes)
 	must.InDelta(t, 0.0787, p.changesPerS(), 1e-4)
 }
+
+func TestNonNegativeLeavesOutWhatWouldCostLessThanNothing(t *testing.T) {
+	drivers := [][]float64{{1, 1, 0}, {1, 2, 1}, {1, 3, 0}, {1, 4, 2}}
+	var values []float64
+	for _, d := range drivers {
+		values = append(values, 5+2*d[1]-0.5*d[2])
+	}
+	plain, err := LeastSquares(drivers, values)
+	must.NoError(t, err)
+	must.Less(t, 0, plain.Slopes[2])
+	fit, err := NonNegative(drivers, values)
+	must.NoError(t, err)
+	must.Eq(t, 0, fit.Slopes[2])
+	must.Positive(t, fit.Slopes[1])
+	must.Positive(t, fit.Residual)
+}
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 )
 
 // ErrUndetermined means that the samples do not tell the drivers apart.
@@ -113,3 +114,50 @@
 	}
 	return worst / (sum / float64(len(values)))
 }
+
+// NonNegative fits like LeastSquares with slopes of zero or more, as costs are.
+// A driver whose slope would be negative is left out, the most negative first:
+// the samples do not determine what it costs, and a negative cost would hide
+// that of others.
+func NonNegative(drivers [][]float64, values []float64) (Fit, error) {
+	if len(drivers) == 0 {
+		return LeastSquares(drivers, values)
+	}
+	kept := make([]int, len(drivers[0]))
+	for i := range kept {
+		kept[i] = i
+	}
+	for {
+		f, err := LeastSquares(columns(drivers, kept), values)
+		if err != nil {
+			return Fit{}, err
+		}
+		worst := slices.Index(f.Slopes, slices.Min(f.Slopes))
+		if f.Slopes[worst] >= 0 || len(kept) == 1 {
+			return f.spread(kept, len(drivers[0])), nil
+		}
+		kept = slices.Delete(kept, worst, worst+1)
+	}
+}
+
+// columns returns the drivers with the given indices only.
+func columns(drivers [][]float64, kept []int) [][]float64 {
+	rows := make([][]float64, len(drivers))
+	for i, row := range drivers {
+		for _, k := range kept {
+			rows[i] = append(rows[i], row[k])
+		}
+	}
+	return rows
+}
+
+// spread puts the slopes of kept drivers in their places among n; others are
+// zero.
+func (f Fit) spread(kept []int, n int) Fit {
+	all := make([]float64, n)
+	for i, k := range kept {
+		all[k] = max(0, f.Slopes[i])
+	}
+	f.Slopes = all
+	return f
+}
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -162,7 +162,7 @@
 
 // slopes solves the fit and writes each slope where it belongs.
 func (f *fitting) slopes(name string, into []*Slope, drivers, units []string) error {
-	fit, err := LeastSquares(f.drivers, f.values)
+	fit, err := NonNegative(f.drivers, f.values)
 	if err != nil {
 		return fmt.Errorf("%s: %w", name, err)
 	}
