Stop the demo's processes also when it is cut short

A demo whose output was cut by a closed pipe ended without stopping what it had started: four processes held its ports, and later demos could not start. A trap stops them on any exit; after 'make demo | head -3' none is left.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,8 +20,10 @@
   local status=0
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" || status=1; done
+  pids=()
   return $status
 }
+trap stop_all EXIT # also when the script is cut short
 
 fail() {
   echo "demo: $*" >&2
