--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"crypto/tls"
 	"fmt"
 	"log/slog"
@@ -27,10 +26,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/replica"
 	"github.com/eelgrassbay/eelgrassbay/internal/route"
 	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
-	"github.com/eelgrassbay/eelgrassbay/internal/wait"
-	"github.com/go-kratos/kratos/v2"
 	"github.com/google/uuid"
-	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
 )
 
@@ -215,132 +211,3 @@
 func (n *Node) zonePeers() []platform.Instance {
 	return n.replica.Snapshot().ZonePeers(n.settings.Zone)
 }
-
-// Run serves until SIGTERM or SIGINT, stops gracefully and returns.
-func (n *Node) Run() error {
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	g, ctx := errgroup.WithContext(ctx)
-	for _, duty := range []func(context.Context) error{
-		n.peerSrv.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.quota.Run, n.claims.Run, n.recorder.Run,
-		n.placer.Run, n.feedTable, n.announce, n.measureCost,
-	} {
-		g.Go(func() error { return duty(ctx) })
-	}
-	app := kratos.New(
-		kratos.Name("eelgrass-entry"), kratos.ID(n.self.Incarnation), kratos.Logger(kratosLogger{n.log}), kratos.Context(ctx),
-		kratos.Server(n.newHTTPServer()),
-		kratos.BeforeStop(n.leave),
-		kratos.StopTimeout(n.settings.Stop.Drain.Std()),
-	)
-	n.log.Info("serving", "listen", n.settings.Listen, "peer_listen", n.peerSrv.Address())
-	err := app.Run()
-	n.depart()
-	stop()
-	if dutyErr := g.Wait(); err == nil {
-		err = dutyErr
-	}
-	if closeErr := n.metrics.Close(); err == nil {
-		err = closeErr
-	}
-	n.log.Info("stopped", "error", err)
-	return err
-}
-
-// feedTable brings the routing table in step with documents and members.
-func (n *Node) feedTable(ctx context.Context) error {
-	for {
-		n.table.sync(n.replica.Snapshot())
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-n.replica.Changed():
-		}
-	}
-}
-
-// announceRetry spaces the tries to enter the instance list.
-const announceRetry = time.Second
-
-// announce enters the instance list, unless the instance leaves meanwhile.
-func (n *Node) announce(ctx context.Context) error {
-	for {
-		err := n.list(ctx)
-		if err == nil {
-			return nil
-		}
-		n.log.Warn("enter the instance list", "error", err)
-		if !wait.Sleep(ctx, announceRetry) {
-			return nil
-		}
-	}
-}
-
-// list enters the instance list as live. It does nothing once the instance
-// leaves, so that no late call shows a leaving instance as live.
-func (n *Node) list(ctx context.Context) error {
-	n.listing.Lock()
-	defer n.listing.Unlock()
-	if n.leaving {
-		return nil
-	}
-	return n.platform.Register(ctx, n.self)
-}
-
-// listLeaving marks the instance as leaving in the instance list.
-func (n *Node) listLeaving(ctx context.Context) error {
-	n.listing.Lock()
-	defer n.listing.Unlock()
-	n.leaving = true
-	self := n.self
-	self.State = platform.InstanceLeaving
-	return n.platform.Register(ctx, self)
-}
-
-// leave runs before the HTTP server stops: it tells the list and the peers,
-// goes on serving while the balancer learns of it, then refuses new requests
-// as not run and waits for those that run.
-func (n *Node) leave(ctx context.Context) error {
-	n.log.Info("leaving", "lame_duck", n.settings.Stop.LameDuck.String())
-	if err := n.listLeaving(ctx); err != nil {
-		n.log.Warn("mark as leaving in the instance list", "error", err)
-	}
-	if err := n.replica.Leave(ctx); err != nil {
-		n.log.Warn("tell peers of leaving", "error", err)
-	}
-	time.Sleep(n.settings.Stop.LameDuck.Std())
-	n.server.Refuse()
-	ctx, cancel := context.WithTimeout(ctx, n.settings.Stop.Drain.Std())
-	defer cancel()
-	if left := n.server.Drain(ctx); left > 0 {
-		n.log.Error("requests cut by the stop", "requests", left)
-	}
-	n.release()
-	return nil
-}
-
-// releaseTimeout bounds the calls by which a stopping instance gives back what
-// it holds.
-const releaseTimeout = 2 * time.Second
-
-// release gives back what others wait for.
-func (n *Node) release() {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	n.claims.Flush(ctx)
-	n.recorder.Stop(ctx)
-	n.quota.Stop(ctx)
-	n.leader.Release(ctx)
-}
-
-// departTimeout bounds the last call to the instance list.
-const departTimeout = 2 * time.Second
-
-// depart leaves the instance list.
-func (n *Node) depart() {
-	ctx, cancel := context.WithTimeout(context.Background(), departTimeout)
-	defer cancel()
-	if err := n.platform.Deregister(ctx, n.self.Name); err != nil {
-		n.log.Warn("leave the instance list", "error", err)
-	}
-}
--- a/internal/quota/duty.go
+++ b/internal/quota/duty.go
@@ -5,19 +5,16 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/limit"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer"
-	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 	"github.com/eelgrassbay/eelgrassbay/internal/replica"
 	"github.com/eelgrassbay/eelgrassbay/internal/wait"
 	"golang.org/x/sync/singleflight"
-	"storj.io/drpc"
 )
 
 const (
@@ -180,20 +177,6 @@
 	}
 }
 
-// tell sends a request until the duty holder has it or ctx ends.
-func (d *Duty) tell(ctx context.Context, r *peerpb.ShareRequest) {
-	for {
-		_, err := d.askHolder(ctx, r)
-		if err == nil {
-			return
-		}
-		if !wait.Sleep(ctx, stopRetry) {
-			d.opts.Log.Warn("return shares", "error", err)
-			return
-		}
-	}
-}
-
 // takeLimits passes the organisations of newly accepted documents on.
 func (d *Duty) takeLimits(ctx context.Context) {
 	known := d.opts.Replica.Snapshot()
@@ -214,152 +197,3 @@
 	d.stepInstance(ctx, limit.Limits{Version: d.version, Orgs: orgs})
 	d.stepZone(ctx, limit.Limits{Version: d.version, Orgs: orgs})
 }
-
-// stepInstance steps this instance's part, sends the request that it asks for
-// and applies the grant.
-func (d *Duty) stepInstance(ctx context.Context, msg limit.Message) {
-	request := d.nextRequest(msg)
-	if request == nil {
-		return
-	}
-	grant, err := d.askHolder(ctx, requestToWire(*request, d.opts.Self.PeerAddress))
-	if err != nil {
-		d.opts.Log.Debug("ask for shares", "error", err)
-		return
-	}
-	if grant == nil {
-		return
-	}
-	d.leaveForTick(d.nextRequest(grantFromWire(grant)))
-}
-
-// leaveForTick keeps a request that followed from a grant for the next tick.
-func (d *Duty) leaveForTick(r *limit.Request) {
-	if r == nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.due = append(d.due, r)
-}
-
-// nextRequest steps this instance's part and returns the request to send, if
-// any. One that followed from a grant was left for the next tick, so that
-// ticks set the pace.
-func (d *Duty) nextRequest(msg limit.Message) *limit.Request {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if _, tick := msg.(limit.Tick); tick && len(d.due) > 0 {
-		r := d.due[0]
-		d.due = d.due[1:]
-		return r
-	}
-	for _, a := range d.instance.Step(d.opts.Now(), msg) {
-		if send, ok := a.(limit.SendRequest); ok {
-			return &send.Request
-		}
-	}
-	return nil
-}
-
-// errNoHolder means that no duty holder of the zone is known.
-var errNoHolder = errors.New("quota: no duty holder is known")
-
-func (d *Duty) askHolder(ctx context.Context, r *peerpb.ShareRequest) (*peerpb.ShareGrant, error) {
-	holder := d.opts.Leader.Holder()
-	if holder == d.opts.Self.Name {
-		reply, err := d.Ask(ctx, r)
-		return reply.GetGrant(), err
-	}
-	for _, p := range d.opts.Replica.Snapshot().ZonePeers(d.opts.Self.Zone) {
-		if p.Name != holder {
-			continue
-		}
-		var reply *peerpb.ShareReply
-		err := d.opts.Peers.Call(ctx, p.PeerAddress, func(ctx context.Context, conn drpc.Conn) (err error) {
-			reply, err = peerpb.NewDRPCLimitsClient(conn).Ask(ctx, r)
-			return err
-		})
-		return reply.GetGrant(), err
-	}
-	return nil, errNoHolder
-}
-
-// Ask implements peerpb.DRPCLimitsServer.
-func (d *Duty) Ask(ctx context.Context, r *peerpb.ShareRequest) (*peerpb.ShareReply, error) {
-	reply := &peerpb.ShareReply{}
-	if !d.noteReplaced(ctx, r) {
-		return reply, nil
-	}
-	if g := d.stepZone(ctx, requestFromWire(r)); g != nil {
-		reply.Grant = grantToWire(*g)
-	}
-	return reply, nil
-}
-
-// noteReplaced frees the shares of an incarnation that has certainly ended: a
-// later one listens at its peer address, which only one process can hold. It
-// reports false for a late request of an incarnation that has ended.
-func (d *Duty) noteReplaced(ctx context.Context, r *peerpb.ShareRequest) bool {
-	d.zoneMu.Lock()
-	if d.ended[r.Incarnation] {
-		d.zoneMu.Unlock()
-		return false
-	}
-	former := d.listening[r.PeerAddress]
-	replaced := r.PeerAddress != "" && former != "" && former != r.Incarnation
-	d.listening[r.PeerAddress] = r.Incarnation
-	if replaced {
-		d.ended[former] = true
-	}
-	d.zoneMu.Unlock()
-	if replaced {
-		d.stepZone(ctx, limit.Gone{Incarnation: former})
-	}
-	return true
-}
-
-// stepZone steps the zone's part and returns the grant that it made, if any.
-func (d *Duty) stepZone(ctx context.Context, msg limit.Message) *limit.Grant {
-	d.zoneMu.Lock()
-	actions := d.zone.Step(d.opts.Now(), msg)
-	d.zoneMu.Unlock()
-	var grant *limit.Grant
-	for _, a := range actions {
-		switch a := a.(type) {
-		case limit.SendGrant:
-			grant = &a.Grant
-		case limit.Get:
-			go d.get(a)
-		case limit.Put:
-			go d.put(a)
-		}
-	}
-	return grant
-}
-
-func (d *Duty) get(a limit.Get) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	obj, err := d.opts.Store.Get(ctx, platform.KindShare, a.Name)
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		obj, err = platform.Object{Kind: platform.KindShare, Name: a.Name}, nil
-	case err != nil:
-		d.stepZone(ctx, limit.WriteFailed(a))
-		return
-	}
-	d.stepZone(ctx, limit.Read{Object: obj})
-}
-
-func (d *Duty) put(a limit.Put) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	obj, err := d.opts.Store.Put(ctx, platform.Object{Kind: platform.KindShare, Name: a.Name, Version: a.ExpectedVersion, Value: a.Value})
-	if err != nil {
-		d.opts.Log.Debug("write shares", "object", a.Name, "error", err)
-		d.stepZone(ctx, limit.WriteFailed{Name: a.Name})
-		return
-	}
-	d.stepZone(ctx, limit.Written{Object: obj})
-}
--- /dev/null
+++ b/internal/quota/holder.go
@@ -0,0 +1,89 @@
+package quota
+
+import (
+	"context"
+	"errors"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/limit"
+	"github.com/eelgrassbay/eelgrassbay/internal/peer/peerpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+)
+
+// Ask implements peerpb.DRPCLimitsServer.
+func (d *Duty) Ask(ctx context.Context, r *peerpb.ShareRequest) (*peerpb.ShareReply, error) {
+	reply := &peerpb.ShareReply{}
+	if !d.noteReplaced(ctx, r) {
+		return reply, nil
+	}
+	if g := d.stepZone(ctx, requestFromWire(r)); g != nil {
+		reply.Grant = grantToWire(*g)
+	}
+	return reply, nil
+}
+
+// noteReplaced frees the shares of an incarnation that has certainly ended: a
+// later one listens at its peer address, which only one process can hold. It
+// reports false for a late request of an incarnation that has ended.
+func (d *Duty) noteReplaced(ctx context.Context, r *peerpb.ShareRequest) bool {
+	d.zoneMu.Lock()
+	if d.ended[r.Incarnation] {
+		d.zoneMu.Unlock()
+		return false
+	}
+	former := d.listening[r.PeerAddress]
+	replaced := r.PeerAddress != "" && former != "" && former != r.Incarnation
+	d.listening[r.PeerAddress] = r.Incarnation
+	if replaced {
+		d.ended[former] = true
+	}
+	d.zoneMu.Unlock()
+	if replaced {
+		d.stepZone(ctx, limit.Gone{Incarnation: former})
+	}
+	return true
+}
+
+// stepZone steps the zone's part and returns the grant that it made, if any.
+func (d *Duty) stepZone(ctx context.Context, msg limit.Message) *limit.Grant {
+	d.zoneMu.Lock()
+	actions := d.zone.Step(d.opts.Now(), msg)
+	d.zoneMu.Unlock()
+	var grant *limit.Grant
+	for _, a := range actions {
+		switch a := a.(type) {
+		case limit.SendGrant:
+			grant = &a.Grant
+		case limit.Get:
+			go d.get(a)
+		case limit.Put:
+			go d.put(a)
+		}
+	}
+	return grant
+}
+
+func (d *Duty) get(a limit.Get) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	obj, err := d.opts.Store.Get(ctx, platform.KindShare, a.Name)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		obj, err = platform.Object{Kind: platform.KindShare, Name: a.Name}, nil
+	case err != nil:
+		d.stepZone(ctx, limit.WriteFailed(a))
+		return
+	}
+	d.stepZone(ctx, limit.Read{Object: obj})
+}
+
+func (d *Duty) put(a limit.Put) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	obj, err := d.opts.Store.Put(ctx, platform.Object{Kind: platform.KindShare, Name: a.Name, Version: a.ExpectedVersion, Value: a.Value})
+	if err != nil {
+		d.opts.Log.Debug("write shares", "object", a.Name, "error", err)
+		d.stepZone(ctx, limit.WriteFailed{Name: a.Name})
+		return
+	}
+	d.stepZone(ctx, limit.Written{Object: obj})
+}
