--- a/internal/evaluate/engine.go
+++ b/internal/evaluate/engine.go
@@ -65,6 +65,7 @@
 		e.waiting = slices.Delete(e.waiting, at, at+1)
 		e.running = append(e.running, j)
 		j.prefilled = e.cached(j)
+		e.w.countCached(e, j)
 		e.useAdapter(j.adapter)
 	}
 }
@@ -158,6 +159,25 @@
 	return min(p.tokens, j.prefixSize)
 }
 
+// holds says whether the prefix of a request is in the cache.
+func (e *engine) holds(j *job) bool {
+	return slices.ContainsFunc(e.prefixes, func(p cacheEvent) bool { return p.prefix == j.prefix })
+}
+
+// countCached counts the prompt tokens of a request by where they are cached:
+// at its engine, or at another one only, from which they could be transferred.
+func (x *world) countCached(at *engine, j *job) {
+	x.cachedHere.of += j.prompt
+	x.cachedElsewhere.of += j.prompt
+	x.cachedHere.n += j.prefilled
+	if j.prefilled > 0 {
+		return
+	}
+	if slices.ContainsFunc(x.engines, func(e *engine) bool { return e != at && e.holds(j) }) {
+		x.cachedElsewhere.n += j.prefixSize
+	}
+}
+
 func (e *engine) store(j *job) {
 	e.prefixes = slices.DeleteFunc(e.prefixes, func(p cacheEvent) bool { return p.prefix == j.prefix })
 	p := cacheEvent{prefix: j.prefix, tokens: j.prefixSize}
--- a/internal/evaluate/evaluate.go
+++ b/internal/evaluate/evaluate.go
@@ -197,4 +197,6 @@
 	line("attempts_after_kill", c.BaselineAfterKill.Attempts, c.OursAfterKill.Attempts)
 	line("attainment_after_kill", c.BaselineAfterKill.Attainment, c.OursAfterKill.Attainment)
 	line("home_load_max_over_mean", base.Skew, ours.Skew)
+	line("prompt_tokens_cached", base.Cached, ours.Cached)
+	line("prompt_tokens_cached_elsewhere", base.CachedElsewhere, ours.CachedElsewhere)
 }
--- a/internal/evaluate/measure.go
+++ b/internal/evaluate/measure.go
@@ -35,6 +35,9 @@
 	Beyond float64
 	// Attempts is the mean number of attempts of a request sent, after a kill.
 	Attempts float64
+	// Cached is the share of prompt tokens found in the cache of the engine that
+	// got the request, CachedElsewhere that found only in another one's.
+	Cached, CachedElsewhere float64
 	// Skew is the mean of the largest over the mean load of a model's homes.
 	Skew float64
 }
@@ -131,6 +134,7 @@
 	m.FloodShare = flood.value()
 	m.Attempts = attempts.value()
 	m.Beyond = x.beyond()
+	m.Cached, m.CachedElsewhere = x.cachedHere.value(), x.cachedElsewhere.value()
 	for _, s := range x.skew {
 		m.Skew += s / float64(len(x.skew))
 	}
--- a/internal/evaluate/world.go
+++ b/internal/evaluate/world.go
@@ -74,20 +74,22 @@
 
 // world is one run: the event loop, the engines and the instances.
 type world struct {
-	load      *Workload
-	policies  Policies
-	now       time.Duration
-	seq       int
-	timers    timers
-	random    *rand.Rand
-	engines   []*engine
-	instances []*instance
-	byName    map[string]*engine
-	planner   planner
-	limiter   limiter
-	jobs      []job
-	moves     int
-	skew      []float64 // samples of max/mean load over a model's homes
+	load     *Workload
+	policies Policies
+	now      time.Duration
+	seq      int
+	timers   timers
+	random   *rand.Rand
+	engines  []*engine
+	// Prompt tokens in the cache of their engine, and of another one only.
+	cachedHere, cachedElsewhere ratio
+	instances                   []*instance
+	byName                      map[string]*engine
+	planner                     planner
+	limiter                     limiter
+	jobs                        []job
+	moves                       int
+	skew                        []float64 // samples of max/mean load over a model's homes
 }
 
 // run plays a trace under policies and returns the world at its end.
