--- a/internal/knownred/knownred.go
+++ b/internal/knownred/knownred.go
@@ -95,7 +95,7 @@
 	case "pass":
 		j.pass(ev, id)
 	case "skip":
-		j.sum.Skipped++
+		j.skip(ev)
 	case "fail", "build-fail":
 		j.fail(ev, id)
 	}
@@ -111,6 +111,13 @@
 	}
 }
 
+// skip counts skipped tests; a package without tests is skipped too.
+func (j *judge) skip(ev event) {
+	if ev.Test != "" {
+		j.sum.Skipped++
+	}
+}
+
 func (j *judge) fail(ev event, id string) {
 	switch {
 	case ev.Test == "" && j.redIn[ev.Package] && !j.plainIn[ev.Package]:
--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -13,6 +13,8 @@
 {"Action":"fail","Package":"p"}
 {"Action":"fail","Package":"q","Test":"TestC"}
 {"Action":"fail","Package":"q"}
+{"Action":"skip","Package":"r"}
+{"Action":"skip","Package":"s","Test":"TestD"}
 `
 
 func TestJudge(t *testing.T) {
@@ -24,6 +26,7 @@
 	must.Eq(t, []string{"q TestC", "q"}, sum.Failures)
 	must.False(t, sum.OK())
 	must.Eq(t, 1, sum.Passed)
+	must.Eq(t, 1, sum.Skipped)
 }
 
 func TestJudgeWholePackageFailure(t *testing.T) {
