Read settings, arguments and versions in one way

Cause: the stand-in and the evaluation had decoders of HuJSON of their own beside settings.Decode, and the stand-in and the load tool their own exit codes, version and parsing beside package cli.

Change: they call those. The stand-in's choice of a log format moved to cli.LogOptions with its flag.

--- a/cmd/eelgrass-load/commands.go
+++ b/cmd/eelgrass-load/commands.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/cli"
 	"github.com/eelgrassbay/eelgrassbay/internal/load"
 	"github.com/eelgrassbay/eelgrassbay/internal/settings"
 )
@@ -25,7 +26,7 @@
 	Report      string        `long:"report" value-name:"FILE" description:"write the report as JSON"`
 }
 
-func usageError(err error) error { return &exitError{code: exitUsage, err: err} }
+func usageError(err error) error { return &exitError{code: cli.ExitUsage, err: err} }
 
 // experiment reads the file and applies the options over it.
 func (o *experimentOptions) experiment() (*load.Experiment, error) {
--- a/cmd/eelgrass-load/main.go
+++ b/cmd/eelgrass-load/main.go
@@ -6,17 +6,14 @@
 	"errors"
 	"fmt"
 	"os"
-	"runtime/debug"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/cli"
 	"github.com/jessevdk/go-flags"
 )
 
-// Exit codes.
+// Exit codes beside those of package cli.
 const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
-	exitBroken  = 3 // an answer was wrong or incomplete, or a check-in ran twice
+	exitBroken = 3 // an answer was wrong or incomplete, or a check-in ran twice
 )
 
 type options struct {
@@ -43,8 +40,8 @@
 
 func run(args []string) int {
 	opts := options{Version: func() {
-		fmt.Println("eelgrass-load", version())
-		os.Exit(exitOK)
+		fmt.Println("eelgrass-load", cli.Version())
+		os.Exit(cli.ExitOK)
 	}}
 	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
 	_, err := parser.ParseArgs(args)
@@ -52,26 +49,18 @@
 	var exit *exitError
 	switch {
 	case err == nil:
-		return exitOK
+		return cli.ExitOK
 	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
 		fmt.Println(err)
-		return exitOK
+		return cli.ExitOK
 	case errors.As(err, &flagErr):
 		fmt.Fprintln(os.Stderr, "eelgrass-load:", err)
-		return exitUsage
+		return cli.ExitUsage
 	case errors.As(err, &exit):
 		fmt.Fprintln(os.Stderr, "eelgrass-load:", err)
 		return exit.code
 	default:
 		fmt.Fprintln(os.Stderr, "eelgrass-load:", err)
-		return exitFailure
+		return cli.ExitFailure
 	}
 }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	return info.Main.Version
-}
--- a/cmd/eelgrass-standin/main.go
+++ b/cmd/eelgrass-standin/main.go
@@ -7,23 +7,16 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/eelgrassbay/eelgrassbay/internal/cli"
 	"github.com/eelgrassbay/eelgrassbay/internal/standin"
 )
 
-const (
-	exitFailure = 1
-	exitUsage   = 2
-)
-
 type options struct {
+	cli.LogOptions
 	Config      string `long:"config" value-name:"FILE" description:"settings file (HuJSON)"`
 	CheckConfig bool   `long:"check-config" description:"check the settings and exit"`
-	LogFormat   string `long:"log-format" choice:"json" choice:"text" default:"json" description:"format of the log on standard error"`
 	Version     bool   `long:"version" description:"print the version and exit"`
 }
 
@@ -33,30 +26,24 @@
 
 func run(args []string) int {
 	var opts options
-	if _, err := flags.ParseArgs(&opts, args); err != nil {
-		var fe *flags.Error
-		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
-			return 0
-		}
-		return exitUsage
+	if done, code := cli.ParseArgs(&opts, args); done {
+		return code
 	}
 	if opts.Version {
-		fmt.Println("eelgrass-standin", version())
-		return 0
+		fmt.Println("eelgrass-standin", cli.Version())
+		return cli.ExitOK
 	}
 	if opts.Config == "" {
-		fmt.Fprintln(os.Stderr, "eelgrass-standin: --config FILE is required")
-		return exitUsage
+		return cli.Fail(cli.ExitUsage, errors.New("eelgrass-standin: --config FILE is required"))
 	}
 	config, err := standin.LoadConfig(opts.Config)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
+		return cli.Fail(cli.ExitUsage, err)
 	}
 	if opts.CheckConfig {
-		return 0
+		return cli.ExitOK
 	}
-	return serve(config, logger(opts.LogFormat))
+	return serve(config, opts.Logger())
 }
 
 func serve(config standin.Config, log *slog.Logger) int {
@@ -65,29 +52,14 @@
 	group, err := standin.Start(config, log)
 	if err != nil {
 		log.Error("start failed", "error", err)
-		return exitFailure
+		return cli.ExitFailure
 	}
 	sig := <-signals
 	log.Info("stopping", "signal", sig.String())
 	if err := group.Stop(); err != nil {
 		log.Error("stop was not graceful", "error", err)
-		return exitFailure
+		return cli.ExitFailure
 	}
 	log.Info("stopped")
-	return 0
-}
-
-func logger(format string) *slog.Logger {
-	if format == "text" {
-		return slog.New(slog.NewTextHandler(os.Stderr, nil))
-	}
-	return slog.New(slog.NewJSONHandler(os.Stderr, nil))
-}
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	return info.Main.Version
+	return cli.ExitOK
 }
--- /dev/null
+++ b/internal/cli/log.go
@@ -0,0 +1,19 @@
+package cli
+
+import (
+	"log/slog"
+	"os"
+)
+
+// LogOptions are the options of a command that logs; embed them.
+type LogOptions struct {
+	LogFormat string `long:"log-format" choice:"json" choice:"text" default:"json" description:"format of the log on standard error"`
+}
+
+// Logger returns a logger that writes to standard error.
+func (o LogOptions) Logger() *slog.Logger {
+	if o.LogFormat == "text" {
+		return slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	return slog.New(slog.NewJSONHandler(os.Stderr, nil))
+}
--- a/internal/evaluate/workload.go
+++ b/internal/evaluate/workload.go
@@ -4,19 +4,16 @@
 package evaluate
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"os"
 	"time"
 
-	"github.com/tailscale/hujson"
-
 	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/fair"
 	"github.com/eelgrassbay/eelgrassbay/internal/limit"
+	"github.com/eelgrassbay/eelgrassbay/internal/settings"
 )
 
 // Organisation is a caller's organisation and its share of the requests.
@@ -70,15 +67,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("evaluate: read workload: %w", err)
 	}
-	plain, err := hujson.Standardize(raw)
-	if err != nil {
-		return nil, fmt.Errorf("evaluate: parse %s: %w", path, err)
-	}
-	decoder := json.NewDecoder(bytes.NewReader(plain))
-	decoder.DisallowUnknownFields()
 	w := &Workload{}
-	if err := decoder.Decode(w); err != nil {
-		return nil, fmt.Errorf("evaluate: decode %s: %w", path, err)
+	if err := settings.Decode(path, raw, w); err != nil {
+		return nil, fmt.Errorf("evaluate: %w", err)
 	}
 	return w, nil
 }
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -4,17 +4,13 @@
 package standin
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"os"
-	"slices"
 	"time"
 
-	"github.com/tailscale/hujson"
-
+	"github.com/eelgrassbay/eelgrassbay/internal/settings"
 	"github.com/eelgrassbay/eelgrassbay/internal/standin/emulator"
 	"github.com/eelgrassbay/eelgrassbay/internal/standin/modelengine"
 	"github.com/eelgrassbay/eelgrassbay/internal/standin/objectapi"
@@ -126,7 +122,7 @@
 		return Config{}, fmt.Errorf("%w: %w", ErrConfig, err)
 	}
 	var c Config
-	if err := decode(file, src, &c); err != nil {
+	if err := settings.Decode(file, src, &c); err != nil {
 		return Config{}, fmt.Errorf("%w: %w", ErrConfig, err)
 	}
 	if err := c.check(); err != nil {
@@ -135,20 +131,6 @@
 	return c, nil
 }
 
-// decode reads one HuJSON value without unknown fields.
-func decode(file string, src []byte, dst any) error {
-	std, err := hujson.Standardize(slices.Clone(src))
-	if err != nil {
-		return fmt.Errorf("%s: %w", file, err)
-	}
-	dec := json.NewDecoder(bytes.NewReader(std))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(dst); err != nil {
-		return fmt.Errorf("%s: %w", file, err)
-	}
-	return nil
-}
-
 // check finds what cannot be run.
 func (c Config) check() error {
 	var faults []error
--- a/internal/standin/group_test.go
+++ b/internal/standin/group_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/eelgrassbay/eelgrassbay/internal/settings"
 )
 
 func TestExampleIsValid(t *testing.T) {
@@ -55,7 +56,7 @@
 func startSite(t *testing.T) *Group {
 	t.Helper()
 	var c Config
-	must.NoError(t, decode("site", []byte(site), &c))
+	must.NoError(t, settings.Decode("site", []byte(site), &c))
 	g, err := Start(c, slog.New(slog.DiscardHandler))
 	must.NoError(t, err)
 	return g
