Decode an event once; name organisations by their type

Cause: an answer collected for a caller that does not stream was decoded twice more at every token, for fields that only its last event is asked for, and quota built the name of an organisation beside config.OrganisationID.

Change: the finish reason comes from the chunk that was read already and the last event is decoded once, at the end; quota uses the type.

--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -9,7 +9,8 @@
 
 // sink takes the events of a checked stream and answers the caller.
 type sink interface {
-	// event takes one event; an error means that the caller has left.
+	// event takes one event and may keep its data; an error means that the
+	// caller has left.
 	event(data []byte, c *chunk) error
 	// finish ends a whole answer.
 	finish() *Error
@@ -100,8 +101,8 @@
 	sinkBase
 	chat bool
 	text []byte
-	last map[string]json.RawMessage
-	stop json.RawMessage // finish_reason
+	last []byte  // data of the last event
+	stop *string // finish_reason
 }
 
 func (s *wholeSink) event(data []byte, c *chunk) error {
@@ -110,16 +111,10 @@
 		s.text = append(s.text, c.Choices[0].Text...)
 		s.text = append(s.text, c.Choices[0].Delta.Content...)
 	}
-	s.last = nil
-	if err := json.Unmarshal(data, &s.last); err != nil {
-		return err
-	}
-	var choices []struct {
-		FinishReason json.RawMessage `json:"finish_reason"`
-	}
-	if err := json.Unmarshal(s.last["choices"], &choices); err == nil && len(choices) > 0 {
-		s.stop = choices[0].FinishReason
+	if len(c.Choices) > 0 {
+		s.stop = c.Choices[0].FinishReason
 	}
+	s.last = data
 	return nil
 }
 
@@ -130,10 +125,10 @@
 
 // wholeChoice is the one choice of a whole answer.
 type wholeChoice struct {
-	Index        int             `json:"index"`
-	Text         *string         `json:"text,omitempty"`
-	Message      *message        `json:"message,omitempty"`
-	FinishReason json.RawMessage `json:"finish_reason"`
+	Index        int      `json:"index"`
+	Text         *string  `json:"text,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
 }
 
 type message struct {
@@ -154,9 +149,15 @@
 	} else {
 		choice.Text = &text
 	}
+	var last map[string]json.RawMessage
+	if s.last != nil {
+		if err := json.Unmarshal(s.last, &last); err != nil {
+			panic(err) // it was read as an event before
+		}
+	}
 	answer := map[string]any{"object": object, "choices": []wholeChoice{choice}}
 	for _, field := range []string{"id", "created", "model", "usage", "attempt"} {
-		if raw, ok := s.last[field]; ok {
+		if raw, ok := last[field]; ok {
 			answer[field] = raw
 		}
 	}
--- a/internal/quota/duty.go
+++ b/internal/quota/duty.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/config"
 	"github.com/eelgrassbay/eelgrassbay/internal/limit"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
@@ -191,7 +192,8 @@
 	orgs := map[string]limit.Limit{}
 	for _, doc := range known.Services {
 		for _, o := range doc.Organisations {
-			orgs[doc.Service+"/"+o.Name] = limit.Limit{Rate: o.RateTokensPerS, Burst: o.BurstTokens}
+			id := config.OrganisationID{Service: doc.Service, Organisation: o.Name}
+			orgs[id.String()] = limit.Limit{Rate: o.RateTokensPerS, Burst: o.BurstTokens}
 		}
 	}
 	d.stepInstance(ctx, limit.Limits{Version: d.version, Orgs: orgs})
