--- /dev/null
+++ b/cmd/eelgrass-gateway/main.go
@@ -0,0 +1,98 @@
+// Command eelgrass-gateway runs one entry instance on the users' platform.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/boottime"
+	"github.com/eelgrassbay/eelgrassbay/internal/catalog"
+	"github.com/eelgrassbay/eelgrassbay/internal/cli"
+	"github.com/eelgrassbay/eelgrassbay/internal/gateway"
+	"github.com/eelgrassbay/eelgrassbay/internal/logring"
+	"github.com/eelgrassbay/eelgrassbay/internal/settings"
+	"github.com/eelgrassbay/eelgrassbay/platform"
+)
+
+const (
+	// settingsVariable names the settings file where no argument does.
+	settingsVariable = "EELGRASSBAY_SETTINGS"
+	logLines         = 2048
+	logFlush         = 200 * time.Millisecond
+	// storeDial bounds the opening of a connection to the store.
+	storeDial = 500 * time.Millisecond
+	// engineDial bounds the opening of a connection for orders.
+	engineDial = 300 * time.Millisecond
+	// memoryPart of the memory limit is given to the Go heap.
+	memoryPart = 0.7
+)
+
+type options struct {
+	Config      string `long:"config" value-name:"FILE" description:"settings file (HuJSON); default: the file that EELGRASSBAY_SETTINGS names"`
+	CheckConfig bool   `long:"check-config" description:"check the settings and exit"`
+	Version     bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var opts options
+	if done, code := cli.ParseArgs(&opts, args); done {
+		return code
+	}
+	if opts.Version {
+		fmt.Println("eelgrass-gateway", cli.Version())
+		return cli.ExitOK
+	}
+	if opts.Config == "" {
+		opts.Config = os.Getenv(settingsVariable)
+	}
+	if opts.Config == "" {
+		return cli.Fail(cli.ExitUsage, errors.New("eelgrass-gateway: --config FILE is required"))
+	}
+	s := gateway.DefaultSettings()
+	if err := settings.Load(opts.Config, s); err != nil {
+		return cli.Fail(cli.ExitUsage, err)
+	}
+	if opts.CheckConfig {
+		return cli.ExitOK
+	}
+	if err := serve(s, opts.Config); err != nil {
+		return cli.Fail(cli.ExitFailure, err)
+	}
+	return cli.ExitOK
+}
+
+func serve(s *gateway.Settings, file string) error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.Log.Level)); err != nil {
+		return err
+	}
+	if s.Memory.LimitMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.Memory.LimitMB) * (1 << 20)))
+	}
+	ring := logring.New(os.Stdout, logLines)
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.Background(), logFlush)
+		defer cancel()
+		ring.Close(ctx)
+	}()
+	g, err := gateway.New(gateway.Options{
+		Settings: s, Format: platform.Format{}, Engines: platform.NewEngines(engineDial),
+		Store: platform.NewStore(platform.StoreOptions{
+			Address: s.Store.Address, DialTimeout: storeDial, WatchWait: s.Store.WatchWait.Std(),
+		}),
+		Decoder: catalog.Decoder{ConfigName: platform.ConfigName, Config: platform.DecodeConfig, Upstream: platform.DecodeUpstream},
+		Now:     boottime.Now,
+		Log:     slog.New(slog.NewJSONHandler(ring, &slog.HandlerOptions{Level: level})),
+	})
+	if err != nil {
+		return err
+	}
+	return g.Run(file)
+}
--- a/internal/e2e/lease_test.go
+++ b/internal/e2e/lease_test.go
@@ -43,7 +43,7 @@
 func (e *entry) fences() (list []uint64, held bool) {
 	for _, line := range strings.Split(e.proc.Logs(), "\n") {
 		var t tenure
-		if json.Unmarshal([]byte(line), &t) != nil || t.Msg != "zone lease" {
+		if json.Unmarshal([]byte(line), &t) != nil || t.Msg != "lease" {
 			continue
 		}
 		held = t.Held
--- /dev/null
+++ b/internal/gateway/record.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/assign"
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/sharedlimit"
+)
+
+// attemptRecord is one send to an upstream.
+type attemptRecord struct {
+	upstream string
+	outcome  outcome
+}
+
+// requestRecord gathers what decided a request, for its one line in the log.
+type requestRecord struct {
+	refusal    fleet.Refusal
+	limit      *sharedlimit.Decision
+	inputs     assign.Inputs
+	attempts   []attemptRecord
+	stream     *streamState
+	waited     time.Duration
+	headAt     time.Duration
+	firstAt    time.Duration
+	status     int
+	bytes      int
+	lastError  error
+	callerLeft bool
+	abort      bool // the connection is broken off, so that nobody takes the answer for whole
+}
+
+// result names how a request ended, for metrics and logs.
+func (r *requestRecord) result() string {
+	switch {
+	case r.refusal.Reason != fleet.ReasonNone:
+		return r.refusal.Reason.String()
+	case r.callerLeft:
+		return "caller_left"
+	}
+	return "ok"
+}
+
+// write logs and measures the request.
+func (r *requestRecord) write(x *exchange) {
+	now := x.g.now()
+	total := now - x.arrived
+	organisation, route := "", ""
+	if x.org != nil {
+		organisation = x.org.Name
+	}
+	if x.route != nil {
+		route = x.route.Name
+	}
+	flow := x.g.metrics.Flow(organisation, route)
+	flow.Ended(r.result(), total, 0)
+	flow.Queue(r.waited)
+	if r.firstAt > 0 {
+		flow.FirstToken(r.firstAt - x.arrived)
+	}
+	for _, a := range r.attempts {
+		flow.Attempt(a.outcome.String())
+	}
+	if r.result() == "ok" && len(r.attempts) == 1 && !x.g.okLines.take(now) {
+		return
+	}
+	x.g.log.LogAttrs(x.r.Context(), slog.LevelInfo, "request", r.attrs(x, organisation, route, total)...)
+}
+
+func (r *requestRecord) attrs(x *exchange, organisation, route string, total time.Duration) []slog.Attr {
+	attrs := []slog.Attr{
+		slog.String("request", x.req.ID), slog.String("result", r.result()), slog.String("route", route),
+		slog.String("organisation", organisation), slog.String("service", x.service), slog.String("model", x.req.Model),
+		slog.Int64("total_ms", total.Milliseconds()), slog.Int64("waited_ms", r.waited.Milliseconds()),
+	}
+	if x.req.Adapter != "" {
+		attrs = append(attrs, slog.String("adapter", x.req.Adapter))
+	}
+	if x.config != nil {
+		attrs = append(attrs, slog.Int64("config", x.config.Version))
+	}
+	if len(r.attempts) > 0 || r.refusal.Reason != fleet.ReasonNone {
+		attrs = append(attrs, slog.Int("candidates", r.inputs.Candidates), slog.Int("queue", r.inputs.Queue),
+			slog.Int("at_upstream", r.inputs.Requests), slog.Int64("peer_age_ms", r.inputs.PeerAge.Milliseconds()))
+	}
+	if len(r.attempts) > 0 {
+		attrs = append(attrs, slog.String("attempts", r.path()))
+	}
+	if r.firstAt > 0 {
+		attrs = append(attrs, slog.Int64("first_ms", (r.firstAt-x.arrived).Milliseconds()), slog.Int("events", r.stream.events))
+	}
+	if r.status != 0 {
+		attrs = append(attrs, slog.Int("status", r.status))
+	}
+	if r.refusal.RetryAfter > 0 {
+		attrs = append(attrs, slog.Int64("retry_after_ms", r.refusal.RetryAfter.Milliseconds()))
+	}
+	if r.limit != nil {
+		attrs = append(attrs, slog.Float64("limit_level", r.limit.Level), slog.Float64("limit_share", r.limit.Share),
+			slog.Int64("limit_age_ms", r.limit.PeerAge.Milliseconds()))
+	}
+	if r.lastError != nil {
+		attrs = append(attrs, slog.String("error", r.lastError.Error()))
+	}
+	return attrs
+}
+
+// path lists the upstreams tried with their outcomes.
+func (r *requestRecord) path() string {
+	var b strings.Builder
+	for i, a := range r.attempts {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(a.upstream + "=" + a.outcome.String())
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/assign"
+	"github.com/eelgrassbay/eelgrassbay/internal/eventstream"
+	"github.com/eelgrassbay/eelgrassbay/internal/httpconn"
+)
+
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxAnswerBytes bounds a whole answer.
+	maxAnswerBytes = 64 << 20
+	readBytes      = 16 << 10
+	// stallGaps is how many of the longest pauses on time a stream may be
+	// silent before it is resumed elsewhere.
+	stallGaps  = 4
+	stallLeast = 800 * time.Millisecond
+)
+
+// streamState is what the caller has of a stream so far.
+type streamState struct {
+	begun  bool // the caller has the head of the answer
+	last   string
+	events int
+}
+
+// lastID returns the last event that the caller has from the gateway.
+func (s *streamState) lastID() string { return s.last }
+
+// watchdog cancels an attempt in which nothing happens for too long.
+type watchdog struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	fired bool
+}
+
+// newWatchdog starts the watch; a limit of 0 watches nothing.
+func newWatchdog(limit time.Duration, cancel context.CancelFunc) *watchdog {
+	w := &watchdog{}
+	if limit > 0 {
+		w.timer = time.AfterFunc(limit, func() {
+			w.mu.Lock()
+			w.fired = true
+			w.mu.Unlock()
+			cancel()
+		})
+	}
+	return w
+}
+
+func (w *watchdog) reset(limit time.Duration) {
+	if w.timer != nil && limit > 0 {
+		w.timer.Reset(limit)
+	}
+}
+
+func (w *watchdog) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// expired reports whether the watchdog ended the attempt.
+func (w *watchdog) expired() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fired
+}
+
+func (x *exchange) stall() time.Duration { return max(stallLeast, stallGaps*x.route.MaxGap) }
+
+// relayStream passes events on as they come. Only whole events reach the
+// caller, so that the stream can go on after the last one elsewhere.
+func (x *exchange) relayStream(p *assign.Placement, resp *httpconn.Response, watch *watchdog) outcome {
+	err := x.copyEvents(p, resp, watch)
+	watch.stop()
+	resp.Finish(err == nil)
+	var gone *callerGoneError
+	switch {
+	case err == nil:
+		x.g.dispatch.done(p, assign.ResultOK)
+		x.rec.status = http.StatusOK
+		x.begin(resp) // an answer without any event is whole, too
+		return outcomeDelivered
+	case errors.As(err, &gone):
+		x.rec.lastError = err
+		x.g.dispatch.done(p, assign.ResultNone)
+		return outcomeCallerLeft
+	}
+	x.rec.lastError = err
+	if o, ended := x.ended(); ended {
+		x.g.dispatch.done(p, assign.ResultNone)
+		return o
+	}
+	x.g.dispatch.done(p, assign.ResultFailed)
+	return outcomeUnknown
+}
+
+// callerGoneError means that an event could not be written to the caller.
+type callerGoneError struct{ err error }
+
+func (e *callerGoneError) Error() string { return "gateway: caller gone: " + e.err.Error() }
+
+var errPartialEvent = errors.New("gateway: stream ended within an event")
+
+func (x *exchange) copyEvents(p *assign.Placement, resp *httpconn.Response, watch *watchdog) error {
+	splitter := eventstream.NewSplitter(maxEventBytes)
+	buf := make([]byte, readBytes)
+	resumed, started := x.rec.stream.begun, false
+	for {
+		n, readErr := resp.Body.Read(buf)
+		if err := splitter.Feed(buf[:n]); err != nil {
+			return err
+		}
+		wrote := false
+		for event, ok := splitter.Next(); ok; event, ok = splitter.Next() {
+			if resumed && !x.follows(event.ID) {
+				continue
+			}
+			if x.rec.stream.events == 0 {
+				x.rec.firstAt = x.g.now()
+			}
+			if !started {
+				started = true
+				x.g.dispatch.firstToken(p)
+			}
+			x.begin(resp)
+			if _, err := x.w.Write(event.Raw); err != nil {
+				return &callerGoneError{err}
+			}
+			x.rec.stream.events++
+			x.rec.bytes += len(event.Raw)
+			if len(event.ID) > 0 {
+				x.rec.stream.last = string(event.ID)
+			}
+			wrote = true
+		}
+		if wrote {
+			watch.reset(x.stall())
+			if err := http.NewResponseController(x.w).Flush(); err != nil {
+				return &callerGoneError{err}
+			}
+		}
+		switch {
+		case errors.Is(readErr, io.EOF) && splitter.Partial():
+			return errPartialEvent
+		case errors.Is(readErr, io.EOF):
+			return nil
+		case readErr != nil:
+			return readErr
+		}
+	}
+}
+
+// begin sends the head of the answer once; a resumed stream keeps the head of
+// its first upstream.
+func (x *exchange) begin(resp *httpconn.Response) {
+	if x.rec.stream.begun {
+		return
+	}
+	x.rec.stream.begun = true
+	x.g.format.AnswerHeader(x.w.Header(), resp.Header)
+	x.w.WriteHeader(resp.Status)
+}
+
+// follows reports whether an event of a resumed stream is one that the caller
+// does not have.
+func (x *exchange) follows(id []byte) bool {
+	if x.rec.stream.last == "" || len(id) == 0 {
+		return true
+	}
+	last, errLast := strconv.ParseInt(x.rec.stream.last, 10, 64)
+	this, errThis := strconv.ParseInt(string(id), 10, 64)
+	return errLast != nil || errThis != nil || this > last
+}
+
+func readAll(resp *httpconn.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errAnswerTooLarge
+	}
+	return body, err
+}
+
+var errAnswerTooLarge = errors.New("gateway: answer too large")
--- a/internal/leader/duty.go
+++ b/internal/leader/duty.go
@@ -37,7 +37,11 @@
 	Self  platform.Instance
 	Store platform.Store
 	Peers peer.Caller
-	// ZonePeers returns the other entry instances of the zone.
+	// Lease is the name of the lease's object; empty for that of the zone.
+	Lease string
+	// Term is how long a write holds the lease; 0 for the default.
+	Term time.Duration
+	// ZonePeers returns the other contenders, who are told of each write.
 	ZonePeers func() []platform.Instance
 	Now       func() time.Duration
 	Log       *slog.Logger
@@ -56,8 +60,11 @@
 
 // New returns a duty that holds nothing.
 func New(opts Options) *Duty {
+	if opts.Lease == "" {
+		opts.Lease = LeaseName(opts.Self.Zone)
+	}
 	l := lease.New(lease.Options{
-		Holder: opts.Self.Name, Writer: opts.Self.Incarnation, PollEvery: pollEvery, TakeJitter: takeJitter,
+		Holder: opts.Self.Name, Writer: opts.Self.Incarnation, Term: opts.Term, PollEvery: pollEvery, TakeJitter: takeJitter,
 	}, rand.New(rand.NewSource(opts.Seed)))
 	return &Duty{opts: opts, inbox: make(chan lease.Message, inboxSize), lease: l}
 }
@@ -70,6 +77,14 @@
 	return d.lease.Held(d.opts.Now())
 }
 
+// HeldFor reports whether this instance holds the lease now and, unless it is
+// paused, for d from now on; and the fencing number of its term.
+func (d *Duty) HeldFor(rest time.Duration) (fence uint64, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lease.Held(d.opts.Now() + rest)
+}
+
 // Leads reports whether this instance holds the lease now.
 func (d *Duty) Leads() bool {
 	_, ok := d.Held()
@@ -136,7 +151,7 @@
 	d.held = held
 	d.mu.Unlock()
 	if changed {
-		d.opts.Log.Info("zone lease", "held", held, "fence", fence)
+		d.opts.Log.Info("lease", "name", d.opts.Lease, "held", held, "fence", fence)
 	}
 	for _, a := range actions {
 		go d.carryOut(ctx, a)
@@ -155,7 +170,7 @@
 }
 
 func (d *Duty) get(ctx context.Context) {
-	obj, err := d.opts.Store.Get(ctx, platform.KindLease, LeaseName(d.opts.Self.Zone))
+	obj, err := d.opts.Store.Get(ctx, platform.KindLease, d.opts.Lease)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		d.send(lease.Read{})
@@ -168,7 +183,7 @@
 
 func (d *Duty) put(ctx context.Context, p lease.Put) {
 	obj, err := d.opts.Store.Put(ctx, platform.Object{
-		Kind: platform.KindLease, Name: LeaseName(d.opts.Self.Zone), Version: p.ExpectedVersion, Value: p.Value,
+		Kind: platform.KindLease, Name: d.opts.Lease, Version: p.ExpectedVersion, Value: p.Value,
 	})
 	switch {
 	case err == nil:
@@ -203,7 +218,7 @@
 
 // Relay implements peerpb.DRPCLeasesServer.
 func (d *Duty) Relay(_ context.Context, msg *peerpb.LeaseObject) (*peerpb.LeaseReply, error) {
-	if msg.Name == LeaseName(d.opts.Self.Zone) {
+	if msg.Name == d.opts.Lease {
 		d.send(lease.Relayed{Object: platform.Object{
 			Kind: platform.KindLease, Name: msg.Name, Version: msg.Version, Value: msg.Value,
 		}})
--- /dev/null
+++ b/internal/placing/duty.go
@@ -0,0 +1,198 @@
+// Package placing gives the engines their orders while this instance holds the
+// lease for it, and tells the other instances what the engines hold. What is
+// ordered is decided in package residency.
+package placing
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/residency"
+)
+
+const (
+	tickPeriod    = 40 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
+	orderTimeout  = 600 * time.Millisecond
+	// orderRest is how much of the lease's term must be left when an order is
+	// sent: none may arrive after the term.
+	orderRest = orderTimeout + 100*time.Millisecond
+	inboxSize = 256
+)
+
+// Engines reads reports and gives orders.
+type Engines interface {
+	Report(ctx context.Context, u *fleet.Upstream) (fleet.Report, error)
+	Order(ctx context.Context, u *fleet.Upstream, o fleet.Order) (fleet.OrderOutcome, error)
+}
+
+// Lease tells whether this instance gives the orders.
+type Lease interface {
+	// HeldFor reports whether the lease is held for the given time from now
+	// on, and its fencing number.
+	HeldFor(rest time.Duration) (fence uint64, ok bool)
+}
+
+// Options configure a Duty.
+type Options struct {
+	Name     string // of this instance
+	Lease    Lease
+	Engines  Engines
+	Config   func() *fleet.Config
+	Usable   func() []fleet.Upstream
+	Requests func() map[string]int // requests at each upstream, over all instances
+	// Known is called with what the engines hold after it may have changed.
+	Known func(fence uint64, residents []residency.Resident)
+	// Leaving is called when a report says that its engine leaves.
+	Leaving    func(id string, born int64)
+	LoadWindow time.Duration
+	Now        func() time.Duration
+	Log        *slog.Logger
+}
+
+// Duty drives a residency.Planner. One goroutine steps it.
+type Duty struct {
+	opts    Options
+	inbox   chan func(now time.Duration)
+	planner *residency.Planner
+	fence   uint64
+	fenced  uint64 // fence of a tenure that a newer holder ended
+
+	mu     sync.Mutex // guards demand, which peers' messages feed
+	demand *residency.Demand
+}
+
+// New returns a duty that gives no orders yet.
+func New(opts Options) *Duty {
+	return &Duty{opts: opts, inbox: make(chan func(time.Duration), inboxSize), demand: residency.NewDemand()}
+}
+
+// Count takes in an instance's counter of work asked for.
+func (d *Duty) Count(instance, incarnation string, key residency.ModelKey, adapter string, total float64, baseline bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.demand.Count(d.opts.Now(), instance, incarnation, key, adapter, total, baseline)
+}
+
+// Forget drops the counters of an incarnation that is gone.
+func (d *Duty) Forget(instance, incarnation string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.demand.Forget(instance, incarnation)
+}
+
+// WantAdapter asks for an adapter. It reports false if this instance gives no
+// orders.
+func (d *Duty) WantAdapter(key residency.ModelKey, adapter string) bool {
+	if _, held := d.opts.Lease.HeldFor(0); !held {
+		return false
+	}
+	d.post(func(now time.Duration) {
+		if d.planner != nil {
+			d.planner.WantAdapter(now, key, adapter)
+		}
+	})
+	return true
+}
+
+// post gives the owner something to do; when the ring is full it is dropped,
+// since callers ask again.
+func (d *Duty) post(f func(now time.Duration)) {
+	select {
+	case d.inbox <- f:
+	default:
+		d.opts.Log.Warn("placing: message dropped", "reason", "ring full")
+	}
+}
+
+// Run gives orders while the lease is held, until ctx ends.
+func (d *Duty) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-d.inbox:
+			f(d.opts.Now())
+		case <-ticker.C:
+		}
+		d.step(ctx)
+	}
+}
+
+func (d *Duty) step(ctx context.Context) {
+	now := d.opts.Now()
+	config := d.opts.Config()
+	fence, held := d.opts.Lease.HeldFor(orderRest)
+	if !held || config == nil || fence == d.fenced {
+		if d.planner != nil && (!held || fence == d.fenced) {
+			d.planner = nil
+		}
+		return
+	}
+	if d.planner == nil || d.fence != fence {
+		d.planner = residency.NewPlanner(residency.Options{Holder: d.opts.Name, LoadWindow: d.opts.LoadWindow}, d.demand)
+		d.fence = fence
+		d.opts.Log.Info("placement begins", "fence", fence)
+	}
+	d.planner.SetEngines(now, config, d.opts.Usable())
+	d.planner.SetRequests(d.opts.Requests())
+	d.mu.Lock()
+	actions := d.planner.Step(now)
+	d.mu.Unlock()
+	for _, a := range actions {
+		d.carryOut(ctx, a)
+	}
+	d.opts.Known(fence, d.planner.Residents(now))
+}
+
+func (d *Duty) carryOut(ctx context.Context, a residency.Action) {
+	entry := a.Engine.Entry
+	if a.Report {
+		go d.report(ctx, d.planner, entry)
+		return
+	}
+	order := *a.Order
+	order.Fence = d.fence
+	d.opts.Log.Info("order", "upstream", entry.ID, "order", order.Kind.String(), "model", order.Model, "adapter", order.Adapter,
+		"fence", order.Fence, "sequence", order.Expected, "report_age_ms", (d.opts.Now() - a.Engine.ReadAt).Milliseconds(), "reason", a.Reason)
+	go d.order(ctx, d.planner, entry, order)
+}
+
+func (d *Duty) report(ctx context.Context, p *residency.Planner, entry fleet.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	sentAt := d.opts.Now()
+	report, err := d.opts.Engines.Report(ctx, &entry)
+	if err != nil {
+		d.opts.Log.Debug("report", "upstream", entry.ID, "error", err)
+	}
+	d.post(func(now time.Duration) {
+		p.Reported(now, sentAt, entry.ID, entry.Born, report, err)
+		if err == nil && report.Draining {
+			d.opts.Leaving(entry.ID, entry.Born)
+		}
+	})
+}
+
+func (d *Duty) order(ctx context.Context, p *residency.Planner, entry fleet.Upstream, o fleet.Order) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	outcome := fleet.OrderConflict
+	var err error
+	if fence, held := d.opts.Lease.HeldFor(orderTimeout); held && fence == o.Fence {
+		outcome, err = d.opts.Engines.Order(ctx, &entry, o)
+	}
+	d.opts.Log.Info("order answered", "upstream", entry.ID, "order", o.Kind.String(), "model", o.Model, "adapter", o.Adapter,
+		"sequence", o.Expected, "outcome", outcome.String(), "error", err)
+	d.post(func(now time.Duration) {
+		if outcome == fleet.OrderFenced {
+			d.fenced = o.Fence
+		}
+		p.Ordered(now, entry.ID, entry.Born, o, outcome)
+	})
+}
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -23,6 +23,10 @@
 	KindRecord  Kind = "record" // batches or chain heads of the service record
 	KindBudget  Kind = "budget" // fleet-wide shares of the weight store
 	KindHomes   Kind = "homes"  // zones that are bound to keep each model
+
+	KindConfig   Kind = "config"   // the operators' configuration in one object
+	KindUpstream Kind = "upstream" // upstreams, each by its own entry
+	KindInstance Kind = "instance" // entry instances, for peers to find them
 )
 
 // Object is one stored value. Version comes from one revision counter for the
@@ -53,6 +57,7 @@
 	ErrUnavailable    = errors.New("platform: object API unavailable")
 	ErrOutcomeUnknown = errors.New("platform: outcome of the write unknown")
 	ErrTooLarge       = errors.New("platform: value too large")
+	ErrHistoryGone    = errors.New("platform: history gone, list again")
 )
 
 // Store is the object API. Implementations are safe for concurrent use.
--- /dev/null
+++ b/internal/residency/plan.go
@@ -0,0 +1,216 @@
+package residency
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+)
+
+const (
+	// workPerSlot is the work per second, in prompt tokens, that an engine
+	// does for each slot of its batch while first tokens still come at once.
+	workPerSlot = 600.0
+	// fullShare is the part of an engine's work from which a model's replica
+	// counts as loaded enough to get another.
+	fullShare = 0.3
+	// keepRatio is how much more a replica must earn than the one that makes
+	// way for it.
+	keepRatio = 2.0
+	// activeShare is the part of an engine's work from which a model should
+	// be in each zone, so that a zone that is cut off can serve it.
+	activeShare = 0.15
+	// maxOrdersAtOnce bounds the model orders of one step.
+	maxOrdersAtOnce = 8
+)
+
+// modelState is a model as the planner weighs it.
+type modelState struct {
+	spec     *fleet.Model
+	key      ModelKey
+	demand   float64 // recent work per second
+	slow     float64
+	replicas int // there or coming
+	zones    map[string]int
+}
+
+// perReplica is the work per second and replica; a model without replicas
+// counts as if it had half of one.
+func (m *modelState) perReplica() float64 {
+	return m.demand / max(float64(m.replicas), 0.5)
+}
+
+// cost is what another replica of the model has to carry if one goes.
+func (m *modelState) cost() float64 {
+	return max(m.demand, m.slow) / max(float64(m.replicas-1), 0.5)
+}
+
+// planModels answers demand that moves to other models within seconds: each
+// step gives replicas to the models with the most work per replica, in the
+// place of replicas that earn least.
+func (p *Planner) planModels(now time.Duration, service string) []Action {
+	engines := p.of(service)
+	if len(engines) == 0 {
+		return nil
+	}
+	spec := engines[0].Spec
+	states := p.states(now, service, spec, engines)
+	unit := workPerSlot * float64(max(spec.Slots, 1))
+	loading := 0
+	for _, e := range engines {
+		if e.Loading != "" {
+			loading++
+		}
+	}
+	atOnce := maxLoads(spec)
+	var actions []Action
+	for _, m := range p.ranked(states, engines, unit) {
+		if len(actions) >= maxOrdersAtOnce || loading >= atOnce {
+			break
+		}
+		a, ok := p.addReplica(now, engines, states, m, unit)
+		if !ok {
+			continue
+		}
+		actions = append(actions, a)
+		if a.Order.Kind == fleet.OrderLoad {
+			loading++
+		}
+	}
+	return actions
+}
+
+// maxLoads is how many loads may be under way: what the store's rate keeps
+// going.
+func maxLoads(spec *fleet.Engine) int {
+	longest := time.Duration(0)
+	for _, m := range spec.Models {
+		longest = max(longest, m.LoadTime)
+	}
+	return max(int(spec.LoadsPerS*longest.Seconds()), 2)
+}
+
+func (p *Planner) states(now time.Duration, service string, spec *fleet.Engine, engines []*Engine) map[string]*modelState {
+	states := make(map[string]*modelState, len(spec.ModelNames))
+	for _, name := range spec.ModelNames {
+		key := ModelKey{service, name}
+		m := &modelState{
+			spec: spec.Models[name], key: key, demand: p.demand.Fast(now, key), slow: p.demand.Slow(now, key),
+			zones: map[string]int{},
+		}
+		for _, e := range engines {
+			if e.covers(name) {
+				m.replicas++
+				m.zones[e.Entry.Zone]++
+			}
+		}
+		states[name] = m
+	}
+	return states
+}
+
+// ranked returns the models that want a replica, the most urgent first: those
+// that nothing holds, by demand, then those with the most work per replica.
+func (p *Planner) ranked(states map[string]*modelState, engines []*Engine, unit float64) []*modelState {
+	zones := map[string]bool{}
+	for _, e := range engines {
+		zones[e.Entry.Zone] = true
+	}
+	var out []*modelState
+	for _, m := range states {
+		missingZone := m.demand > activeShare*unit && len(m.zones) < len(zones)
+		if m.replicas == 0 || m.perReplica() > fullShare*unit || missingZone {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b *modelState) int {
+		if (a.replicas == 0) != (b.replicas == 0) {
+			if a.replicas == 0 {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.perReplica(), a.perReplica()), cmp.Compare(b.slow, a.slow), cmp.Compare(a.spec.Name, b.spec.Name))
+	})
+	return out
+}
+
+// site is one way to give a model a replica.
+type site struct {
+	e      *Engine
+	victim *modelState // makes way first, nil if there is room
+	cost   float64
+}
+
+// addReplica gives a model one more replica, or makes room for it.
+func (p *Planner) addReplica(now time.Duration, engines []*Engine, states map[string]*modelState, m *modelState, unit float64) (Action, bool) {
+	var best *site
+	for _, e := range engines {
+		if !e.usable(now) || e.covers(m.spec.Name) || e.holds(m.spec.Name) {
+			continue
+		}
+		s, ok := p.siteAt(e, states, m, unit)
+		if !ok {
+			continue
+		}
+		d, fromStore := e.loadTime(m.spec)
+		if fromStore && p.budgets[m.key.Service].left(now, e.Spec.LoadsPerS) <= 0 {
+			continue
+		}
+		s.cost += d.Seconds()*unit*loadTimeCost + float64(m.zones[e.Entry.Zone])*unit*zoneCost + float64(e.Requests)*workPerSlot*busyCost
+		if best == nil || s.cost < best.cost {
+			best = &s
+		}
+	}
+	if best == nil {
+		return Action{}, false
+	}
+	if best.victim != nil {
+		best.victim.replicas--
+		best.victim.zones[best.e.Entry.Zone]--
+		return p.order(now, best.e, fleet.OrderUnload, best.victim.spec.Name, "", "makes room for "+m.spec.Name), true
+	}
+	m.replicas++
+	m.zones[best.e.Entry.Zone]++
+	return p.order(now, best.e, fleet.OrderLoad, m.spec.Name, "", "demand"), true
+}
+
+// Weights of the costs of a site, in parts of an engine's work.
+const (
+	loadTimeCost = 0.2  // a second of loading
+	zoneCost     = 0.15 // each replica that the zone has already
+	busyCost     = 0.5  // the engine's requests
+)
+
+// siteAt returns how the engine could take the model.
+func (p *Planner) siteAt(e *Engine, states map[string]*modelState, m *modelState, unit float64) (site, bool) {
+	if e.fits(m.spec) {
+		return site{e: e}, true
+	}
+	var victim *modelState
+	for _, r := range e.Models {
+		v := states[r.Model]
+		if v == nil || v == m || !p.mayGo(v, m, unit) {
+			continue
+		}
+		if victim == nil || v.cost() < victim.cost() {
+			victim = v
+		}
+	}
+	if victim == nil {
+		return site{}, false
+	}
+	return site{e: e, victim: victim, cost: victim.cost()}, true
+}
+
+// mayGo reports whether a replica of v may make way for one of m.
+func (p *Planner) mayGo(v, m *modelState, unit float64) bool {
+	if v.replicas <= 1 {
+		return false
+	}
+	if m.replicas == 0 {
+		return m.demand > 0 || v.cost() < fullShare*unit
+	}
+	return v.cost()*keepRatio < m.perReplica()
+}
--- /dev/null
+++ b/internal/sharedlimit/limit.go
@@ -0,0 +1,232 @@
+// Package sharedlimit holds organisations to a rate and a burst over all
+// instances without a central counter. Each instance keeps an estimate of the
+// one bucket that all share, from its own use and from what its peers say they
+// have used. While that bucket is well filled, a request is admitted against
+// the estimate; when it runs low, each instance is held to its share of the
+// rate, in proportion to the demand that it sees.
+//
+// What may be used beyond the limit is bounded by what all instances admit
+// within the age of the peers' messages, less the reserve that is kept for it.
+package sharedlimit
+
+import (
+	"math"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+)
+
+const (
+	// reservePart of the burst is given out by shares only.
+	reservePart = 0.35
+	// evenPart of the rate is shared evenly, so that an instance without
+	// demand so far can serve its first requests.
+	evenPart = 0.2
+	// demandWindow is the time constant of the demand.
+	demandWindow = 1500 * time.Millisecond
+	// silentAfter is the age of a peer's message from which its use is
+	// assumed rather than known.
+	silentAfter = time.Second
+	// goneAfter is the age from which a peer counts as gone.
+	goneAfter = 12 * time.Second
+	// startPart of the burst is there when an instance starts: what was used
+	// before it is not known.
+	startPart = 0.3
+	minRetry  = 100 * time.Millisecond
+	maxRetry  = 5 * time.Second
+)
+
+// Use is what an instance says of its use of one organisation's limit.
+type Use struct {
+	Total  float64 // tokens admitted since the instance started
+	Demand float64 // tokens asked for per second
+}
+
+// Limiter is one instance's view of all limits. It is not safe for concurrent
+// use.
+type Limiter struct {
+	orgs  map[string]*bucket
+	peers map[string]*peer
+}
+
+type peer struct {
+	incarnation string
+	at          time.Duration
+	use         map[string]Use
+}
+
+type bucket struct {
+	rate, burst float64
+	level       float64 // estimate of the shared bucket
+	share       float64 // this instance's own bucket
+	at          time.Duration
+	used        float64
+	demand      float64
+	demandAt    time.Duration
+}
+
+// New returns a limiter without organisations.
+func New() *Limiter {
+	return &Limiter{orgs: map[string]*bucket{}, peers: map[string]*peer{}}
+}
+
+// Decision is the outcome of a request for tokens.
+type Decision struct {
+	Admitted   bool
+	RetryAfter time.Duration
+	Level      float64       // estimate of the shared bucket after it
+	Share      float64       // this instance's part of the rate
+	PeerAge    time.Duration // age of the oldest peer message counted
+}
+
+// Admit charges a request's cost, or tells when to come back.
+func (l *Limiter) Admit(now time.Duration, org *fleet.Organisation, cost float64) Decision {
+	if !org.Limited() {
+		return Decision{Admitted: true}
+	}
+	b := l.bucket(now, org)
+	b.noteDemand(now, cost)
+	weight, age := l.weight(now, org.Name, b)
+	l.refill(now, org.Name, b, weight)
+	d := Decision{Share: weight, PeerAge: age}
+	switch {
+	case b.level-cost >= reservePart*b.burst:
+		d.Admitted = true
+	case b.share >= cost && b.level > -reservePart*b.burst:
+		d.Admitted = true
+		b.share -= cost
+	default:
+		wait := time.Duration((cost - b.share) / max(b.rate*weight, 1e-9) * float64(time.Second))
+		d.RetryAfter = min(max(wait, minRetry), maxRetry)
+	}
+	if d.Admitted {
+		b.level -= cost
+		b.used += cost
+	}
+	d.Level = b.level
+	return d
+}
+
+// Refund returns the cost of an admitted request that did not run.
+func (l *Limiter) Refund(org string, cost float64) {
+	if b := l.orgs[org]; b != nil {
+		b.level = min(b.level+cost, b.burst)
+		b.used -= cost
+	}
+}
+
+func (l *Limiter) bucket(now time.Duration, org *fleet.Organisation) *bucket {
+	b := l.orgs[org.Name]
+	if b == nil {
+		b = &bucket{rate: org.RatePerS, burst: org.Burst, level: startPart * org.Burst, at: now, demandAt: now}
+		l.orgs[org.Name] = b
+	}
+	if b.rate != org.RatePerS || b.burst != org.Burst {
+		b.rate, b.burst = org.RatePerS, org.Burst
+		b.level = min(b.level, b.burst)
+	}
+	return b
+}
+
+// Sync makes buckets for the organisations of a configuration, so that they
+// fill before the first request, and forgets those that are gone.
+func (l *Limiter) Sync(now time.Duration, orgs map[string]*fleet.Organisation) {
+	for name := range l.orgs {
+		if o := orgs[name]; o == nil || !o.Limited() {
+			delete(l.orgs, name)
+		}
+	}
+	for _, o := range orgs {
+		if o.Limited() {
+			l.bucket(now, o)
+		}
+	}
+}
+
+func (b *bucket) noteDemand(now time.Duration, cost float64) {
+	b.decayDemand(now)
+	b.demand += cost / demandWindow.Seconds()
+}
+
+func (b *bucket) decayDemand(now time.Duration) {
+	if dt := now - b.demandAt; dt > 0 {
+		b.demand *= math.Exp(-dt.Seconds() / demandWindow.Seconds())
+		b.demandAt = now
+	}
+}
+
+// weight is this instance's part of the rate, and the age of the oldest peer
+// message that it rests on.
+func (l *Limiter) weight(now time.Duration, org string, b *bucket) (weight float64, age time.Duration) {
+	b.decayDemand(now)
+	total, n := b.demand, 1.0
+	for _, p := range l.peers {
+		if now-p.at > goneAfter {
+			continue
+		}
+		n++
+		total += p.use[org].Demand
+		age = max(age, now-p.at)
+	}
+	if total <= 0 {
+		return 1 / n, age
+	}
+	return evenPart/n + (1-evenPart)*b.demand/total, age
+}
+
+// refill fills both buckets for the time since the last call, and takes out
+// what silent peers are assumed to use.
+func (l *Limiter) refill(now time.Duration, org string, b *bucket, weight float64) {
+	dt := (now - b.at).Seconds()
+	if dt <= 0 {
+		return
+	}
+	b.at = now
+	b.level = min(b.level+dt*(b.rate-l.assumed(now, org, b)), b.burst)
+	b.share = min(b.share+dt*b.rate*weight, reservePart*b.burst*weight)
+}
+
+// assumed is the use per second of the peers that are silent: what they asked
+// for when last heard, at most their part of the rate.
+func (l *Limiter) assumed(now time.Duration, org string, b *bucket) float64 {
+	var rate, total float64
+	total = b.demand
+	for _, p := range l.peers {
+		total += p.use[org].Demand
+	}
+	for _, p := range l.peers {
+		if age := now - p.at; age > silentAfter && age <= goneAfter && total > 0 {
+			demand := p.use[org].Demand
+			rate += min(demand, b.rate*demand/total)
+		}
+	}
+	return rate
+}
+
+// Own returns this instance's use, for its peers.
+func (l *Limiter) Own(now time.Duration) map[string]Use {
+	out := make(map[string]Use, len(l.orgs))
+	for name, b := range l.orgs {
+		b.decayDemand(now)
+		out[name] = Use{Total: b.used, Demand: b.demand}
+	}
+	return out
+}
+
+// Heard takes in a peer's use.
+func (l *Limiter) Heard(now time.Duration, name, incarnation string, use map[string]Use) {
+	p := l.peers[name]
+	if p == nil || p.incarnation != incarnation {
+		l.peers[name] = &peer{incarnation: incarnation, at: now, use: use}
+		return
+	}
+	for org, u := range use {
+		if b := l.orgs[org]; b != nil {
+			b.level -= u.Total - p.use[org].Total
+		}
+	}
+	p.at, p.use = now, use
+}
+
+// Left takes in that a peer stopped.
+func (l *Limiter) Left(name string) { delete(l.peers, name) }
