Poll the store from two instances that reach it

Ruled out: peers' relay, which had nothing newer to tell. Now the first two that say they reach the store poll, every 0.7 s, and a failed poll ends the claim to reach it.

--- a/internal/catalog/duty.go
+++ b/internal/catalog/duty.go
@@ -21,7 +21,7 @@
 
 const (
 	// readTimeout bounds one read of the store.
-	readTimeout = 800 * time.Millisecond
+	readTimeout = 600 * time.Millisecond
 	// retryPause is the pause after a read that failed.
 	retryPause = 150 * time.Millisecond
 	// reachableFor is how long after its last answer the store counts as
@@ -29,7 +29,7 @@
 	reachableFor = 1500 * time.Millisecond
 	// pollEvery is how often the instance that polls for all looks whether
 	// the watches have missed anything.
-	pollEvery = time.Second
+	pollEvery = 700 * time.Millisecond
 	// sourceStore is the source of what the store itself said.
 	sourceStore = "store"
 	// tickPeriod is how often lapsed entries are looked at.
@@ -102,7 +102,7 @@
 }
 
 func (d *Duty) reachable() bool {
-	return d.answered != 0 && d.opts.Now()-d.answered < reachableFor+d.opts.WatchWait
+	return !d.lost && d.opts.Now()-d.answered < reachableFor+d.opts.WatchWait
 }
 
 // Leaving takes in an upstream's own word that it leaves.
@@ -160,8 +160,8 @@
 }
 
 func (d *Duty) failed(ctx context.Context, kind platform.Kind, err error) {
-	if ctx.Err() != nil || errors.Is(err, platform.ErrHistoryGone) {
-		return
+	if ctx.Err() != nil || errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, platform.ErrNotFound) {
+		return // the store answered
 	}
 	d.mu.Lock()
 	d.roster.Away()
@@ -314,10 +314,11 @@
 			continue
 		}
 		if _, err := d.readConfig(ctx); err != nil {
-			d.opts.Log.Debug("poll configuration", "error", err)
+			d.failed(ctx, platform.KindConfig, err)
+			continue
 		}
 		if _, err := d.readRoster(ctx); err != nil {
-			d.opts.Log.Debug("poll list of upstreams", "error", err)
+			d.failed(ctx, platform.KindUpstream, err)
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -156,11 +157,18 @@
 // sharers is how many instances share the fixed part of budgets.
 func (g *Gateway) sharers() int { return len(g.mesh.Members()) + spareInstances }
 
+// pollers is how many instances poll the store for all: one may lose the
+// store without knowing it yet.
+const pollers = 2
+
 // polls reports whether this instance polls the store for all: the first of
-// those that answer does.
+// those that answer and reach the store do.
 func (g *Gateway) polls() bool {
-	members := g.mesh.Members()
-	return len(members) > 0 && members[0].Name == g.self.Name
+	if _, _, reachable := g.catalog.Revisions(); !reachable {
+		return false
+	}
+	first, _ := slices.BinarySearch(g.mesh.Reaching(), g.self.Name)
+	return first < pollers
 }
 
 // catalogChanged brings everything in step with the configuration and the list
--- a/internal/mesh/duty.go
+++ b/internal/mesh/duty.go
@@ -64,6 +64,14 @@
 	return d.members.infos(d.opts.Now())
 }
 
+// Reaching returns the names of the peers that answer and say that they reach
+// the store, in order.
+func (d *Duty) Reaching() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members.reaching(d.opts.Now())
+}
+
 // Leave tells the peers that this instance stops.
 func (d *Duty) Leave() {
 	d.mu.Lock()
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -37,6 +37,7 @@
 	asking   bool
 	leaving  bool
 	answered bool
+	reaches  bool // says that it reaches the store
 }
 
 // members is the set of peers. It is not safe for concurrent use.
@@ -73,9 +74,6 @@
 	}
 	known := m.peers[s.Name]
 	if known == nil || known.info.Incarnation != s.Incarnation {
-		if known != nil && known.leaving && known.info.Incarnation == s.Incarnation {
-			return false
-		}
 		known = &member{met: now}
 		m.peers[s.Name] = known
 	}
@@ -84,6 +82,7 @@
 	}
 	known.info = &meshpb.MemberInfo{Name: s.Name, Incarnation: s.Incarnation, PeerAddress: s.PeerAddress, Zone: s.Zone}
 	known.sequence, known.heard, known.leaving, known.answered = s.Sequence, now, s.Leaving, true
+	known.reaches = s.StoreReachable
 	delete(m.seeds, s.PeerAddress)
 	return true
 }
@@ -133,6 +132,19 @@
 	return out
 }
 
+// reaching returns the names of the peers that answer and say that they reach
+// the store, in order.
+func (m *members) reaching(now time.Duration) []string {
+	var out []string
+	for name, p := range m.peers {
+		if p.answered && now-p.heard <= silentAfter && p.reaches && !p.leaving {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // dueSeeds returns the addresses of seeds that no known peer has.
 func (m *members) dueSeeds(now time.Duration, seeds []string) []string {
 	known := map[string]bool{m.self.PeerAddress: true}
