Sum work by zones, share the watching of the store, version what engines hold

Now the zones' first instances swap sums and watch; what engines hold is told as changes beyond a version.

--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -124,7 +124,7 @@
 	for _, p := range s.peers {
 		for id, l := range p.loads {
 			if u := s.byID[id]; u != nil {
-				u.peers.add(&l)
+				u.peers.Add(&l)
 			}
 		}
 	}
--- a/internal/assign/upstream.go
+++ b/internal/assign/upstream.go
@@ -30,7 +30,8 @@
 // Empty reports whether the load is zero.
 func (l *Load) Empty() bool { return l.Requests() == 0 }
 
-func (l *Load) add(o *Load) {
+// Add sums o into l.
+func (l *Load) Add(o *Load) {
 	l.Running += o.Running
 	for i := range l.Pending {
 		l.Pending[i] += o.Pending[i]
--- a/internal/catalog/duty.go
+++ b/internal/catalog/duty.go
@@ -24,6 +24,11 @@
 	readTimeout = 600 * time.Millisecond
 	// retryPause is the pause after a read that failed.
 	retryPause = 150 * time.Millisecond
+	// watchPause lets changes that come together be answered by one call.
+	watchPause = 120 * time.Millisecond
+	// idlePause is how often an instance that follows its peers looks whether
+	// it has to follow the store itself.
+	idlePause = 100 * time.Millisecond
 	// reachableFor is how long after its last answer the store counts as
 	// reachable.
 	reachableFor = 1500 * time.Millisecond
@@ -52,6 +57,9 @@
 	WatchWait time.Duration
 	Now       func() time.Duration
 	Log       *slog.Logger
+	// Watches reports whether this instance follows the store itself rather
+	// than its peers.
+	Watches func() bool
 	// Polls reports whether this instance polls the store for all.
 	Polls func() bool
 	// Changed is called after the configuration or the list has changed.
@@ -133,9 +141,18 @@
 // the watch cannot go on.
 func (d *Duty) follow(ctx context.Context, read func(context.Context) (uint64, error), kind platform.Kind, events func(platform.List)) {
 	for ctx.Err() == nil {
+		if d.Ready() && !d.opts.Watches() {
+			wait.Sleep(ctx, idlePause)
+			continue
+		}
 		since, err := read(ctx)
-		for err == nil {
-			since, err = d.watch(ctx, kind, since, events)
+		for err == nil && ctx.Err() == nil && (d.opts.Watches() || !d.Ready()) {
+			if since, err = d.watch(ctx, kind, since, events); err == nil {
+				wait.Sleep(ctx, watchPause)
+			}
+		}
+		if err == nil {
+			continue
 		}
 		d.failed(ctx, kind, err)
 		if errors.Is(err, platform.ErrHistoryGone) {
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -7,7 +7,6 @@
 
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
-	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/residency"
 )
 
@@ -104,15 +103,15 @@
 
 // residents takes in what the engines hold.
 func (d *dispatcher) residents(list []residency.Resident) {
-	d.update(func(now time.Duration, s *assign.Scheduler) {
+	d.update(func(_ time.Duration, s *assign.Scheduler) {
 		coming := map[string]time.Duration{}
 		for _, r := range list {
 			s.SetModels(r.ID, r.Born, r.Models, r.Closing)
 			if r.Coming == "" {
 				continue
 			}
-			if at, ok := coming[r.Coming]; !ok || now+r.ReadyIn < at {
-				coming[r.Coming] = now + r.ReadyIn
+			if at, ok := coming[r.Coming]; !ok || r.ReadyAt < at {
+				coming[r.Coming] = r.ReadyAt
 			}
 		}
 		s.SetComing(coming)
@@ -147,12 +146,8 @@
 }
 
 // own returns this instance's work at the upstreams, for peers.
-func (d *dispatcher) own() []*meshpb.UpstreamLoad {
+func (d *dispatcher) own() map[string]assign.Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out []*meshpb.UpstreamLoad
-	for id, l := range d.sched.Own() {
-		out = append(out, loadToWire(id, &l))
-	}
-	return out
+	return d.sched.Own()
 }
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -5,9 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/eelgrassbay/eelgrassbay/internal/assign"
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
-	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/residency"
 	"github.com/eelgrassbay/eelgrassbay/internal/sharedlimit"
 )
 
@@ -36,51 +35,30 @@
 	f(l.now(), l.l)
 }
 
-// demandCounter counts the work asked for since the process started.
-type demandCounter struct {
-	mu    sync.Mutex
-	total map[demandKey]*demandTotal
-	now   func() time.Duration
-}
-
-type demandKey struct{ service, model, adapter string }
-
-type demandTotal struct {
-	work float64
-	at   time.Duration // last change
+// demandMeter lets request goroutines share one residency.Meter.
+type demandMeter struct {
+	now func() time.Duration
+	mu  sync.Mutex
+	m   *residency.Meter
 }
 
-// demandTold is how long after its last change a counter is told to peers.
-const demandTold = 3 * time.Second
-
-func (c *demandCounter) count(service, model, adapter string, work float64) {
+func (d *demandMeter) count(service, model, adapter string, work float64) {
 	if model == "" || work <= 0 {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	key := demandKey{service, model, adapter}
-	t := c.total[key]
-	if t == nil {
-		t = &demandTotal{}
-		c.total[key] = t
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	d.m.Count(now, residency.ModelKey{Service: service, Model: model}, work)
+	if adapter != "" {
+		d.m.Count(now, residency.ModelKey{Service: service, Model: model, Adapter: adapter}, work)
 	}
-	t.work += work
-	t.at = c.now()
 }
 
-// recent returns the counters that changed lately.
-func (c *demandCounter) recent() []*meshpb.ModelDemand {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.now()
-	var out []*meshpb.ModelDemand
-	for k, t := range c.total {
-		if now-t.at <= demandTold {
-			out = append(out, &meshpb.ModelDemand{Service: k.service, Model: k.model, Adapter: k.adapter, Work: t.work})
-		}
-	}
-	return out
+func (d *demandMeter) rates() map[residency.ModelKey]residency.Rates {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.m.Rates(d.now())
 }
 
 // adapterAsker asks the holder of the placement lease for adapters that no
@@ -88,9 +66,9 @@
 type adapterAsker struct {
 	now    func() time.Duration
 	holds  func(service, model, adapter string) bool
-	ask    func(ctx context.Context, service, model, adapter string)
+	ask    func(ctx context.Context, adapter residency.ModelKey)
 	mu     sync.Mutex
-	asked  map[demandKey]time.Duration
+	asked  map[residency.ModelKey]time.Duration
 	active int
 }
 
@@ -105,7 +83,7 @@
 	if a.holds(service, model, adapter) {
 		return
 	}
-	key := demandKey{service, model, adapter}
+	key := residency.ModelKey{Service: service, Model: model, Adapter: adapter}
 	now := a.now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -115,7 +93,7 @@
 	a.asked[key] = now
 	a.active++
 	go func() {
-		a.ask(context.Background(), service, model, adapter)
+		a.ask(context.Background(), key)
 		a.mu.Lock()
 		a.active--
 		a.mu.Unlock()
@@ -144,26 +122,3 @@
 	l.left--
 	return true
 }
-
-func loadToWire(id string, l *assign.Load) *meshpb.UpstreamLoad {
-	out := &meshpb.UpstreamLoad{Upstream: id, Running: uint32(l.Running)}
-	for urgency, n := range l.Pending {
-		if n > 0 {
-			out.Pending = append(out.Pending, &meshpb.PendingLoad{
-				Urgency: uint32(urgency), Requests: uint32(n), Tokens: uint32(l.PendingTokens[urgency]),
-			})
-		}
-	}
-	return out
-}
-
-func loadFromWire(in *meshpb.UpstreamLoad) assign.Load {
-	l := assign.Load{Running: int(in.Running)}
-	for _, p := range in.Pending {
-		if p.Urgency < assign.Urgencies {
-			l.Pending[p.Urgency] += int(p.Requests)
-			l.PendingTokens[p.Urgency] += int(p.Tokens)
-		}
-	}
-	return l
-}
--- a/internal/leader/duty.go
+++ b/internal/leader/duty.go
@@ -43,9 +43,12 @@
 	Term time.Duration
 	// ZonePeers returns the other contenders, who are told of each write.
 	ZonePeers func() []platform.Instance
-	Now       func() time.Duration
-	Log       *slog.Logger
-	Seed      int64
+	// Contends reports whether this instance tries for the lease; nil for
+	// always. One that holds it keeps it.
+	Contends func() bool
+	Now      func() time.Duration
+	Log      *slog.Logger
+	Seed     int64
 }
 
 // Duty drives one lease.Lease. One goroutine steps it; a mutex lets others ask
@@ -144,6 +147,9 @@
 }
 
 func (d *Duty) step(ctx context.Context, m lease.Message) {
+	if _, tick := m.(lease.Tick); tick && d.opts.Contends != nil && !d.opts.Contends() && !d.Leads() {
+		return
+	}
 	d.mu.Lock()
 	actions := d.lease.Step(d.opts.Now(), m)
 	fence, held := d.lease.Held(d.opts.Now())
--- a/internal/mesh/duty.go
+++ b/internal/mesh/duty.go
@@ -15,6 +15,18 @@
 // tickPeriod is how often the duty looks for peers to ask.
 const tickPeriod = 50 * time.Millisecond
 
+// Receiver is who a state is made for.
+type Receiver struct {
+	// SameZone: a peer of the own zone, or any peer of a small fleet.
+	SameZone bool
+	// Lead: a lead of its zone, or any peer of a small fleet.
+	Lead bool
+	// Large: states are summed by zones.
+	Large bool
+	// FromLead: this instance is a lead of its zone.
+	FromLead bool
+}
+
 // Options configure a Duty.
 type Options struct {
 	Self  *meshpb.MemberInfo
@@ -24,12 +36,10 @@
 	Seed  uint64
 	// Seeds returns addresses to ask when peers are not known.
 	Seeds func() []string
-	// Fill adds to a state what this instance says of itself.
-	Fill func(now time.Duration, s *meshpb.InstanceState)
-	// Heard takes in a peer's state.
-	Heard func(now time.Duration, s *meshpb.InstanceState)
-	// Gone takes in that a peer was forgotten or says that it leaves.
-	Gone func(name, incarnation string)
+	// Fill adds to a state what this instance says to a receiver.
+	Fill func(now time.Duration, s *meshpb.InstanceState, to Receiver)
+	// Heard takes in a peer's state as of at.
+	Heard func(at time.Duration, s *meshpb.InstanceState)
 }
 
 // Duty swaps states with the peers.
@@ -57,19 +67,53 @@
 	}
 }
 
-// Members returns this instance and the peers that answer, by name.
-func (d *Duty) Members() []*meshpb.MemberInfo {
+// Size returns the number of instances that anyone has heard of lately, this
+// one included.
+func (d *Duty) Size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.members.present(d.opts.Now())) + 1
+}
+
+// Large reports whether states are summed by zones.
+func (d *Duty) Large() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members.large(d.opts.Now())
+}
+
+// Contenders returns the peers that share duties for the whole fleet with
+// this instance: all of a small fleet, the zones' leads of a large one. ok
+// tells whether this instance is one of them.
+func (d *Duty) Contenders() (peers []*meshpb.MemberInfo, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.members.infos(d.opts.Now())
+	now := d.opts.Now()
+	large := d.members.large(now)
+	for _, p := range d.members.present(now) {
+		if !large || d.members.isLead(now, p.info.Name, p.info.Zone) {
+			peers = append(peers, p.info)
+		}
+	}
+	return peers, !large || d.members.isLead(now, d.opts.Self.Name, d.opts.Self.Zone)
+}
+
+// Address returns the address of a peer, empty if it is not known.
+func (d *Duty) Address(name string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p := d.members.peers[name]; p != nil {
+		return p.info.PeerAddress
+	}
+	return ""
 }
 
 // Reaching returns the names of the peers that answer and say that they reach
-// the store, in order.
-func (d *Duty) Reaching() []string {
+// the store, in order; of one zone, unless it is empty.
+func (d *Duty) Reaching(zone string) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.members.reaching(d.opts.Now())
+	return d.members.reaching(d.opts.Now(), zone)
 }
 
 // Leave tells the peers that this instance stops.
@@ -104,37 +148,44 @@
 	gone := d.members.forget(now)
 	d.mu.Unlock()
 	for _, g := range gone {
-		d.opts.Log.Info("peer forgotten", "peer", g.Name, "incarnation", g.Incarnation, "silent_for", forgetAfter)
-		d.opts.Gone(g.Name, g.Incarnation)
+		d.opts.Log.Info("peer forgotten", "peer", g.Name, "incarnation", g.Incarnation, "silent_ms", forgetAfter.Milliseconds())
 	}
-	if len(due)+len(seeds) == 0 {
-		return
-	}
-	state := d.state(now)
 	for _, p := range due {
 		go func() {
-			d.swap(ctx, p.info.PeerAddress, state)
+			d.swap(ctx, p.info.PeerAddress, d.state(now, p))
 			d.mu.Lock()
 			p.asking = false
 			d.mu.Unlock()
 		}()
 	}
 	for _, s := range seeds {
-		go d.swap(ctx, s, state)
+		go d.swap(ctx, s, d.state(now, nil))
 	}
 }
 
-// state returns what this instance says of itself now.
-func (d *Duty) state(now time.Duration) *meshpb.InstanceState {
+// state returns what this instance says to a peer now; nil stands for a peer
+// that is not known yet.
+func (d *Duty) state(now time.Duration, to *member) *meshpb.InstanceState {
 	d.mu.Lock()
 	d.sequence++
 	s := &meshpb.InstanceState{
 		Name: d.opts.Self.Name, Incarnation: d.opts.Self.Incarnation, Zone: d.opts.Self.Zone,
 		PeerAddress: d.opts.Self.PeerAddress, Sequence: d.sequence, Leaving: d.leaving,
 	}
-	s.Members = d.members.infos(now)
+	receiver := Receiver{SameZone: true, Lead: true, Large: d.members.large(now)}
+	if receiver.Large {
+		receiver.FromLead = d.members.isLead(now, d.opts.Self.Name, d.opts.Self.Zone)
+		receiver.SameZone = to != nil && to.info.Zone == d.opts.Self.Zone
+		receiver.Lead = to != nil && d.members.isLead(now, to.info.Name, to.info.Zone)
+	}
+	if to == nil || to.introduced == 0 || now-to.introduced >= introduceEvery {
+		s.Members = d.members.infos(now)
+		if to != nil {
+			to.introduced = now
+		}
+	}
 	d.mu.Unlock()
-	d.opts.Fill(now, s)
+	d.opts.Fill(now, s, receiver)
 	return s
 }
 
@@ -157,12 +208,8 @@
 func (d *Duty) take(at time.Duration, s *meshpb.InstanceState) {
 	d.mu.Lock()
 	before := d.members.peers[s.Name]
-	met := before == nil || before.info.Incarnation != s.Incarnation
+	met := before == nil || before.info.Incarnation != s.Incarnation || before.heard == 0
 	left := before != nil && !before.leaving && s.Leaving
-	replaced := ""
-	if before != nil && met {
-		replaced = before.info.Incarnation
-	}
 	news := d.members.heard(at, s)
 	if news {
 		for _, i := range s.Members {
@@ -174,10 +221,7 @@
 		return
 	}
 	if met {
-		d.opts.Log.Info("peer met", "peer", s.Name, "incarnation", s.Incarnation, "zone", s.Zone, "address", s.PeerAddress)
-	}
-	if replaced != "" {
-		d.opts.Gone(s.Name, replaced)
+		d.opts.Log.Info("peer met", "peer", s.Name, "incarnation", s.Incarnation, "peer_zone", s.Zone, "address", s.PeerAddress)
 	}
 	if left {
 		d.opts.Log.Info("peer leaves", "peer", s.Name)
@@ -185,11 +229,14 @@
 	d.opts.Heard(at, s)
 }
 
-// Exchange implements meshpb.DRPCMeshServer's part of the duty. The age of
-// the caller's state is not known; its sequence keeps an old one from
+// Exchange takes in the state of a caller and returns this instance's. The age
+// of the caller's state is not known; its sequence keeps an old one from
 // replacing a newer one.
 func (d *Duty) Exchange(s *meshpb.InstanceState) *meshpb.InstanceState {
 	now := d.opts.Now()
 	d.take(now, s)
-	return d.state(now)
+	d.mu.Lock()
+	caller := d.members.peers[s.Name]
+	d.mu.Unlock()
+	return d.state(now, caller)
 }
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -1,6 +1,10 @@
-// Package mesh keeps the instances before one fleet in touch: each swaps its
-// state with its peers several times a second, so that all know of each
-// other's work, use of limits and demand, and of newer configuration.
+// Package mesh keeps the instances before one fleet in touch, so that all know
+// of each other's work, use of limits and demand, and of newer configuration.
+//
+// In a small fleet each instance swaps its state with every other one. In a
+// large one it does so within its zone; the first instances of each zone, its
+// leads, swap the sums of their zones with each other and pass them on. So the
+// traffic between zones grows with the zones, not with the instances.
 package mesh
 
 import (
@@ -14,89 +18,145 @@
 )
 
 const (
+	// smallFleet is the number of instances up to which all swap with all.
+	smallFleet = 16
+	// zoneLeads is how many leads a zone has: one may die unnoticed for a
+	// while.
+	zoneLeads = 2
 	// swapEvery is how old a peer's state may become before it is asked for.
 	swapEvery = 150 * time.Millisecond
+	// swapEveryLarge is the same in a large fleet.
+	swapEveryLarge = 250 * time.Millisecond
 	// silentEvery is how often a peer that does not answer is tried.
 	silentEvery = time.Second
 	// silentAfter is when a peer counts as not answering.
 	silentAfter = 1500 * time.Millisecond
-	// forgetAfter is when a peer that does not answer is forgotten.
+	// forgetAfter is when a peer that nobody hears of is forgotten.
 	forgetAfter = 20 * time.Second
-	// fanOut bounds the peers asked in one round: with more peers each is
-	// asked less often.
-	fanOut = 12
+	// presentFor is how long ago a peer must have been heard of by anyone to
+	// be counted and told of.
+	presentFor = 5 * time.Second
+	// fanOut bounds the peers asked in one round.
+	fanOut = 16
+	// introduceEvery is how often a peer is told of the members.
+	introduceEvery = time.Second
 )
 
 // member is a peer as this instance knows it.
 type member struct {
-	info     *meshpb.MemberInfo
-	heard    time.Duration // when the last state was asked for, or came
-	met      time.Duration // when the peer was first known
-	asked    time.Duration
-	sequence uint64
-	asking   bool
-	leaving  bool
-	answered bool
-	reaches  bool // says that it reaches the store
+	info       *meshpb.MemberInfo
+	heard      time.Duration // as of when this instance has its state, 0 for never
+	told       time.Duration // as of when anyone has heard of it
+	asked      time.Duration
+	introduced time.Duration // the members were sent to it last
+	sequence   uint64
+	asking     bool
+	leaving    bool
+	reaches    bool // says that it reaches the store
+}
+
+// silent reports whether the peer was asked and has not answered for a while.
+func (p *member) silent(now time.Duration) bool {
+	return p.asked != 0 && now-max(p.heard, p.told) > silentAfter || p.leaving
 }
 
 // members is the set of peers. It is not safe for concurrent use.
 type members struct {
 	self  *meshpb.MemberInfo
 	peers map[string]*member
-	seeds map[string]time.Duration // addresses without a known name, and when asked
+	seeds map[string]time.Duration // when seeds were asked last
 }
 
 func newMembers(self *meshpb.MemberInfo) *members {
 	return &members{self: self, peers: map[string]*member{}, seeds: map[string]time.Duration{}}
 }
 
-// learn takes in a peer that another one told of.
+// learn takes in a peer that another one, or the platform's list, told of.
 func (m *members) learn(now time.Duration, info *meshpb.MemberInfo) {
+	at := now - time.Duration(info.AgeMs)*time.Millisecond
 	if info.Name == m.self.Name || info.PeerAddress == "" {
 		return
 	}
 	known := m.peers[info.Name]
-	if known == nil {
-		m.peers[info.Name] = &member{info: info, met: now}
-		return
-	}
-	if known.info.Incarnation != info.Incarnation && now-known.heard > silentAfter {
-		m.peers[info.Name] = &member{info: info, met: now}
+	switch {
+	case known == nil:
+		m.peers[info.Name] = &member{info: info, told: at}
+	case known.info.Incarnation == info.Incarnation:
+		known.told = max(known.told, at)
+	case at > max(known.heard, known.told)+silentAfter:
+		m.peers[info.Name] = &member{info: info, told: at}
 	}
 }
 
 // heard takes in a peer's own state, and reports whether it is news rather
 // than a message that was overtaken.
-func (m *members) heard(now time.Duration, s *meshpb.InstanceState) bool {
+func (m *members) heard(at time.Duration, s *meshpb.InstanceState) bool {
 	if s.Name == m.self.Name {
 		return false
 	}
 	known := m.peers[s.Name]
 	if known == nil || known.info.Incarnation != s.Incarnation {
-		known = &member{met: now}
+		known = &member{}
 		m.peers[s.Name] = known
 	}
 	if s.Sequence <= known.sequence {
 		return false
 	}
 	known.info = &meshpb.MemberInfo{Name: s.Name, Incarnation: s.Incarnation, PeerAddress: s.PeerAddress, Zone: s.Zone}
-	known.sequence, known.heard, known.leaving, known.answered = s.Sequence, now, s.Leaving, true
-	known.reaches = s.StoreReachable
+	known.sequence, known.heard, known.told = s.Sequence, at, at
+	known.leaving, known.reaches = s.Leaving, s.StoreReachable
 	delete(m.seeds, s.PeerAddress)
 	return true
 }
 
+// present returns the peers that anyone has heard of lately.
+func (m *members) present(now time.Duration) []*member {
+	var out []*member
+	for _, p := range m.peers {
+		if now-max(p.heard, p.told) <= presentFor && !p.leaving {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b *member) int { return cmp.Compare(a.info.Name, b.info.Name) })
+	return out
+}
+
+// large reports whether states are summed by zones.
+func (m *members) large(now time.Duration) bool { return len(m.present(now))+1 > smallFleet }
+
+// leads returns the names of a zone's leads as this instance sees them.
+func (m *members) leads(now time.Duration, zone string) []string {
+	var names []string
+	if zone == m.self.Zone {
+		names = append(names, m.self.Name)
+	}
+	for _, p := range m.peers {
+		if p.info.Zone == zone && !p.silent(now) {
+			names = append(names, p.info.Name)
+		}
+	}
+	slices.Sort(names)
+	return names[:min(len(names), zoneLeads)]
+}
+
+// isLead reports whether the named member of a zone is one of its leads.
+func (m *members) isLead(now time.Duration, name, zone string) bool {
+	return slices.Contains(m.leads(now, zone), name)
+}
+
 // due returns the peers to ask now, at most fanOut of them.
 func (m *members) due(now time.Duration, rng *rand.Rand) []*member {
+	every, wanted := swapEvery, func(*member) bool { return true }
+	if m.large(now) {
+		every, wanted = swapEveryLarge, m.partners(now)
+	}
 	var out []*member
 	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
 		p := m.peers[name]
-		if p.asking {
+		if p.asking || !wanted(p) {
 			continue
 		}
-		silent := now-max(p.heard, p.met) > silentAfter
-		if silent && now-p.asked < silentEvery || !silent && now-p.heard < swapEvery {
+		if p.silent(now) && now-p.asked < silentEvery || !p.silent(now) && (now-p.heard < every && p.heard != 0 || now-p.asked < every && p.asked != 0) {
 			continue
 		}
 		out = append(out, p)
@@ -108,11 +168,27 @@
 	return out
 }
 
-// forget drops peers that have been silent for long, and returns them.
+// partners returns whom to swap with in a large fleet: the peers of the zone
+// and, for a lead, one lead of each other zone.
+func (m *members) partners(now time.Duration) func(*member) bool {
+	own := m.leads(now, m.self.Zone)
+	rank := slices.Index(own, m.self.Name)
+	others := map[string]bool{}
+	if rank >= 0 {
+		for _, p := range m.peers {
+			if leads := m.leads(now, p.info.Zone); p.info.Zone != m.self.Zone && len(leads) > 0 {
+				others[leads[min(rank, len(leads)-1)]] = true
+			}
+		}
+	}
+	return func(p *member) bool { return p.info.Zone == m.self.Zone || others[p.info.Name] }
+}
+
+// forget drops peers that nobody has heard of for long, and returns them.
 func (m *members) forget(now time.Duration) []*meshpb.MemberInfo {
 	var gone []*meshpb.MemberInfo
 	for name, p := range m.peers {
-		if now-max(p.heard, p.met) > forgetAfter {
+		if now-max(p.heard, p.told) > forgetAfter {
 			gone = append(gone, p.info)
 			delete(m.peers, name)
 		}
@@ -120,24 +196,25 @@
 	return gone
 }
 
-// infos returns the peers that answer and this instance.
+// infos returns the peers that anyone has heard of lately, with the age of
+// that, and this instance.
 func (m *members) infos(now time.Duration) []*meshpb.MemberInfo {
 	out := []*meshpb.MemberInfo{m.self}
-	for _, p := range m.peers {
-		if p.answered && now-p.heard <= silentAfter && !p.leaving {
-			out = append(out, p.info)
-		}
+	for _, p := range m.present(now) {
+		out = append(out, &meshpb.MemberInfo{
+			Name: p.info.Name, Incarnation: p.info.Incarnation, PeerAddress: p.info.PeerAddress, Zone: p.info.Zone,
+			AgeMs: uint32((now - max(p.heard, p.told)).Milliseconds()),
+		})
 	}
-	slices.SortFunc(out, func(a, b *meshpb.MemberInfo) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
 // reaching returns the names of the peers that answer and say that they reach
-// the store, in order.
-func (m *members) reaching(now time.Duration) []string {
+// the store, in order; of one zone, unless it is empty.
+func (m *members) reaching(now time.Duration, zone string) []string {
 	var out []string
 	for name, p := range m.peers {
-		if p.answered && now-p.heard <= silentAfter && p.reaches && !p.leaving {
+		if p.heard != 0 && now-p.heard <= silentAfter && p.reaches && !p.leaving && (zone == "" || p.info.Zone == zone) {
 			out = append(out, name)
 		}
 	}
@@ -153,7 +230,7 @@
 	}
 	var out []string
 	for _, s := range seeds {
-		if known[s] || now-m.seeds[s] < silentEvery && m.seeds[s] != 0 {
+		if asked, ok := m.seeds[s]; known[s] || ok && now-asked < silentEvery {
 			continue
 		}
 		m.seeds[s] = now
--- a/internal/placing/duty.go
+++ b/internal/placing/duty.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
@@ -44,6 +43,8 @@
 	Config   func() *fleet.Config
 	Usable   func() []fleet.Upstream
 	Requests func() map[string]int // requests at each upstream, over all instances
+	// Demand is the work asked for, over all instances.
+	Demand func() map[residency.ModelKey]residency.Rates
 	// Known is called with what the engines hold after it may have changed.
 	Known func(fence uint64, residents []residency.Resident)
 	// Leaving is called when a report says that its engine leaves.
@@ -60,39 +61,22 @@
 	planner *residency.Planner
 	fence   uint64
 	fenced  uint64 // fence of a tenure that a newer holder ended
-
-	mu     sync.Mutex // guards demand, which peers' messages feed
-	demand *residency.Demand
 }
 
 // New returns a duty that gives no orders yet.
 func New(opts Options) *Duty {
-	return &Duty{opts: opts, inbox: make(chan func(time.Duration), inboxSize), demand: residency.NewDemand()}
-}
-
-// Count takes in an instance's counter of work asked for.
-func (d *Duty) Count(instance, incarnation string, key residency.ModelKey, adapter string, total float64, baseline bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.demand.Count(d.opts.Now(), instance, incarnation, key, adapter, total, baseline)
-}
-
-// Forget drops the counters of an incarnation that is gone.
-func (d *Duty) Forget(instance, incarnation string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.demand.Forget(instance, incarnation)
+	return &Duty{opts: opts, inbox: make(chan func(time.Duration), inboxSize)}
 }
 
 // WantAdapter asks for an adapter. It reports false if this instance gives no
 // orders.
-func (d *Duty) WantAdapter(key residency.ModelKey, adapter string) bool {
+func (d *Duty) WantAdapter(adapter residency.ModelKey) bool {
 	if _, held := d.opts.Lease.HeldFor(0); !held {
 		return false
 	}
 	d.post(func(now time.Duration) {
 		if d.planner != nil {
-			d.planner.WantAdapter(now, key, adapter)
+			d.planner.WantAdapter(now, adapter)
 		}
 	})
 	return true
@@ -135,19 +119,17 @@
 		return
 	}
 	if d.planner == nil || d.fence != fence {
-		d.planner = residency.NewPlanner(residency.Options{Holder: d.opts.Name, LoadWindow: d.opts.LoadWindow}, d.demand)
+		d.planner = residency.NewPlanner(residency.Options{Holder: d.opts.Name, LoadWindow: d.opts.LoadWindow})
 		d.fence = fence
 		d.opts.Log.Info("placement begins", "fence", fence)
 	}
 	d.planner.SetEngines(now, config, d.opts.Usable())
 	d.planner.SetRequests(d.opts.Requests())
-	d.mu.Lock()
-	actions := d.planner.Step(now)
-	d.mu.Unlock()
-	for _, a := range actions {
+	d.planner.SetDemand(d.opts.Demand())
+	for _, a := range d.planner.Step(now) {
 		d.carryOut(ctx, a)
 	}
-	d.opts.Known(fence, d.planner.Residents(now))
+	d.opts.Known(fence, d.planner.Residents())
 }
 
 func (d *Duty) carryOut(ctx context.Context, a residency.Action) {
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -34,7 +34,7 @@
 			delete(p.wanted, key)
 		}
 	}
-	for _, n := range p.adapterNeeds(now, service, engines) {
+	for _, n := range p.adapterNeeds(service, engines) {
 		if a, ok := p.placeAdapter(now, engines, n); ok {
 			actions = append(actions, a)
 		}
@@ -44,19 +44,18 @@
 
 // need is an adapter that should have another engine.
 type need struct {
-	key    adapterKey
+	key    ModelKey
 	mb     float64
 	copies int
 	wanted bool
 	rate   float64
 }
 
-func (p *Planner) adapterNeeds(now time.Duration, service string, engines []*Engine) []need {
+func (p *Planner) adapterNeeds(service string, engines []*Engine) []need {
 	var needs []need
 	spec := engines[0].Spec
 	for _, name := range spec.ModelNames {
 		m := spec.Models[name]
-		key := ModelKey{service, name}
 		if m.Adapters == 0 {
 			continue
 		}
@@ -77,7 +76,8 @@
 		}
 		for i := 1; i <= m.Adapters; i++ {
 			adapter := fmt.Sprintf("a%d", i)
-			n := need{key: adapterKey{key, adapter}, mb: m.AdapterMB, copies: counts[adapter], rate: p.demand.adapterRate(now, key, adapter)}
+			key := ModelKey{service, name, adapter}
+			n := need{key: key, mb: m.AdapterMB, copies: counts[adapter], rate: p.demand[key].Slow}
 			_, n.wanted = p.wanted[n.key]
 			if n.copies == 0 || n.copies < min(copiesOf, replicas) && n.rate > 0 {
 				needs = append(needs, n)
@@ -92,7 +92,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(a.copies, b.copies), cmp.Compare(b.rate, a.rate), cmp.Compare(a.key.adapter, b.key.adapter))
+		return cmp.Or(cmp.Compare(a.copies, b.copies), cmp.Compare(b.rate, a.rate), cmp.Compare(a.key.Adapter, b.key.Adapter))
 	})
 	return needs
 }
@@ -101,7 +101,7 @@
 	var best *Engine
 	for _, e := range engines {
 		m := fleet.Find(e.Models, n.key.Model)
-		if m == nil || m.Holds(n.key.adapter) || e.Unloading == n.key.Model || !e.usable(now) || e.freeMB()-roomMargin < n.mb {
+		if m == nil || m.Holds(n.key.Adapter) || e.Unloading == n.key.Model || !e.usable(now) || e.freeMB()-roomMargin < n.mb {
 			continue
 		}
 		if best == nil || e.adapters() < best.adapters() || e.adapters() == best.adapters() && e.Requests < best.Requests {
@@ -112,7 +112,7 @@
 	case best == nil:
 		return Action{}, false
 	case best.adapters() < best.Spec.AdapterSlots:
-		return p.order(now, best, fleet.OrderLoad, n.key.Model, n.key.adapter, "adapter"), true
+		return p.order(now, best, fleet.OrderLoad, n.key.Model, n.key.Adapter, "adapter"), true
 	case n.copies == 0 && n.wanted:
 		return p.evictAdapter(now, best, n)
 	}
@@ -122,15 +122,15 @@
 // evictAdapter makes room for an adapter that callers wait for, in the place
 // of the one that was asked for least.
 func (p *Planner) evictAdapter(now time.Duration, e *Engine, n need) (Action, bool) {
-	var victim adapterKey
+	var victim ModelKey
 	lowest := -1.0
 	for _, m := range e.Models {
 		for _, a := range m.Adapters {
-			key := adapterKey{ModelKey{e.Entry.Service, m.Model}, a}
+			key := ModelKey{e.Entry.Service, m.Model, a}
 			if now-e.adapterUsed[m.Model+"/"+a] < adapterIdle {
 				continue
 			}
-			if r := p.demand.adapterRate(now, key.ModelKey, a); lowest < 0 || r < lowest {
+			if r := p.demand[key].Slow; lowest < 0 || r < lowest {
 				victim, lowest = key, r
 			}
 		}
@@ -138,5 +138,5 @@
 	if lowest < 0 {
 		return Action{}, false
 	}
-	return p.order(now, e, fleet.OrderUnload, victim.Model, victim.adapter, "makes room for adapter "+n.key.adapter), true
+	return p.order(now, e, fleet.OrderUnload, victim.Model, victim.Adapter, "makes room for adapter "+n.key.Adapter), true
 }
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -22,16 +22,24 @@
 	fastWindow = 1200 * time.Millisecond
 	// slowWindow remembers what was asked for lately.
 	slowWindow = 15 * time.Second
+	// leastRate is the work per second below which demand is not told.
+	leastRate = 1.0
 )
 
-// ModelKey names a model of a service.
-type ModelKey struct{ Service, Model string }
+// ModelKey names a model of a service, or an adapter of one.
+type ModelKey struct{ Service, Model, Adapter string }
+
+// Rates are moving averages of the work asked for per second, in prompt
+// tokens.
+type Rates struct{ Fast, Slow float64 }
+
+// Meter measures the demand that one instance sees. It is not safe for
+// concurrent use.
+type Meter struct{ rates map[ModelKey]*rate }
 
-// rate is a pair of moving averages of work per second.
 type rate struct {
-	fast, slow float64
-	at         time.Duration
-	seen       bool // asked for at least once
+	Rates
+	at time.Duration
 }
 
 func (r *rate) decay(now time.Duration) {
@@ -40,111 +48,35 @@
 		return
 	}
 	r.at = now
-	r.fast *= math.Exp(-dt / fastWindow.Seconds())
-	r.slow *= math.Exp(-dt / slowWindow.Seconds())
-}
-
-func (r *rate) add(work float64) {
-	r.fast += work / fastWindow.Seconds()
-	r.slow += work / slowWindow.Seconds()
-	r.seen = true
+	r.Fast *= math.Exp(-dt / fastWindow.Seconds())
+	r.Slow *= math.Exp(-dt / slowWindow.Seconds())
 }
 
-// Demand measures the work asked for per model and adapter over all instances.
-type Demand struct {
-	models   map[ModelKey]*rate
-	adapters map[adapterKey]*rate
-	counted  map[source]float64
-}
-
-type adapterKey struct {
-	ModelKey
-	adapter string
-}
+// NewMeter returns a meter that has seen nothing.
+func NewMeter() *Meter { return &Meter{rates: map[ModelKey]*rate{}} }
 
-// source is one counter of one incarnation of an instance.
-type source struct {
-	instance, incarnation string
-	key                   adapterKey
-}
-
-// NewDemand returns a measure without any demand.
-func NewDemand() *Demand {
-	return &Demand{models: map[ModelKey]*rate{}, adapters: map[adapterKey]*rate{}, counted: map[source]float64{}}
-}
-
-// Count takes in an instance's counter of work for a model, or one of its
-// adapters, since it started. What it counted before it was first heard of is
-// left out if baseline is set.
-func (d *Demand) Count(now time.Duration, instance, incarnation string, key ModelKey, adapter string, total float64, baseline bool) {
-	src := source{instance, incarnation, adapterKey{key, adapter}}
-	last, known := d.counted[src]
-	d.counted[src] = max(total, last)
-	if !known && baseline {
-		return
-	}
-	if work := total - last; work > 0 {
-		d.add(now, key, adapter, work)
+// Count takes in the work of one request.
+func (m *Meter) Count(now time.Duration, key ModelKey, work float64) {
+	r := m.rates[key]
+	if r == nil {
+		r = &rate{at: now}
+		m.rates[key] = r
 	}
+	r.decay(now)
+	r.Fast += work / fastWindow.Seconds()
+	r.Slow += work / slowWindow.Seconds()
 }
 
-func (d *Demand) add(now time.Duration, key ModelKey, adapter string, work float64) {
-	m := d.models[key]
-	if m == nil {
-		m = &rate{at: now}
-		d.models[key] = m
-	}
-	m.decay(now)
-	m.add(work)
-	if adapter == "" {
-		return
-	}
-	a := d.adapters[adapterKey{key, adapter}]
-	if a == nil {
-		a = &rate{at: now}
-		d.adapters[adapterKey{key, adapter}] = a
-	}
-	a.decay(now)
-	a.add(work)
-}
-
-// Forget drops the counters of an incarnation that is gone.
-func (d *Demand) Forget(instance, incarnation string) {
-	for src := range d.counted {
-		if src.instance == instance && src.incarnation == incarnation {
-			delete(d.counted, src)
+// Rates returns the demand as of now, and forgets what has faded.
+func (m *Meter) Rates(now time.Duration) map[ModelKey]Rates {
+	out := make(map[ModelKey]Rates, len(m.rates))
+	for key, r := range m.rates {
+		r.decay(now)
+		if r.Slow < leastRate {
+			delete(m.rates, key)
+			continue
 		}
+		out[key] = r.Rates
 	}
-}
-
-// Fast returns the recent work per second for a model.
-func (d *Demand) Fast(now time.Duration, key ModelKey) float64 {
-	m := d.models[key]
-	if m == nil {
-		return 0
-	}
-	m.decay(now)
-	return m.fast
-}
-
-// Slow returns the work per second for a model over a longer time.
-func (d *Demand) Slow(now time.Duration, key ModelKey) float64 {
-	m := d.models[key]
-	if m == nil {
-		return 0
-	}
-	m.decay(now)
-	return m.slow
-}
-
-// Seen reports whether the model was ever asked for.
-func (d *Demand) Seen(key ModelKey) bool { return d.models[key] != nil }
-
-func (d *Demand) adapterRate(now time.Duration, key ModelKey, adapter string) float64 {
-	a := d.adapters[adapterKey{key, adapter}]
-	if a == nil {
-		return 0
-	}
-	a.decay(now)
-	return a.slow
+	return out
 }
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -55,7 +55,7 @@
 		return nil
 	}
 	spec := engines[0].Spec
-	states := p.states(now, service, spec, engines)
+	states := p.states(service, spec, engines)
 	unit := workPerSlot * float64(max(spec.Slots, 1))
 	loading := 0
 	for _, e := range engines {
@@ -91,14 +91,12 @@
 	return max(int(spec.LoadsPerS*longest.Seconds()), 2)
 }
 
-func (p *Planner) states(now time.Duration, service string, spec *fleet.Engine, engines []*Engine) map[string]*modelState {
+func (p *Planner) states(service string, spec *fleet.Engine, engines []*Engine) map[string]*modelState {
 	states := make(map[string]*modelState, len(spec.ModelNames))
 	for _, name := range spec.ModelNames {
-		key := ModelKey{service, name}
-		m := &modelState{
-			spec: spec.Models[name], key: key, demand: p.demand.Fast(now, key), slow: p.demand.Slow(now, key),
-			zones: map[string]int{},
-		}
+		key := ModelKey{Service: service, Model: name}
+		rates := p.demand[key]
+		m := &modelState{spec: spec.Models[name], key: key, demand: rates.Fast, slow: rates.Slow, zones: map[string]int{}}
 		for _, e := range engines {
 			if e.covers(name) {
 				m.replicas++
--- a/internal/residency/planner.go
+++ b/internal/residency/planner.go
@@ -21,20 +21,19 @@
 // the orders. It is not safe for concurrent use.
 type Planner struct {
 	opts    Options
-	demand  *Demand
+	demand  map[ModelKey]Rates
 	engines map[string]*Engine
 	budgets map[string]*budget // by service
-	wanted  map[adapterKey]time.Duration
-	failed  map[string]bool
+	wanted  map[ModelKey]time.Duration
 }
 
 // NewPlanner returns a planner for one tenure of the lease. What a former
 // holder loaded just before is not known: half a window of loads counts as
 // begun at now.
-func NewPlanner(opts Options, demand *Demand) *Planner {
+func NewPlanner(opts Options) *Planner {
 	return &Planner{
-		opts: opts, demand: demand, engines: map[string]*Engine{}, budgets: map[string]*budget{},
-		wanted: map[adapterKey]time.Duration{},
+		opts: opts, engines: map[string]*Engine{}, budgets: map[string]*budget{},
+		wanted: map[ModelKey]time.Duration{},
 	}
 }
 
@@ -61,6 +60,10 @@
 	p.engines = next
 }
 
+// SetDemand takes in the work asked for per model and adapter, over all
+// instances.
+func (p *Planner) SetDemand(demand map[ModelKey]Rates) { p.demand = demand }
+
 // SetRequests takes in how many requests each engine has.
 func (p *Planner) SetRequests(requests map[string]int) {
 	for id, e := range p.engines {
@@ -69,8 +72,8 @@
 }
 
 // WantAdapter notes that an instance waits for an adapter.
-func (p *Planner) WantAdapter(now time.Duration, key ModelKey, adapter string) {
-	p.wanted[adapterKey{key, adapter}] = now
+func (p *Planner) WantAdapter(now time.Duration, adapter ModelKey) {
+	p.wanted[adapter] = now
 }
 
 // Action is something to do at one engine. Exactly one field besides Engine
@@ -208,18 +211,8 @@
 	return Action{Engine: e, Order: o, Reason: reason}
 }
 
-// Resident is what an engine holds, as instances should take it.
-type Resident struct {
-	ID      string
-	Born    int64
-	Models  []fleet.ResidentModel
-	Closing []string // about to be unloaded
-	Coming  string   // being loaded
-	ReadyIn time.Duration
-}
-
 // Residents returns what is known of all engines that were read.
-func (p *Planner) Residents(now time.Duration) []Resident {
+func (p *Planner) Residents() []Resident {
 	out := make([]Resident, 0, len(p.engines))
 	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
 		e := p.engines[id]
@@ -231,7 +224,7 @@
 			r.Closing = []string{e.Unloading}
 		}
 		if e.Loading != "" {
-			r.Coming, r.ReadyIn = e.Loading, max(e.LoadReady-now, 0)
+			r.Coming, r.ReadyAt = e.Loading, e.LoadReady
 		}
 		out = append(out, r)
 	}
--- a/internal/sharedlimit/limit.go
+++ b/internal/sharedlimit/limit.go
@@ -51,6 +51,7 @@
 
 type peer struct {
 	incarnation string
+	instances   int
 	at          time.Duration
 	use         map[string]Use
 }
@@ -164,7 +165,7 @@
 		if now-p.at > goneAfter {
 			continue
 		}
-		n++
+		n += float64(p.instances)
 		total += p.use[org].Demand
 		age = max(age, now-p.at)
 	}
@@ -213,11 +214,15 @@
 	return out
 }
 
-// Heard takes in a peer's use.
-func (l *Limiter) Heard(now time.Duration, name, incarnation string, use map[string]Use) {
+// Heard takes in the use of a peer, or of several that are summed, as of at.
+// Totals of another incarnation count from their first word.
+func (l *Limiter) Heard(at time.Duration, name, incarnation string, instances int, use map[string]Use) {
 	p := l.peers[name]
 	if p == nil || p.incarnation != incarnation {
-		l.peers[name] = &peer{incarnation: incarnation, at: now, use: use}
+		l.peers[name] = &peer{incarnation: incarnation, instances: instances, at: at, use: use}
+		return
+	}
+	if at < p.at {
 		return
 	}
 	for org, u := range use {
@@ -225,7 +230,7 @@
 			b.level -= u.Total - p.use[org].Total
 		}
 	}
-	p.at, p.use = now, use
+	p.at, p.instances, p.use = at, instances, use
 }
 
 // Left takes in that a peer stopped.
