Take a peer's list of upstreams as final

Test: TestPeersListIsFinalAlsoWithoutAnOwnLinkToTheStore. An adapter's unload that is answered with 'holds' has been done.

--- a/internal/catalog/duty.go
+++ b/internal/catalog/duty.go
@@ -285,9 +285,11 @@
 
 func (d *Duty) replaceRoster(revision uint64, entries []fleet.Upstream, source string) {
 	d.mu.Lock()
-	changed := d.roster.Replace(d.opts.Now(), revision, entries)
-	if source != sourceStore {
-		d.roster.Agree(revision)
+	changed := false
+	if source == sourceStore {
+		changed = d.roster.Replace(d.opts.Now(), revision, entries)
+	} else {
+		changed = d.roster.Adopt(revision, entries)
 	}
 	d.mu.Unlock()
 	if changed {
--- a/internal/residency/planner.go
+++ b/internal/residency/planner.go
@@ -164,6 +164,11 @@
 		e.accepted(now, o)
 	case fleet.OrderHolds:
 		e.failures = 0
+		if o.Kind == fleet.OrderUnload && o.Adapter != "" {
+			e.Sequence++ // an adapter that nobody uses is gone with the answer
+			e.accepted(now, o)
+			return
+		}
 		e.stale = true // the sequence may have moved or not
 	case fleet.OrderUnknown:
 		e.stale = true
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -77,9 +77,22 @@
 	}
 }
 
-// Replace takes in the whole list as of a revision. It reports whether the
-// list was news.
+// Replace takes in the whole list as of a revision, as the store gave it. It
+// reports whether anything changed.
 func (s *State) Replace(now time.Duration, revision uint64, list []fleet.Upstream) bool {
+	return s.replace(revision, list, func(id string) { s.vanished(now, id) })
+}
+
+// Adopt takes in a peer's list as of a revision. The peer has kept what may
+// have lapsed in an outage, so what it does not list is gone: this instance's
+// own link to the store says nothing of that.
+func (s *State) Adopt(revision uint64, list []fleet.Upstream) bool {
+	changed := s.replace(revision, list, func(id string) { delete(s.members, id) })
+	s.revision = max(s.revision, revision)
+	return changed
+}
+
+func (s *State) replace(revision uint64, list []fleet.Upstream, vanished func(id string)) bool {
 	if s.known && revision < s.revision {
 		return false
 	}
@@ -94,9 +107,10 @@
 		}
 	}
 	for id, m := range s.members {
-		if !listed[id] && m.lapsed == 0 {
-			s.vanished(now, id)
-			changed = true
+		if !listed[id] {
+			before := m.lapsed
+			vanished(id)
+			changed = changed || s.members[id] == nil || before == 0
 		}
 	}
 	if changed {
@@ -106,9 +120,6 @@
 	return changed
 }
 
-// Agree notes that the view is the same as that of a peer at a revision.
-func (s *State) Agree(revision uint64) { s.revision = max(s.revision, revision) }
-
 // Changed takes in an entry that was written.
 func (s *State) Changed(u fleet.Upstream) {
 	if m := s.members[u.ID]; m != nil && m.upstream.Revision > u.Revision {
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,110 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/shoenig/test/must"
+)
+
+func entry(id string, revision uint64) fleet.Upstream {
+	return fleet.Upstream{ID: id, Revision: revision, Service: "chat", Address: "10.0.0.1:80", Slots: 4, Born: 1}
+}
+
+func draining(u fleet.Upstream) fleet.Upstream {
+	u.State = fleet.UpstreamDraining
+	return u
+}
+
+func usable(s *State) []string {
+	var ids []string
+	for _, u := range s.Usable() {
+		ids = append(ids, u.ID)
+	}
+	return ids
+}
+
+func TestDrainingIsFinalForAnIncarnation(t *testing.T) {
+	s := New()
+	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
+	s.Changed(draining(entry("a", 6)))
+	must.Eq(t, []string{"b"}, usable(s))
+	s.Changed(entry("a", 7))
+	must.Eq(t, []string{"b"}, usable(s))
+	again := entry("a", 8)
+	again.Born = 2
+	s.Changed(again)
+	must.Eq(t, []string{"a", "b"}, usable(s))
+}
+
+func TestRemovedInCalmTimesIsGoneAtOnce(t *testing.T) {
+	s := New()
+	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
+	s.Removed(time.Second, "a", 9)
+	must.Eq(t, []string{"b"}, usable(s))
+	must.Eq(t, 9, s.Revision())
+}
+
+func TestLapsedInAnOutageIsKeptUntilTheStoreIsSettled(t *testing.T) {
+	s := New()
+	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
+	s.Away()
+	s.Back(10 * time.Second)
+	s.Replace(10*time.Second, 20, []fleet.Upstream{entry("b", 2)})
+	must.Eq(t, []string{"a", "b"}, usable(s))
+	s.Tick(10*time.Second + settleTime - time.Millisecond)
+	must.Eq(t, []string{"a", "b"}, usable(s))
+	s.Tick(10*time.Second + settleTime)
+	must.Eq(t, []string{"b"}, usable(s))
+}
+
+func TestLapsedEntryComesBack(t *testing.T) {
+	s := New()
+	s.Replace(0, 5, []fleet.Upstream{entry("a", 1)})
+	s.Away()
+	s.Back(10 * time.Second)
+	s.Replace(10*time.Second, 20, nil)
+	s.Changed(entry("a", 21))
+	s.Tick(10*time.Second + 2*settleTime)
+	must.Eq(t, []string{"a"}, usable(s))
+}
+
+// An instance that follows its peers does not know of its own that the store
+// is back: found by trouble-1 of lsct-fogline, where such an instance kept an
+// upstream for 2.4 s after its entry was removed.
+func TestPeersListIsFinalAlsoWithoutAnOwnLinkToTheStore(t *testing.T) {
+	s := New()
+	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
+	s.Away()
+	must.True(t, s.Adopt(30, []fleet.Upstream{entry("b", 2)}))
+	must.Eq(t, []string{"b"}, usable(s))
+	must.Eq(t, 30, s.Revision())
+}
+
+func TestOlderListDoesNotReplaceANewerOne(t *testing.T) {
+	s := New()
+	s.Replace(0, 20, []fleet.Upstream{entry("a", 11)})
+	must.False(t, s.Replace(0, 10, []fleet.Upstream{entry("b", 2)}))
+	must.False(t, s.Adopt(19, nil))
+	must.Eq(t, []string{"a"}, usable(s))
+}
+
+func TestLikeListLeavesTheRevision(t *testing.T) {
+	s := New()
+	s.Replace(0, 20, []fleet.Upstream{entry("a", 11)})
+	version := s.Version()
+	must.False(t, s.Replace(0, 25, []fleet.Upstream{entry("a", 11)}))
+	must.Eq(t, 20, s.Revision())
+	must.Eq(t, version, s.Version())
+}
+
+func TestOwnWordOfLeaving(t *testing.T) {
+	s := New()
+	s.Replace(0, 5, []fleet.Upstream{entry("a", 1)})
+	s.Leaving("a", 2) // another incarnation
+	must.Eq(t, []string{"a"}, usable(s))
+	s.Leaving("a", 1)
+	must.SliceEmpty(t, usable(s))
+	must.Eq(t, fleet.UpstreamDraining, s.All()[0].State)
+}
