--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 	g.metrics = metrics.New()
 	g.dispatch = newDispatcher(assign.Options{Zone: s.Zone, Seed: rand.Uint64()}, g.now)
 	g.pool = httpconn.New(httpconn.Options{DialTimeout: dialTimeout, IdlePerAddress: idlePerUpstream, Own: g.format.Answers})
-	g.limits = &limiter{now: g.now, l: sharedlimit.New()}
+	g.limits = &limiter{now: g.now, l: sharedlimit.New(g.now(), g.expectedPeers())}
 	g.demand = &demandMeter{now: g.now, m: residency.NewMeter()}
 	g.work = newWorkView(g.self)
 	g.board = &board{b: residency.NewBoard()}
@@ -111,6 +111,17 @@
 	g.okLines = &lineLimit{perS: s.Log.RequestsPerS}
 }
 
+// expectedPeers is how many other instances the settings name.
+func (g *Gateway) expectedPeers() int {
+	n := 0
+	for _, address := range g.settings.Load().Peers {
+		if address != g.self.PeerAddress {
+			n++
+		}
+	}
+	return n
+}
+
 func (g *Gateway) buildDuties() {
 	s := g.settings.Load()
 	g.catalog = catalog.New(catalog.Options{
--- /dev/null
+++ b/internal/logring/logring_test.go
@@ -0,0 +1,54 @@
+package logring
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// slowWriter blocks until it is released.
+type slowWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	buf     bytes.Buffer
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.buf.Write(p)
+}
+
+func TestFullRingDropsAndCounts(t *testing.T) {
+	w := &slowWriter{release: make(chan struct{})}
+	r := New(w, 4)
+	for range 100 {
+		_, err := r.Write([]byte("line\n"))
+		must.NoError(t, err)
+	}
+	must.Positive(t, r.Dropped())
+	close(w.release)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	r.Close(ctx)
+	out := w.buf.String()
+	must.StrContains(t, out, `"msg":"log lines dropped"`)
+	must.Between(t, 4, strings.Count(out, "line\n"), 6)
+}
+
+func TestLinesKeepTheirOrder(t *testing.T) {
+	var out bytes.Buffer
+	r := New(&out, 100)
+	for _, line := range []string{"a\n", "b\n", "c\n"} {
+		_, err := r.Write([]byte(line))
+		must.NoError(t, err)
+	}
+	r.Close(context.Background())
+	must.Eq(t, "a\nb\nc\n", out.String())
+}
--- a/internal/residency/board.go
+++ b/internal/residency/board.go
@@ -21,10 +21,10 @@
 	ID      string
 	Born    int64
 	Models  []fleet.ResidentModel
-	Closing []string // about to be unloaded
-	Coming  string   // being loaded
+	Closing []string      // about to be unloaded
+	Coming  string        // being loaded
 	ReadyAt time.Duration // when Coming should be ready, on this instance's clock
-	Changed uint64 // count of the board at which this changed last
+	Changed uint64        // count of the board at which this changed last
 }
 
 func (r *Resident) same(o *Resident) bool {
--- a/internal/sharedlimit/limit.go
+++ b/internal/sharedlimit/limit.go
@@ -47,6 +47,11 @@
 type Limiter struct {
 	orgs  map[string]*bucket
 	peers map[string]*peer
+	// expected instances are there beside this one, by the settings. Until
+	// they were heard of, each counts as one that asks for as much as this
+	// one, at most until expectedUntil.
+	expected      int
+	expectedUntil time.Duration
 }
 
 type peer struct {
@@ -56,6 +61,16 @@
 	use         map[string]Use
 }
 
+// demand is what the peer asks for. One that is silent may ask for as much as
+// this instance, whatever it said last.
+func (p *peer) demand(now time.Duration, org string, b *bucket) float64 {
+	told := p.use[org].Demand
+	if now-p.at <= silentAfter {
+		return told
+	}
+	return max(told, b.demand*float64(p.instances))
+}
+
 type bucket struct {
 	rate, burst float64
 	level       float64 // estimate of the shared bucket
@@ -66,9 +81,24 @@
 	demandAt    time.Duration
 }
 
-// New returns a limiter without organisations.
-func New() *Limiter {
-	return &Limiter{orgs: map[string]*bucket{}, peers: map[string]*peer{}}
+// New returns a limiter without organisations, for an instance that starts at
+// now and has been told of so many others.
+func New(now time.Duration, expected int) *Limiter {
+	return &Limiter{
+		orgs: map[string]*bucket{}, peers: map[string]*peer{}, expected: expected, expectedUntil: now + goneAfter,
+	}
+}
+
+// missing returns how many of the instances expected were not heard of.
+func (l *Limiter) missing(now time.Duration) int {
+	if now >= l.expectedUntil {
+		return 0
+	}
+	heard := 0
+	for _, p := range l.peers {
+		heard += p.instances
+	}
+	return max(l.expected-heard, 0)
 }
 
 // Decision is the outcome of a request for tokens.
@@ -160,13 +190,14 @@
 // message that it rests on.
 func (l *Limiter) weight(now time.Duration, org string, b *bucket) (weight float64, age time.Duration) {
 	b.decayDemand(now)
-	total, n := b.demand, 1.0
+	missing := float64(l.missing(now))
+	total, n := b.demand*(1+missing), 1+missing
 	for _, p := range l.peers {
 		if now-p.at > goneAfter {
 			continue
 		}
 		n += float64(p.instances)
-		total += p.use[org].Demand
+		total += p.demand(now, org, b)
 		age = max(age, now-p.at)
 	}
 	if total <= 0 {
@@ -190,14 +221,18 @@
 // assumed is the use per second of the peers that are silent: what they asked
 // for when last heard, at most their part of the rate.
 func (l *Limiter) assumed(now time.Duration, org string, b *bucket) float64 {
-	var rate, total float64
-	total = b.demand
+	missing := float64(l.missing(now))
+	total := b.demand * (1 + missing)
 	for _, p := range l.peers {
-		total += p.use[org].Demand
+		total += p.demand(now, org, b)
+	}
+	if total <= 0 {
+		return 0
 	}
+	rate := missing * min(b.demand, b.rate*b.demand/total)
 	for _, p := range l.peers {
-		if age := now - p.at; age > silentAfter && age <= goneAfter && total > 0 {
-			demand := p.use[org].Demand
+		if age := now - p.at; age > silentAfter && age <= goneAfter {
+			demand := p.demand(now, org, b)
 			rate += min(demand, b.rate*demand/total)
 		}
 	}
--- /dev/null
+++ b/internal/sharedlimit/limit_test.go
@@ -0,0 +1,189 @@
+package sharedlimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var org = &fleet.Organisation{Name: "org", RatePerS: 90_000, Burst: 90_000, CountsTokens: true}
+
+// site is a fleet of limiters that tell each other of their use.
+type site struct {
+	now      time.Duration
+	limiters []*Limiter
+	inc      []int
+	cut      []bool // reaches nobody
+	admitted []float64
+	refused  float64
+	at       []time.Duration // of each admitted entry
+}
+
+func newSite(n int) *site {
+	s := &site{now: time.Second, inc: make([]int, n), cut: make([]bool, n)}
+	for range n {
+		l := New(s.now, n-1)
+		l.Sync(s.now, map[string]*fleet.Organisation{org.Name: org})
+		s.limiters = append(s.limiters, l)
+	}
+	return s
+}
+
+func (s *site) ask(i int, cost float64) {
+	d := s.limiters[i].Admit(s.now, org, cost)
+	if !d.Admitted {
+		s.refused += cost
+		return
+	}
+	s.admitted, s.at = append(s.admitted, cost), append(s.at, s.now)
+}
+
+// gossip tells all of each other's use, as of now.
+func (s *site) gossip() {
+	for i, from := range s.limiters {
+		for j, to := range s.limiters {
+			if i != j && !s.cut[i] && !s.cut[j] {
+				to.Heard(s.now, fmt.Sprint(i), fmt.Sprint(s.inc[i]), 1, from.Own(s.now))
+			}
+		}
+	}
+}
+
+// most returns the largest sum admitted in any window.
+func (s *site) most(window time.Duration) float64 {
+	largest, sum, from := 0.0, 0.0, 0
+	for i, cost := range s.admitted {
+		sum += cost
+		for s.at[i]-s.at[from] > window {
+			sum -= s.admitted[from]
+			from++
+		}
+		largest = max(largest, sum)
+	}
+	return largest
+}
+
+// allowed is what the platform allows in a window of 8 s.
+func allowed() float64 { return (org.RatePerS*8+org.Burst)*1.1 + 17_000 }
+
+// An organisation at several times its rate, spread unevenly over the
+// instances, some of them cut off for a while, with messages 200 ms old: never
+// more than the platform allows, and most of its rate is served.
+func TestManyTimesTheRate(t *testing.T) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(3, 9).Draw(rt, "instances")
+		s := newSite(n)
+		share := rapid.SliceOfN(rapid.IntRange(0, 10), n, n).Draw(rt, "share")
+		times := rapid.IntRange(2, 8).Draw(rt, "times")
+		cutFrom := rapid.IntRange(0, 200).Draw(rt, "cut from")
+		total := 1
+		for _, w := range share {
+			total += w
+		}
+		const cost = 3000.0
+		due := make([]float64, n)
+		for step := range 800 { // 20 ms each
+			s.now += 20 * time.Millisecond
+			s.cut[0] = step >= cutFrom && step < cutFrom+250
+			for i := range n {
+				due[i] += org.RatePerS * float64(times) * float64(share[i]) / float64(total) * 0.02
+				for due[i] >= cost {
+					due[i] -= cost
+					s.ask(i, cost)
+				}
+			}
+			if step%10 == 0 {
+				s.gossip()
+			}
+		}
+		if most := s.most(8 * time.Second); most > allowed() {
+			rt.Fatalf("%.0f tokens in 8 s, %.0f are allowed", most, allowed())
+		}
+		sum := 0.0
+		for _, c := range s.admitted {
+			sum += c
+		}
+		asked := sum + s.refused
+		if owed := min(asked, org.RatePerS*16); total > 1 && sum < 0.7*owed {
+			rt.Fatalf("%.0f of %.0f tokens within the rate were admitted", sum, owed)
+		}
+	})
+}
+
+// An organisation within its rate is not refused, wherever it asks.
+func TestWithinTheRateNothingIsRefused(t *testing.T) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		s := newSite(6)
+		s.now += 5 * time.Second
+		where := 0
+		for step := range 600 {
+			s.now += 20 * time.Millisecond
+			if step%50 == 0 {
+				where = rapid.IntRange(0, 5).Draw(rt, "where")
+			}
+			if step%4 == 0 {
+				s.ask(where, 4000) // 50,000 a second of 90,000
+			}
+			if step%10 == 0 {
+				s.gossip()
+			}
+		}
+		if s.refused > 0 {
+			rt.Fatalf("%.0f tokens refused", s.refused)
+		}
+	})
+}
+
+func TestInstanceThatIsCutOffGoesOnServing(t *testing.T) {
+	s := newSite(3)
+	for range 50 {
+		s.now += 100 * time.Millisecond
+		for i := range 3 {
+			s.ask(i, 2000)
+		}
+		s.gossip()
+	}
+	s.cut[2] = true
+	s.refused = 0
+	for range 40 {
+		s.now += 100 * time.Millisecond
+		s.ask(2, 2000)
+	}
+	must.Eq(t, 0, s.refused)
+}
+
+func TestRefundReturnsTheCost(t *testing.T) {
+	l := New(0, 0)
+	l.Sync(0, map[string]*fleet.Organisation{org.Name: org})
+	d := l.Admit(time.Second, org, 1000)
+	must.True(t, d.Admitted)
+	l.Refund(org.Name, 1000)
+	must.Eq(t, 0, l.Own(time.Second)[org.Name].Total)
+}
+
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	l := New(0, 0)
+	now := time.Second
+	var d Decision
+	for d.Admitted = true; d.Admitted; {
+		d = l.Admit(now, org, 3000)
+	}
+	must.Positive(t, d.RetryAfter)
+	must.True(t, l.Admit(now+d.RetryAfter, org, 3000).Admitted)
+}
+
+func TestOldMessageDoesNotCount(t *testing.T) {
+	l := New(0, 0)
+	l.Sync(0, map[string]*fleet.Organisation{org.Name: org})
+	use := func(total float64) map[string]Use { return map[string]Use{org.Name: {Total: total}} }
+	l.Heard(time.Second, "p", "1", 1, use(100))
+	l.Heard(3*time.Second, "p", "1", 1, use(500))
+	level := l.orgs[org.Name].level
+	l.Heard(2*time.Second, "p", "1", 1, use(300))
+	must.Eq(t, level, l.orgs[org.Name].level)
+}
