Let upstreams that failed or were slow come back

Cause: a test of a grey upstream that recovers found that it got nothing any more: its service time was never observed again, so that it scored worse than its peers, and a probe was only permitted, not made. A due probe now goes first, with a request that can be repeated; slowness fades without observations.

--- /dev/null
+++ b/internal/assign/assign_test.go
@@ -0,0 +1,304 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+const start = time.Minute
+
+// fixture is a scheduler over engines that hold models.
+func fixture(engines int, models ...string) *Scheduler {
+	s := New(Options{Zone: "z0", Seed: 1})
+	config := &fleet.Config{Services: map[string]*fleet.Service{
+		"chat": {Name: "chat", Engine: &fleet.Engine{Slots: 8}}, "app": {Name: "app"},
+	}}
+	var list []fleet.Upstream
+	for i := range engines {
+		u := fleet.Upstream{ID: fmt.Sprintf("e%d", i), Service: "chat", Zone: fmt.Sprintf("z%d", i%2), Born: 1, Slots: 8}
+		for _, m := range models {
+			u.Models = append(u.Models, fleet.ResidentModel{Model: m})
+		}
+		list = append(list, u)
+	}
+	for i := range 2 {
+		list = append(list, fleet.Upstream{ID: fmt.Sprintf("a%d", i), Service: "app", Zone: fmt.Sprintf("z%d", i), Born: 1, Slots: 2})
+	}
+	s.SetUpstreams(config, list)
+	return s
+}
+
+func chat(id int, now time.Duration) *Job {
+	return &Job{
+		ID: fmt.Sprint(id), Service: "chat", Model: "m", Engine: true, PromptTokens: 800, OutputTokens: 200,
+		Arrived: now, Objective: now + 400*time.Millisecond, GiveUp: now + 2400*time.Millisecond, Final: now + 15*time.Second,
+	}
+}
+
+func app(now time.Duration) *Job {
+	return &Job{Service: "app", Repeatable: true, Arrived: now, Objective: now + 300*time.Millisecond, GiveUp: now + time.Second, Final: now + time.Second}
+}
+
+func TestSubmitChoosesTheLeastLoaded(t *testing.T) {
+	s := fixture(4, "m")
+	s.SetPeer(start, "p", map[string]Load{
+		"e0": {Pending: [Urgencies]int{3}, PendingTokens: [Urgencies]int{6000}},
+		"e1": {Pending: [Urgencies]int{2}, PendingTokens: [Urgencies]int{4000}},
+		"e2": {Pending: [Urgencies]int{1}, PendingTokens: [Urgencies]int{2000}},
+	})
+	p, v := s.Submit(start, chat(1, start))
+	must.NotNil(t, p)
+	must.Eq(t, "e3", v.Upstream.ID)
+}
+
+func TestSharedPromptsGoWhereTheyWereRead(t *testing.T) {
+	s := fixture(4, "m")
+	job := func() *Job {
+		j := chat(1, start)
+		j.Parts = []fleet.PromptPart{{ID: 7, Tokens: 600}, {ID: 8, Tokens: 200}}
+		return j
+	}
+	p, first := s.Submit(start, job())
+	s.Done(start, p, ResultOK)
+	for range 5 {
+		p, v := s.Submit(start, job())
+		must.Eq(t, first.Upstream.ID, v.Upstream.ID)
+		s.Done(start, p, ResultOK)
+	}
+}
+
+func TestTriedUpstreamsAreLeftOut(t *testing.T) {
+	s := fixture(2, "m")
+	j := chat(1, start)
+	j.Tried = []string{"e0"}
+	_, v := s.Submit(start, j)
+	must.Eq(t, "e1", v.Upstream.ID)
+	j = chat(2, start)
+	j.Tried = []string{"e0", "e1"}
+	_, v = s.Submit(start, j)
+	must.Nil(t, v) // waits: another upstream may come
+}
+
+// No engine gets more requests than it has slots, and requests wait while
+// places are taken, rather than being refused.
+func TestBurstOfAClassWaitsForPlaces(t *testing.T) {
+	s := fixture(2, "m")
+	placed := map[string]int{}
+	var waits []*Job
+	for i := range 60 {
+		j := chat(i, start)
+		j.Objective = start + 4*time.Second
+		j.GiveUp = start + 8*time.Second
+		_, v := s.Submit(start, j)
+		switch {
+		case v == nil:
+			waits = append(waits, j)
+		case v.Upstream != nil:
+			placed[v.Upstream.ID]++
+		}
+	}
+	for id, n := range placed {
+		must.LessEq(t, 8, n, must.Sprint(id))
+	}
+	must.SliceNotEmpty(t, waits)
+}
+
+// Requests that can still be on time go before those that cannot, and the
+// more urgent before the less urgent.
+func TestLateWorkYields(t *testing.T) {
+	s := fixture(1, "m")
+	var running []*Placement
+	for i := range 8 {
+		j := chat(i, start)
+		j.PromptTokens = 10
+		p, v := s.Submit(start, j)
+		must.NotNil(t, p, must.Sprint(v))
+		s.FirstToken(start, p)
+		running = append(running, p)
+	}
+	late, relaxed, urgent := chat(100, start-390*time.Millisecond), chat(101, start), chat(102, start)
+	relaxed.Urgency = 3
+	for _, j := range []*Job{late, relaxed, urgent} {
+		_, v := s.Submit(start, j)
+		must.Nil(t, v)
+	}
+	var order []string
+	for _, p := range running[:3] {
+		s.Done(start+20*time.Millisecond, p, ResultOK)
+		for _, placed := range s.Step(start + 20*time.Millisecond) {
+			must.NotNil(t, placed.Placement)
+			s.FirstToken(start+20*time.Millisecond, placed.Placement)
+			order = append(order, placed.Verdict.Job.ID)
+		}
+	}
+	must.Eq(t, []string{"102", "101", "100"}, order)
+}
+
+// Rare models asked for at once: a request whose model is not there waits if
+// the model comes in time, and is refused at once if not, with the time at
+// which it should be there.
+func TestAbsentModel(t *testing.T) {
+	s := fixture(2, "other")
+	s.SetComing(map[string]time.Duration{"m": start + time.Second})
+	_, v := s.Submit(start, chat(1, start))
+	must.Nil(t, v)
+	s.SetComing(map[string]time.Duration{"m": start + 4*time.Second})
+	_, v = s.Submit(start, chat(2, start))
+	must.Eq(t, fleet.ReasonModelAbsent, v.Refusal.Reason)
+	must.Between(t, 4*time.Second, v.Refusal.RetryAfter, 6*time.Second)
+	out := s.Step(start + 10*time.Millisecond)
+	must.Len(t, 1, out) // what was to come in time no longer does
+	must.Eq(t, fleet.ReasonModelAbsent, out[0].Verdict.Refusal.Reason)
+	s.SetModels("e1", 1, []fleet.ResidentModel{{Model: "m"}}, nil)
+	p, _ := s.Submit(start, chat(3, start))
+	must.NotNil(t, p)
+}
+
+func TestUnloadingModelGetsNothingNew(t *testing.T) {
+	s := fixture(2, "m")
+	s.SetModels("e0", 1, []fleet.ResidentModel{{Model: "m"}}, []string{"m"})
+	for i := range 4 {
+		_, v := s.Submit(start, chat(i, start))
+		must.Eq(t, "e1", v.Upstream.ID)
+	}
+}
+
+func TestWordOfAnUpstreamOutweighsReports(t *testing.T) {
+	s := fixture(1, "m")
+	s.Absent(start, "e0", "m", "")
+	must.False(t, s.Holder(start, "chat", "m", ""))
+	must.True(t, s.Holder(start+absentTerm, "chat", "m", ""))
+}
+
+// A grey upstream fails part of its requests: it gets few until it answers
+// again.
+func TestGreyUpstreamGetsLittle(t *testing.T) {
+	s := fixture(0)
+	sent := map[string]int{}
+	now := start
+	for range 400 {
+		now += 10 * time.Millisecond
+		p, v := s.Submit(now, app(now))
+		must.NotNil(t, p)
+		sent[v.Upstream.ID]++
+		result := ResultOK
+		if v.Upstream.ID == "a0" {
+			result = ResultFailed
+		}
+		s.Done(now+5*time.Millisecond, p, result)
+	}
+	must.Less(t, 40, sent["a0"])
+	sent["a0"] = 0
+	for range 1000 {
+		now += 10 * time.Millisecond
+		p, v := s.Submit(now, app(now))
+		sent[v.Upstream.ID]++
+		s.Done(now+5*time.Millisecond, p, ResultOK)
+	}
+	must.Greater(t, 100, sent["a0"])
+}
+
+// A slow engine gets less than the others.
+func TestSlowEngineGetsLess(t *testing.T) {
+	s := fixture(4, "m")
+	sent := map[string]int{}
+	now := start
+	type running struct {
+		p     *Placement
+		first time.Duration
+	}
+	var open []running
+	for i := range 600 {
+		now += 15 * time.Millisecond
+		kept := open[:0]
+		for _, r := range open {
+			if now < r.first {
+				kept = append(kept, r)
+				continue
+			}
+			s.FirstToken(r.first, r.p)
+			s.Done(now, r.p, ResultOK)
+		}
+		open = kept
+		p, v := s.Submit(now, chat(i, now))
+		if p == nil {
+			continue
+		}
+		sent[v.Upstream.ID]++
+		d := 40 * time.Millisecond
+		if v.Upstream.ID == "e0" {
+			d *= 6
+		}
+		open = append(open, running{p, now + d})
+		s.Step(now)
+	}
+	must.Less(t, sent["e1"]/2, sent["e0"])
+}
+
+// Callers whose patience ends are turned away, not held; and what was given is
+// given back, whatever the order of events.
+func TestNothingIsLost(t *testing.T) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		s := fixture(3, "m")
+		now := start
+		var open []*Placement
+		waiting := map[*Job]bool{}
+		for i := range 200 {
+			now += time.Duration(rapid.IntRange(0, 40).Draw(rt, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(rt, "event") {
+			case 0, 1:
+				j := chat(i, now)
+				p, v := s.Submit(now, j)
+				switch {
+				case p != nil:
+					open = append(open, p)
+				case v == nil:
+					waiting[j] = true
+				case v.Refusal.Reason == fleet.ReasonNone || v.Refusal.RetryAfter <= 0:
+					rt.Fatalf("refused without a reason or a time: %+v", v)
+				}
+			case 2:
+				if len(open) > 0 {
+					s.FirstToken(now, open[0])
+					s.Done(now, open[0], ResultOK)
+					open = open[1:]
+				}
+			case 3:
+				for j := range waiting {
+					if s.Withdraw(j) {
+						delete(waiting, j)
+					}
+					break
+				}
+			}
+			for _, placed := range s.Step(now) {
+				delete(waiting, placed.Verdict.Job)
+				if placed.Placement != nil {
+					open = append(open, placed.Placement)
+				}
+			}
+			for j := range waiting {
+				if now >= j.GiveUp {
+					rt.Fatalf("job %s waits beyond its caller's patience", j.ID)
+				}
+			}
+			if s.Waiting() != len(waiting) {
+				rt.Fatalf("%d jobs wait, %d should", s.Waiting(), len(waiting))
+			}
+		}
+		for _, p := range open {
+			s.Done(now, p, ResultNone)
+		}
+		for id, u := range s.byID {
+			if u.own != (Load{}) {
+				rt.Fatalf("%s has load left: %+v", id, u.own)
+			}
+		}
+	})
+}
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -31,7 +31,7 @@
 
 // estimate returns the expected time to the first token, or to the answer of
 // a plain service, if the job were sent now.
-func (s *Scheduler) estimate(u *upstream, j *Job) time.Duration {
+func (s *Scheduler) estimate(now time.Duration, u *upstream, j *Job) time.Duration {
 	if u.engine == nil {
 		over := u.requests() + 1 - u.slots()
 		service := u.pace.serviceTime()
@@ -45,7 +45,7 @@
 		tokens += u.own.PendingTokens[urgency] + u.peers.PendingTokens[urgency]
 	}
 	read := time.Duration(float64(tokens) / defaultPrefill * float64(time.Millisecond))
-	expected := time.Duration(u.pace.factor() * float64(read+baseFirstToken))
+	expected := time.Duration(u.pace.factor(now) * float64(read+baseFirstToken))
 	if over := u.requests() + 1 - u.slots(); over > 0 {
 		expected += time.Duration(over) * slotTurn
 	}
@@ -85,12 +85,15 @@
 		if now < u.fullUntil {
 			continue
 		}
-		c := candidate{u: u, expected: s.estimate(u, j)}
+		c := candidate{u: u, expected: s.estimate(now, u, j)}
 		c.fits = s.fits(now, u, j, c.expected)
 		c.score = c.expected + time.Duration(float64(batchPenalty)*float64(u.requests())/float64(u.slots()))
 		if u.entry.Zone != s.opts.Zone {
 			c.score += zonePenalty
 		}
+		if j.Repeatable && u.health.suspect(lowest) {
+			c.score = 0 // a request that can be sent again tells whether it has recovered
+		}
 		c.score += time.Duration(s.rng.Int64N(int64(scoreJitter)))
 		if best.u == nil || c.fits && !best.fits || c.fits == best.fits && c.score < best.score {
 			best = c
--- a/internal/assign/job.go
+++ b/internal/assign/job.go
@@ -13,6 +13,8 @@
 	Model   string
 	Adapter string
 	Engine  bool
+	// Repeatable: the request may be sent again after it may have run.
+	Repeatable bool
 
 	PromptTokens int
 	OutputTokens int
--- a/internal/assign/pace.go
+++ b/internal/assign/pace.go
@@ -1,6 +1,9 @@
 package assign
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// defaultPrefill is the prompt tokens that an engine reads in a
@@ -13,8 +16,12 @@
 	// baseFirstToken is the time to a first token without any backlog.
 	baseFirstToken = 15 * time.Millisecond
 	// defaultService is the time that a plain request takes before any was
-	// observed.
-	defaultService = 50 * time.Millisecond
+	// observed; it is short, so that an upstream that is not known gets some.
+	defaultService = 10 * time.Millisecond
+	// paceTerm is how long an observation counts in full; then it fades, so
+	// that an upstream that was slow is tried again.
+	paceTerm  = 3 * time.Second
+	paceFades = 5 * time.Second
 )
 
 // pace answers upstreams that are slower than others: the time to the first
@@ -22,22 +29,25 @@
 type pace struct {
 	slowness float64 // observed over expected, 0 before the first observation
 	service  time.Duration
+	at       time.Duration // of the last observation
 }
 
-func (p *pace) factor() float64 {
+func (p *pace) factor(now time.Duration) float64 {
 	if p.slowness == 0 {
 		return 1
 	}
+	if idle := now - p.at - paceTerm; idle > 0 {
+		return 1 + (p.slowness-1)*math.Exp(-float64(idle)/float64(paceFades))
+	}
 	return p.slowness
 }
 
 // firstToken takes in an observed time to the first token.
-func (p *pace) firstToken(observed, expected time.Duration) {
+func (p *pace) firstToken(now, observed, expected time.Duration) {
 	ratio := float64(observed) / float64(max(expected, baseFirstToken))
 	ratio = min(max(ratio, minSlowness), maxSlowness)
-	if p.slowness == 0 {
-		p.slowness = 1
-	}
+	p.slowness = p.factor(now)
+	p.at = now
 	p.slowness += paceWeight * (ratio - p.slowness)
 }
 
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -176,7 +176,6 @@
 	started  bool
 	sentAt   time.Duration
 	expected time.Duration
-	suspect  bool
 }
 
 // place counts the job at the upstream.
@@ -204,7 +203,7 @@
 	p.unpend()
 	p.u.own.Running++
 	if p.u.engine != nil {
-		p.u.pace.firstToken(now-p.sentAt, time.Duration(float64(p.expected)/p.u.pace.factor()))
+		p.u.pace.firstToken(now, now-p.sentAt, time.Duration(float64(p.expected)/p.u.pace.factor(p.sentAt)))
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -171,6 +171,7 @@
 	svc := x.config.Services[x.service]
 	x.job = &assign.Job{
 		ID: x.req.ID, Service: x.service, Model: x.req.Model, Adapter: x.req.Adapter,
+		Repeatable:   x.route.Repeatable() && x.route.MaxAttempts > 1,
 		Engine:       svc != nil && svc.Engine != nil,
 		PromptTokens: x.req.PromptTokens, OutputTokens: x.req.OutputTokens, Parts: x.req.Parts,
 		Urgency: x.urgency(objective), Arrived: x.arrived, Objective: x.arrived + objective,
