--- /dev/null
+++ b/internal/catalog/duty_test.go
@@ -0,0 +1,292 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/platform"
+	"github.com/shoenig/test/must"
+)
+
+// fakeStore is a store whose watches can be silenced and that can be cut off.
+type fakeStore struct {
+	platform.Store
+	mu       sync.Mutex
+	cut      bool
+	mute     bool                   // watches hear nothing
+	gone     map[platform.Kind]bool // the next watch of a kind fails: the history is gone
+	config   platform.Object
+	entries  map[string]platform.Object
+	removed  []platform.Object
+	revision uint64
+	calls    int
+}
+
+func (s *fakeStore) enter() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.cut {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *fakeStore) Get(context.Context, platform.Kind, string) (platform.Object, error) {
+	if err := s.enter(); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config.Version == 0 {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return s.config, nil
+}
+
+func (s *fakeStore) List(context.Context, platform.Kind) (platform.List, error) {
+	if err := s.enter(); err != nil {
+		return platform.List{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := platform.List{Revision: s.revision}
+	for _, e := range s.entries {
+		list.Objects = append(list.Objects, e)
+	}
+	return list, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, kind platform.Kind, since uint64) (platform.List, error) {
+	if err := s.enter(); err != nil {
+		return platform.List{}, err
+	}
+	deadline := time.Now().Add(4 * time.Second)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		if list, err := s.events(kind, since); err != nil || len(list.Objects) > 0 {
+			return list, err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return platform.List{Revision: since}, ctx.Err()
+}
+
+func (s *fakeStore) events(kind platform.Kind, since uint64) (platform.List, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone[kind] {
+		delete(s.gone, kind)
+		return platform.List{}, platform.ErrHistoryGone
+	}
+	list := platform.List{Revision: s.revision}
+	if s.mute || s.cut {
+		return platform.List{}, nil
+	}
+	if kind == platform.KindConfig && s.config.Version > since {
+		list.Objects = append(list.Objects, s.config)
+	}
+	if kind == platform.KindUpstream {
+		for _, e := range s.entries {
+			if e.Version > since {
+				list.Objects = append(list.Objects, e)
+			}
+		}
+		for _, e := range s.removed {
+			if e.Version > since {
+				list.Objects = append(list.Objects, e)
+			}
+		}
+	}
+	return list, nil
+}
+
+func (s *fakeStore) put(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	value, err := json.Marshal(fleet.Config{Version: version})
+	if err != nil {
+		panic(err)
+	}
+	s.config = platform.Object{Kind: platform.KindConfig, Name: "main", Version: s.revision, Value: value}
+}
+
+func (s *fakeStore) list(id, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.entries[id] = platform.Object{Kind: platform.KindUpstream, Name: id, Version: s.revision, Value: []byte(value)}
+}
+
+func (s *fakeStore) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+func decodeConfig(obj platform.Object) (*fleet.Config, []error, error) {
+	c := &fleet.Config{}
+	err := json.Unmarshal(obj.Value, c)
+	return c, nil, err
+}
+
+func decodeUpstream(obj platform.Object) (fleet.Upstream, error) {
+	u := fleet.Upstream{ID: obj.Name, Revision: obj.Version}
+	err := json.Unmarshal(obj.Value, &u)
+	u.ID, u.Revision = obj.Name, obj.Version
+	return u, err
+}
+
+type fixture struct {
+	store   *fakeStore
+	duty    *Duty
+	watches bool
+	polls   bool
+}
+
+// run plays a duty in virtual time.
+func run(t *testing.T, play func(f *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{store: &fakeStore{entries: map[string]platform.Object{}}, watches: true}
+		began := time.Now()
+		f.duty = New(Options{
+			Store: f.store, Decoder: Decoder{ConfigName: "main", Config: decodeConfig, Upstream: decodeUpstream},
+			WatchWait: 4 * time.Second, Now: func() time.Duration { return time.Since(began) + time.Second },
+			Log:     slog.New(slog.NewJSONHandler(io.Discard, nil)),
+			Watches: func() bool { return f.watches }, Polls: func() bool { return f.polls }, Changed: func() {},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			_ = f.duty.Run(ctx) // ends without an error when ctx does
+			close(done)
+		}()
+		play(f)
+		cancel()
+		<-done
+	})
+}
+
+func (f *fixture) version() int64 {
+	if c := f.duty.Config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+func TestChangesComeIntoForce(t *testing.T) {
+	run(t, func(f *fixture) {
+		time.Sleep(time.Second)
+		must.False(t, f.duty.Ready())
+		f.store.put(3)
+		time.Sleep(500 * time.Millisecond)
+		must.Eq(t, 3, f.version())
+		f.store.put(7)
+		time.Sleep(500 * time.Millisecond)
+		must.Eq(t, 7, f.version())
+	})
+}
+
+// A watch that stays silent, before the history is dropped, must not hold a
+// configuration up beyond its bound of 2 s: found by scale-2 --seed
+// 273237900082 of laufzeit-wien.
+func TestPollFindsWhatASilentWatchMisses(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.polls = true
+		f.store.put(3)
+		time.Sleep(time.Second)
+		f.store.set(func() { f.store.mute = true })
+		f.store.put(7)
+		time.Sleep(1500 * time.Millisecond)
+		must.Eq(t, 7, f.version())
+	})
+}
+
+func TestHistoryGoneIsReadAgainAtOnce(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.store.put(3)
+		time.Sleep(time.Second)
+		f.store.set(func() { f.store.mute = true })
+		f.store.put(7)
+		f.store.set(func() { f.store.gone = map[platform.Kind]bool{platform.KindConfig: true, platform.KindUpstream: true} })
+		time.Sleep(300 * time.Millisecond)
+		must.Eq(t, 7, f.version())
+	})
+}
+
+func TestFailedPollEndsTheClaimToReachTheStore(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.polls = true
+		f.store.put(3)
+		time.Sleep(time.Second)
+		_, _, reachable := f.duty.Revisions()
+		must.True(t, reachable)
+		f.store.set(func() { f.store.cut = true })
+		time.Sleep(time.Second)
+		_, _, reachable = f.duty.Revisions()
+		must.False(t, reachable)
+	})
+}
+
+func TestVersionsNeverGoBack(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.store.put(3)
+		f.store.put(7)
+		time.Sleep(time.Second)
+		must.NoError(t, f.duty.Take(Knowledge{ConfigRevision: 1, Config: []byte(`{"Version":3}`)}, "peer"))
+		must.Eq(t, 7, f.version())
+	})
+}
+
+func TestPeersTellWhatTheStoreCannot(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.store.set(func() { f.store.cut = true })
+		time.Sleep(time.Second)
+		raw, err := json.Marshal([]fleet.Upstream{{ID: "u1", Revision: 4}})
+		must.NoError(t, err)
+		must.NoError(t, f.duty.Take(Knowledge{ConfigRevision: 5, Config: []byte(`{"Version":9}`), RosterRevision: 6, Roster: raw}, "peer"))
+		must.True(t, f.duty.Ready())
+		must.Eq(t, 9, f.version())
+		must.Len(t, 1, f.duty.Usable())
+		k, err := f.duty.Knowledge(0, 0)
+		must.NoError(t, err)
+		must.Eq(t, 5, k.ConfigRevision)
+		must.Eq(t, 6, k.RosterRevision)
+		must.Error(t, f.duty.Take(Knowledge{RosterRevision: 9, Roster: []byte("{")}, "peer"))
+	})
+}
+
+func TestMalformedEntryNamesNoUpstream(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.store.put(1)
+		f.store.list("u1", `{"Service":"a"}`)
+		f.store.list("u2", `{"Service":7}`)
+		time.Sleep(time.Second)
+		must.Len(t, 1, f.duty.Usable())
+	})
+}
+
+func TestInstanceThatFollowsItsPeersLeavesTheStoreAlone(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.store.put(1)
+		f.store.list("u1", `{"Service":"a"}`)
+		time.Sleep(time.Second)
+		f.watches = false
+		time.Sleep(10 * time.Second)
+		calls := f.store.calls
+		time.Sleep(20 * time.Second)
+		must.Eq(t, calls, f.store.calls)
+		f.watches = true
+		f.store.put(2)
+		time.Sleep(time.Second)
+		must.Eq(t, 2, f.version())
+	})
+}
