--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -22,6 +22,10 @@
 	Loading   string
 	LoadReady time.Duration
 	Unloading string
+	// Reserved is the model for which room is made or was made, until a load
+	// of it is ordered.
+	Reserved      string
+	reservedUntil time.Duration
 	// Requests is the work that instances have there.
 	Requests int
 
@@ -41,7 +45,7 @@
 
 // covers reports whether the model is there or coming, and stays.
 func (e *Engine) covers(model string) bool {
-	return (e.holds(model) || e.Loading == model) && e.Unloading != model
+	return (e.holds(model) || e.Loading == model || e.Reserved == model) && e.Unloading != model
 }
 
 func (e *Engine) usedMB() float64 {
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -64,7 +64,8 @@
 		}
 	}
 	atOnce := maxLoads(spec)
-	var actions []Action
+	actions := p.loadReserved(now, engines)
+	loading += len(actions)
 	for _, m := range p.ranked(states, engines, unit) {
 		if len(actions) >= maxOrdersAtOnce || loading >= atOnce {
 			break
@@ -81,6 +82,26 @@
 	return actions
 }
 
+// reserveTerm is how long room that is being made is kept for its model: an
+// unload waits for the requests that run.
+const reserveTerm = 8 * time.Second
+
+// loadReserved loads the models for which room was made.
+func (p *Planner) loadReserved(now time.Duration, engines []*Engine) []Action {
+	var actions []Action
+	for _, e := range engines {
+		m := e.Spec.Models[e.Reserved]
+		if m == nil || !e.usable(now) || !e.fits(m) || e.holds(m.Name) {
+			continue
+		}
+		if _, fromStore := e.loadTime(m); fromStore && p.budgets[e.Entry.Service].left(now, e.Spec.LoadsPerS) <= 0 {
+			continue
+		}
+		actions = append(actions, p.order(now, e, fleet.OrderLoad, m.Name, "", "room was made"))
+	}
+	return actions
+}
+
 // maxLoads is how many loads may be under way: what the store's rate keeps
 // going.
 func maxLoads(spec *fleet.Engine) int {
@@ -145,7 +166,7 @@
 func (p *Planner) addReplica(now time.Duration, engines []*Engine, states map[string]*modelState, m *modelState, unit float64) (Action, bool) {
 	var best *site
 	for _, e := range engines {
-		if !e.usable(now) || e.covers(m.spec.Name) || e.holds(m.spec.Name) {
+		if !e.usable(now) || e.Reserved != "" || e.covers(m.spec.Name) || e.holds(m.spec.Name) {
 			continue
 		}
 		s, ok := p.siteAt(e, states, m, unit)
@@ -167,6 +188,9 @@
 	if best.victim != nil {
 		best.victim.replicas--
 		best.victim.zones[best.e.Entry.Zone]--
+		best.e.Reserved, best.e.reservedUntil = m.spec.Name, now+reserveTerm
+		m.replicas++
+		m.zones[best.e.Entry.Zone]++
 		return p.order(now, best.e, fleet.OrderUnload, best.victim.spec.Name, "", "makes room for "+m.spec.Name), true
 	}
 	m.replicas++
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -160,3 +160,36 @@
 	_, name := copied.Version()
 	must.Eq(t, "n2", name)
 }
+
+// One model that nothing holds costs one replica of others, not one on each
+// engine: found by trouble-3 of lsct-fogline, where ten engines made room for
+// the same model.
+func TestRoomIsMadeOnceForAModel(t *testing.T) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		w := newWorld(rt, 6, 4)
+		p := NewPlanner(Options{Holder: "n1", LoadWindow: 5 * time.Second})
+		for _, e := range w.engines {
+			e.models = []fleet.ResidentModel{{Model: "m0"}, {Model: "m1"}, {Model: "m2"}}
+			e.history = nil
+		}
+		p.SetDemand(map[ModelKey]Rates{modelKey("m0"): {Fast: 9000, Slow: 9000}, modelKey("m1"): {Fast: 9000, Slow: 9000}})
+		p.SetEngines(w.now, w.config, w.list())
+		unloads := map[string]int{}
+		for range rapid.IntRange(20, 60).Draw(rt, "steps") {
+			w.tick()
+			for range 3 { // outcomes cause further steps in the same instant
+				for _, a := range p.Step(w.now) {
+					if a.Order != nil && a.Order.Kind == fleet.OrderUnload {
+						unloads[a.Reason]++
+					}
+					w.carryOut(p, 1, a, 0)
+				}
+			}
+		}
+		for reason, n := range unloads {
+			if n > 1 {
+				rt.Fatalf("%d unloads: %s", n, reason)
+			}
+		}
+	})
+}
--- a/internal/residency/planner.go
+++ b/internal/residency/planner.go
@@ -108,6 +108,11 @@
 			actions = append(actions, Action{Engine: e, Report: true})
 		}
 	}
+	for _, e := range p.engines {
+		if e.Reserved != "" && now >= e.reservedUntil {
+			e.Reserved = ""
+		}
+	}
 	for _, service := range slices.Sorted(maps.Keys(p.budgets)) {
 		actions = append(actions, p.planModels(now, service)...)
 		actions = append(actions, p.planAdapters(now, service)...)
@@ -205,6 +210,7 @@
 	case adapter != "":
 		e.adapterUsed[model+"/"+adapter] = now
 	case kind == fleet.OrderLoad:
+		e.Reserved = ""
 		d, fromStore := e.loadTime(e.Spec.Models[model])
 		e.Loading, e.LoadReady = model, now+d
 		if fromStore {
