--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -302,3 +302,43 @@
 		}
 	})
 }
+
+// In an overload, a request that is late already is told to come back while
+// others that can still be on time find no place; without them it waits on.
+func TestCrowdedOutWorkIsToldToComeBack(t *testing.T) {
+	s := fixture(1, "m")
+	for i := range 8 {
+		j := chat(i, start)
+		j.PromptTokens = 10
+		p, _ := s.Submit(start, j)
+		s.FirstToken(start, p)
+	}
+	late := chat(100, start)
+	_, v := s.Submit(start, late)
+	must.Nil(t, v)
+	now := late.Objective + lateHold
+	must.SliceEmpty(t, s.Step(now))
+	_, v = s.Submit(now, chat(101, now))
+	must.Nil(t, v)
+	out := s.Step(now)
+	must.Len(t, 1, out)
+	must.Eq(t, "100", out[0].Verdict.Job.ID)
+	must.Eq(t, fleet.ReasonOverloaded, out[0].Verdict.Refusal.Reason)
+}
+
+func TestComeBack(t *testing.T) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		s := fixture(1, "m")
+		j := chat(1, start)
+		j.Final = start + time.Duration(rapid.IntRange(1000, 20000).Draw(rt, "final"))*time.Millisecond
+		wait := time.Duration(rapid.IntRange(0, 8000).Draw(rt, "wait")) * time.Millisecond
+		got := s.comeBack(start, j, wait)
+		left := j.Final - start
+		if got < minRetryAfter || got > max(minRetryAfter, left/3) {
+			rt.Fatalf("told to come back after %v with %v left", got, left)
+		}
+		if wait < left/6 && got < wait {
+			rt.Fatalf("told to come back after %v, before the %v that it takes", got, wait)
+		}
+	})
+}
--- a/internal/assign/refuse.go
+++ b/internal/assign/refuse.go
@@ -43,7 +43,7 @@
 	if !j.Engine {
 		reason = fleet.ReasonNoUpstream
 	}
-	return fleet.Refusal{Reason: reason, RetryAfter: s.spread(max(ready-now, minRetryAfter))}, true
+	return fleet.Refusal{Reason: reason, RetryAfter: s.comeBack(now, j, ready-now)}, true
 }
 
 // ready returns when an upstream for the job can be expected.
@@ -81,15 +81,27 @@
 }
 
 func (s *Scheduler) overloaded(now time.Duration, j *Job, ahead int) fleet.Refusal {
-	return fleet.Refusal{Reason: fleet.ReasonOverloaded, RetryAfter: s.retryAfter(now, j, ahead)}
+	return fleet.Refusal{Reason: fleet.ReasonOverloaded, RetryAfter: s.comeBack(now, j, s.expectedWait(now, j, ahead))}
 }
 
-// retryAfter tells a caller when the queue that it met will have drained,
-// spread so that callers do not come back together.
-func (s *Scheduler) retryAfter(now time.Duration, j *Job, ahead int) time.Duration {
-	return s.spread(max(s.expectedWait(now, j, ahead), minRetryAfter))
-}
+const (
+	// honoured is the part of the time left up to which callers wait as told.
+	honoured = 0.32
+	// lateReturn is the part of the time left after which a caller who can no
+	// longer be on time comes back at the earliest: it has few tries, and an
+	// overload passes by then.
+	lateReturn = 0.05
+)
 
-func (s *Scheduler) spread(d time.Duration) time.Duration {
-	return d + time.Duration(s.rng.Int64N(int64(d)/2+1))
+// comeBack tells a caller when to return: as soon as it can be served if its
+// objective can still be met then, else when the overload should have passed.
+// Callers are spread so that they do not return together.
+func (s *Scheduler) comeBack(now time.Duration, j *Job, wait time.Duration) time.Duration {
+	wait = max(wait, minRetryAfter)
+	left := max(j.Final-now, 0)
+	if j.Objective-now <= 2*wait {
+		wait = max(wait, time.Duration(lateReturn*float64(left)))
+	}
+	wait += time.Duration(s.rng.Int64N(int64(wait)/2 + 1))
+	return max(min(wait, time.Duration(honoured*float64(left))), minRetryAfter)
 }
--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
 )
 
 const (
@@ -17,6 +15,8 @@
 	// giveUpMargin is how long before the caller's patience ends a job is
 	// turned away instead of placed: no answer could reach the caller.
 	giveUpMargin = 60 * time.Millisecond
+	// lateHold is how long after its objective a job waits on in an overload.
+	lateHold = 150 * time.Millisecond
 	// defaultLoad is how long a model takes to be ready when nothing is known.
 	defaultLoad = 1500 * time.Millisecond
 	// minRetryAfter keeps callers from coming back before anything changed.
@@ -146,8 +146,8 @@
 
 func (s *Scheduler) retry(now time.Duration, j *Job, blocked map[modelKey]int) (*Placement, *Verdict) {
 	key := modelKey{j.Service + "/" + j.Model, j.Adapter}
-	if now >= j.GiveUp-giveUpMargin {
-		return nil, s.expired(now, j)
+	if now >= j.GiveUp-giveUpMargin || s.crowdedOut(now, j, blocked[key]) {
+		return nil, &Verdict{Job: j, Refusal: s.overloaded(now, j, len(s.waiting))}
 	}
 	if blocked[key] >= blockedTries {
 		return nil, nil
@@ -165,10 +165,11 @@
 	return s.place(now, j, best), v
 }
 
-func (s *Scheduler) expired(now time.Duration, j *Job) *Verdict {
-	return &Verdict{Job: j, Refusal: fleet.Refusal{
-		Reason: fleet.ReasonOverloaded, RetryAfter: s.retryAfter(now, j, len(s.waiting)),
-	}}
+// crowdedOut reports whether a late job is better told to come back: others
+// that can still be on time find no place either, so that it would wait until
+// its caller leaves. blocked is how many of those found none in this step.
+func (s *Scheduler) crowdedOut(now time.Duration, j *Job, blocked int) bool {
+	return blocked > 0 && now >= j.Objective+lateHold
 }
 
 // Withdraw takes a job whose caller has left out of the queue. It reports
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -21,6 +21,13 @@
 	// activeShare is the part of an engine's work from which a model should
 	// be in each zone, so that a zone that is cut off can serve it.
 	activeShare = 0.15
+	// absentBonus is how much work per replica, in parts of an engine's, a
+	// model counts as having more if callers ask for it and nothing holds it.
+	absentBonus = 0.5
+	// standbyZones is in how many zones a model that may be asked for stands by.
+	standbyZones = 3
+	// standbyLoads is the part of the loads at once that standby may use.
+	standbyLoads = 0.5
 	// maxOrdersAtOnce bounds the model orders of one step.
 	maxOrdersAtOnce = 8
 )
@@ -31,7 +38,9 @@
 	key      ModelKey
 	demand   float64 // recent work per second
 	slow     float64
+	seen     bool
 	replicas int // there or coming
+	standby  int // replicas to keep though demand does not ask for them
 	zones    map[string]int
 }
 
@@ -66,7 +75,12 @@
 	atOnce := maxLoads(spec)
 	actions := p.loadReserved(now, engines)
 	loading += len(actions)
-	for _, m := range p.ranked(states, engines, unit) {
+	zones := map[string]bool{}
+	for _, e := range engines {
+		zones[e.Entry.Zone] = true
+	}
+	setStandby(states, len(zones), unit)
+	for _, m := range p.ranked(states, len(zones), unit) {
 		if len(actions) >= maxOrdersAtOnce || loading >= atOnce {
 			break
 		}
@@ -79,9 +93,48 @@
 			loading++
 		}
 	}
+	if len(actions) == 0 && float64(loading) < standbyLoads*float64(atOnce) {
+		actions = append(actions, p.planStandby(now, engines, states, unit)...)
+	}
 	return actions
 }
 
+// planStandby answers demand that is about to move: models that are likely to
+// be asked for get replicas in several zones while the weight store has
+// nothing more urgent to do, in the place of replicas that are not needed.
+func (p *Planner) planStandby(now time.Duration, engines []*Engine, states map[string]*modelState, unit float64) []Action {
+	for _, name := range engines[0].Spec.ModelNames {
+		m := states[name]
+		if m.replicas == 0 || m.replicas >= m.standby {
+			continue
+		}
+		if a, ok := p.addReplica(now, engines, states, m, unit); ok {
+			return []Action{a}
+		}
+	}
+	return nil
+}
+
+// setStandby states how many replicas each model should have though its
+// demand does not ask for them. Likely to be asked for are models that were
+// busy lately, models with adapters, which somebody made for a purpose, and
+// models that nobody has asked for yet where most others were asked for.
+func setStandby(states map[string]*modelState, zones int, unit float64) {
+	seen := 0
+	for _, m := range states {
+		if m.seen {
+			seen++
+		}
+	}
+	for _, m := range states {
+		m.standby = 1
+		switch {
+		case m.spec.Adapters > 0, m.slow > activeShare*unit, !m.seen && 2*seen > len(states):
+			m.standby = min(zones, standbyZones)
+		}
+	}
+}
+
 // reserveTerm is how long room that is being made is kept for its model: an
 // unload waits for the requests that run.
 const reserveTerm = 8 * time.Second
@@ -117,7 +170,7 @@
 	for _, name := range spec.ModelNames {
 		key := ModelKey{Service: service, Model: name}
 		rates := p.demand[key]
-		m := &modelState{spec: spec.Models[name], key: key, demand: rates.Fast, slow: rates.Slow, zones: map[string]int{}}
+		m := &modelState{spec: spec.Models[name], key: key, demand: rates.Fast, slow: rates.Slow, seen: rates.Slow > 0, zones: map[string]int{}}
 		for _, e := range engines {
 			if e.covers(name) {
 				m.replicas++
@@ -129,28 +182,27 @@
 	return states
 }
 
-// ranked returns the models that want a replica, the most urgent first: those
-// that nothing holds, by demand, then those with the most work per replica.
-func (p *Planner) ranked(states map[string]*modelState, engines []*Engine, unit float64) []*modelState {
-	zones := map[string]bool{}
-	for _, e := range engines {
-		zones[e.Entry.Zone] = true
+// urgency orders models that want a replica: by the work per replica, with
+// precedence for those that callers ask for and nothing holds. A model that
+// nobody asks for waits until the store has time for it.
+func (m *modelState) urgency(unit float64) float64 {
+	if m.replicas == 0 && m.demand > 0 {
+		return m.perReplica() + absentBonus*unit
 	}
+	return m.perReplica()
+}
+
+// ranked returns the models that want a replica, the most urgent first.
+func (p *Planner) ranked(states map[string]*modelState, zones int, unit float64) []*modelState {
 	var out []*modelState
 	for _, m := range states {
-		missingZone := m.demand > activeShare*unit && len(m.zones) < len(zones)
+		missingZone := m.demand > activeShare*unit && len(m.zones) < zones
 		if m.replicas == 0 || m.perReplica() > fullShare*unit || missingZone {
 			out = append(out, m)
 		}
 	}
 	slices.SortFunc(out, func(a, b *modelState) int {
-		if (a.replicas == 0) != (b.replicas == 0) {
-			if a.replicas == 0 {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(b.perReplica(), a.perReplica()), cmp.Compare(b.slow, a.slow), cmp.Compare(a.spec.Name, b.spec.Name))
+		return cmp.Or(cmp.Compare(b.urgency(unit), a.urgency(unit)), cmp.Compare(b.slow, a.slow), cmp.Compare(a.spec.Name, b.spec.Name))
 	})
 	return out
 }
@@ -234,5 +286,8 @@
 	if m.replicas == 0 {
 		return m.demand > 0 || v.cost() < fullShare*unit
 	}
+	if m.replicas < m.standby && v.replicas > v.standby && v.cost() < fullShare*unit {
+		return true
+	}
 	return v.cost()*keepRatio < m.perReplica()
 }
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -167,6 +167,7 @@
 func TestRoomIsMadeOnceForAModel(t *testing.T) {
 	rapidtest.Check(t, func(rt *rapid.T) {
 		w := newWorld(rt, 6, 4)
+		w.spec.Models["m3"].Adapters = 0 // nothing else asks for a second replica
 		p := NewPlanner(Options{Holder: "n1", LoadWindow: 5 * time.Second})
 		for _, e := range w.engines {
 			e.models = []fleet.ResidentModel{{Model: "m0"}, {Model: "m1"}, {Model: "m2"}}
@@ -193,3 +194,29 @@
 		}
 	})
 }
+
+// Models that are likely to be asked for stand by in several zones before
+// they are, in the place of replicas that are not needed; the models in use
+// keep enough.
+func TestLikelyModelsStandBy(t *testing.T) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		w := newWorld(rt, 6, 6)
+		for _, e := range w.engines {
+			e.models = []fleet.ResidentModel{{Model: "m0"}, {Model: "m2"}}
+		}
+		p := NewPlanner(Options{Holder: "n1", LoadWindow: 5 * time.Second})
+		play(w, p, 40*time.Second, func(time.Duration) map[ModelKey]Rates {
+			return map[ModelKey]Rates{modelKey("m0"): {Fast: 4000, Slow: 4000}, modelKey("m2"): {Fast: 4000, Slow: 4000}}
+		})
+		for _, name := range []string{"m1", "m3", "m5"} { // those with adapters
+			if n := w.replicas(name); n < 2 {
+				rt.Fatalf("%s has %d replicas", name, n)
+			}
+		}
+		for _, name := range []string{"m0", "m2"} {
+			if n := w.replicas(name); n < 2 {
+				rt.Fatalf("%s, which is in use, has %d replicas", name, n)
+			}
+		}
+	})
+}
