End waiting with the instance, serve late work behind

Ruled out: news of the model, which came in time. Nothing waits beyond 3 s after the stop now, and late work is sent at less urgency rather than held.

--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -342,3 +342,35 @@
 		}
 	})
 }
+
+// A stopping instance answers what waits before its grace time ends: found by
+// trouble-2 of lsct-fogline, where a patient request waited until the process
+// ended and was cut without an answer.
+func TestNothingWaitsBeyondTheEndOfAnInstance(t *testing.T) {
+	s := fixture(1, "other")
+	s.SetComing(map[string]time.Duration{"m": start + time.Second})
+	patient := func() *Job {
+		j := chat(1, start)
+		j.Objective, j.GiveUp = start+4*time.Second, start+16*time.Second
+		return j
+	}
+	_, v := s.Submit(start, patient())
+	must.Nil(t, v)
+	s.Close(start + 3*time.Second)
+	s.Submit(start, patient())
+	must.SliceEmpty(t, s.Step(start+2*time.Second))
+	out := s.Step(start + 3*time.Second)
+	must.Len(t, 2, out)
+	must.Positive(t, out[0].Verdict.Refusal.RetryAfter)
+}
+
+// Late work is served where there is room, at less urgency than what can
+// still be on time.
+func TestLateWorkIsServedBehind(t *testing.T) {
+	s := fixture(1, "m")
+	s.SetPeer(start, "p", map[string]Load{"e0": {Pending: [Urgencies]int{2}, PendingTokens: [Urgencies]int{5000}}})
+	late := chat(1, start-time.Second)
+	p, v := s.Submit(start, late)
+	must.NotNil(t, p, must.Sprint(v))
+	must.Eq(t, 1, s.Own()["e0"].Pending[late.Urgency+lateUrgency])
+}
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -9,8 +9,11 @@
 	// estimate may take: estimates are off by the age of the peers' figures.
 	roomPart = 0.7
 	// lateRoom is the expected time to the first token at which a late job
-	// may still be placed: late jobs take only what on-time jobs leave.
-	lateRoom = 120 * time.Millisecond
+	// may still be placed.
+	lateRoom = 500 * time.Millisecond
+	// lateUrgency is how much less urgent a late job is at its upstream, so
+	// that it takes what on-time jobs leave.
+	lateUrgency = 3
 	// zonePenalty is the expected time that another zone adds.
 	zonePenalty = 4 * time.Millisecond
 	// batchPenalty is the time that a full batch adds to each step, as seen
@@ -41,7 +44,7 @@
 		return service + service*time.Duration(over)/time.Duration(u.slots())
 	}
 	tokens := max(j.PromptTokens-u.cache.kept(j.modelHash, j.Parts), 1)
-	for urgency := 0; urgency <= j.Urgency; urgency++ {
+	for urgency := 0; urgency <= j.UrgencyAt(now); urgency++ {
 		tokens += u.own.PendingTokens[urgency] + u.peers.PendingTokens[urgency]
 	}
 	read := time.Duration(float64(tokens) / defaultPrefill * float64(time.Millisecond))
--- a/internal/assign/job.go
+++ b/internal/assign/job.go
@@ -69,3 +69,11 @@
 
 // late reports whether the objective can no longer be met.
 func (j *Job) late(now time.Duration) bool { return now+baseFirstToken >= j.Objective }
+
+// UrgencyAt is how urgent the job is at an upstream: less so once it is late.
+func (j *Job) UrgencyAt(now time.Duration) int {
+	if j.late(now) {
+		return min(j.Urgency+lateUrgency, Urgencies-1)
+	}
+	return j.Urgency
+}
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -26,6 +26,15 @@
 	drains   map[string]*drain
 	coming   map[modelKey]time.Duration // when a model is expected to be ready
 	turn     uint64
+	closing  time.Duration // no job waits beyond then, 0 for any
+}
+
+// Close makes jobs wait until at at most: the instance stops.
+func (s *Scheduler) Close(at time.Duration) {
+	s.closing = at
+	for _, j := range s.waiting {
+		j.GiveUp = min(j.GiveUp, at)
+	}
 }
 
 type peerLoad struct {
@@ -172,6 +181,7 @@
 type Placement struct {
 	job      *Job
 	u        *upstream
+	urgency  int
 	tokens   int
 	started  bool
 	sentAt   time.Duration
@@ -180,13 +190,13 @@
 
 // place counts the job at the upstream.
 func (s *Scheduler) place(now time.Duration, j *Job, c candidate) *Placement {
-	p := &Placement{job: j, u: c.u, sentAt: now, expected: c.expected}
+	p := &Placement{job: j, u: c.u, urgency: j.UrgencyAt(now), sentAt: now, expected: c.expected}
 	if c.u.engine != nil {
 		p.tokens = max(j.PromptTokens-c.u.cache.kept(j.modelHash, j.Parts), 1)
 		c.u.cache.read(j.modelHash, j.Parts)
 	}
-	c.u.own.Pending[j.Urgency]++
-	c.u.own.PendingTokens[j.Urgency] += p.tokens
+	c.u.own.Pending[p.urgency]++
+	c.u.own.PendingTokens[p.urgency] += p.tokens
 	if c.u.health.suspect(s.lowestRate(j.Service)) {
 		c.u.health.probedAt = now
 	}
@@ -208,8 +218,8 @@
 }
 
 func (p *Placement) unpend() {
-	p.u.own.Pending[p.job.Urgency]--
-	p.u.own.PendingTokens[p.job.Urgency] -= p.tokens
+	p.u.own.Pending[p.urgency]--
+	p.u.own.PendingTokens[p.urgency] -= p.tokens
 }
 
 // Result is how a placement ended, as far as the upstream's health goes.
--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -63,6 +63,9 @@
 func (s *Scheduler) Submit(now time.Duration, j *Job) (*Placement, *Verdict) {
 	j.modelHash = modelHash(j.Model, j.Adapter)
 	j.Urgency = min(max(j.Urgency, 0), Urgencies-1)
+	if s.closing != 0 {
+		j.GiveUp = min(j.GiveUp, s.closing)
+	}
 	ahead := s.ahead(now, j)
 	best, holders := s.choose(now, j)
 	verdict := &Verdict{Job: j, Inputs: Inputs{Candidates: holders, Queue: ahead}}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -187,7 +187,7 @@
 		Address: u.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
 		Header: x.g.format.ForwardHeader(x.r.Header, Forward{
 			Organisation: organisation, UpstreamID: u.ID, Remaining: x.job.Final - x.g.now(),
-			Urgency: x.job.Urgency, LastEventID: x.rec.stream.lastID(),
+			Urgency: x.job.UrgencyAt(x.g.now()), LastEventID: x.rec.stream.lastID(),
 		}),
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/assign"
 	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/platform"
 	"github.com/eelgrassbay/eelgrassbay/internal/settings"
@@ -24,6 +25,9 @@
 	// lameDuck is how long a stopping instance takes new connections, while
 	// the balancer finds out: two missed checks a second apart.
 	lameDuck = 2500 * time.Millisecond
+	// stopWait is how long requests of a stopping instance wait for an
+	// upstream; those without one are then told to come back to another.
+	stopWait = 3 * time.Second
 	// stopMargin is how long before the end of its grace time the process
 	// exits by itself.
 	stopMargin = 250 * time.Millisecond
@@ -161,6 +165,7 @@
 	grace := g.settings.Load().Stop.Grace.Std() - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
+	g.dispatch.update(func(now time.Duration, s *assign.Scheduler) { s.Close(now + min(stopWait, grace/2)) })
 	wait.Sleep(ctx, min(lameDuck, grace/2))
 	if err := s.callers.Server.Shutdown(ctx); err != nil {
 		g.log.Warn("requests cut by the end of the grace time", "error", err)
