--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -26,6 +26,9 @@
 	absentBonus = 0.5
 	// standbyZones is in how many zones a model that may be asked for stands by.
 	standbyZones = 3
+	// startReplicas is how many replicas in each zone a model keeps that has
+	// them before anybody has asked for anything.
+	startReplicas = 2
 	// standbyLoads is the part of the loads at once that standby may use.
 	standbyLoads = 0.5
 	// maxOrdersAtOnce bounds the model orders of one step.
@@ -119,6 +122,8 @@
 // demand does not ask for them. Likely to be asked for are models that were
 // busy lately, models with adapters, which somebody made for a purpose, and
 // models that nobody has asked for yet where most others were asked for.
+// Before the first request, where many engines hold a model it is meant to be
+// busy.
 func setStandby(states map[string]*modelState, zones int, unit float64) {
 	seen := 0
 	for _, m := range states {
@@ -132,6 +137,9 @@
 		case m.spec.Adapters > 0, m.slow > activeShare*unit, !m.seen && 2*seen > len(states):
 			m.standby = min(zones, standbyZones)
 		}
+		if seen == 0 {
+			m.standby = max(m.standby, min(m.replicas, startReplicas*zones))
+		}
 	}
 }
 
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -220,3 +220,22 @@
 		}
 	})
 }
+
+// Before anybody has asked for anything, a model on many engines counts as
+// one that will be: found by an incident of laufzeit-wien, where standby of
+// other models had taken its replicas before the first request came.
+func TestManyReplicasAreKeptBeforeTheFirstRequest(t *testing.T) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		w := newWorld(rt, 6, 8)
+		for i, e := range w.engines {
+			e.models = []fleet.ResidentModel{{Model: "m0"}, {Model: "m2"}, {Model: fmt.Sprintf("m%d", []int{1, 3, 4, 5, 6, 7}[i])}}
+		}
+		p := NewPlanner(Options{Holder: "n1", LoadWindow: 5 * time.Second})
+		play(w, p, 20*time.Second, func(time.Duration) map[ModelKey]Rates { return nil })
+		for _, name := range []string{"m0", "m2"} {
+			if n := w.replicas(name); n < 4 {
+				rt.Fatalf("%s had 6 replicas and has %d", name, n)
+			}
+		}
+	})
+}
