--- a/internal/catalog/duty.go
+++ b/internal/catalog/duty.go
@@ -22,8 +22,10 @@
 const (
 	// readTimeout bounds one read of the store.
 	readTimeout = 600 * time.Millisecond
-	// retryPause is the pause after a read that failed.
-	retryPause = 150 * time.Millisecond
+	// retryPause is the pause after a read that failed; it doubles up to
+	// maxRetryPause.
+	retryPause    = 150 * time.Millisecond
+	maxRetryPause = time.Second
 	// watchPause lets changes that come together be answered by one call.
 	watchPause = 120 * time.Millisecond
 	// idlePause is how often an instance that follows its peers looks whether
@@ -140,6 +142,7 @@
 // follow reads everything of a kind, then watches it; it reads again whenever
 // the watch cannot go on.
 func (d *Duty) follow(ctx context.Context, read func(context.Context) (uint64, error), kind platform.Kind, events func(platform.List)) {
+	pause := retryPause
 	for ctx.Err() == nil {
 		if d.Ready() && !d.opts.Watches() {
 			wait.Sleep(ctx, idlePause)
@@ -148,6 +151,7 @@
 		since, err := read(ctx)
 		for err == nil && ctx.Err() == nil && (d.opts.Watches() || !d.Ready()) {
 			if since, err = d.watch(ctx, kind, since, events); err == nil {
+				pause = retryPause
 				wait.Sleep(ctx, watchPause)
 			}
 		}
@@ -155,10 +159,12 @@
 			continue
 		}
 		d.failed(ctx, kind, err)
-		if errors.Is(err, platform.ErrHistoryGone) {
+		if errors.Is(err, platform.ErrHistoryGone) && pause == retryPause {
+			pause = 2 * retryPause // the first time it is read again at once
 			continue
 		}
-		wait.Sleep(ctx, retryPause)
+		wait.Sleep(ctx, pause)
+		pause = min(2*pause, maxRetryPause)
 	}
 }
 
@@ -177,7 +183,7 @@
 }
 
 func (d *Duty) failed(ctx context.Context, kind platform.Kind, err error) {
-	if ctx.Err() != nil || errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, platform.ErrNotFound) {
+	if ctx.Err() != nil || errors.Is(err, platform.ErrHistoryGone) {
 		return // the store answered
 	}
 	d.mu.Lock()
@@ -204,16 +210,19 @@
 	}
 }
 
+// readConfig lists the configuration rather than getting it: a watch must go
+// on from the store's revision, as the object's own may be older than the
+// store's history.
 func (d *Duty) readConfig(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	obj, err := d.opts.Store.Get(ctx, platform.KindConfig, d.opts.Decoder.ConfigName)
+	list, err := d.opts.Store.List(ctx, platform.KindConfig)
 	if err != nil {
 		return 0, err
 	}
 	d.reached()
-	d.takeConfig(obj, sourceStore)
-	return obj.Version, nil
+	d.configEvents(list)
+	return list.Revision, nil
 }
 
 func (d *Duty) configEvents(list platform.List) {
--- a/internal/catalog/duty_test.go
+++ b/internal/catalog/duty_test.go
@@ -26,6 +26,7 @@
 	entries  map[string]platform.Object
 	removed  []platform.Object
 	revision uint64
+	oldest   uint64 // watches from before fail: that history is gone
 	calls    int
 }
 
@@ -39,25 +40,19 @@
 	return nil
 }
 
-func (s *fakeStore) Get(context.Context, platform.Kind, string) (platform.Object, error) {
-	if err := s.enter(); err != nil {
-		return platform.Object{}, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.config.Version == 0 {
-		return platform.Object{}, platform.ErrNotFound
-	}
-	return s.config, nil
-}
-
-func (s *fakeStore) List(context.Context, platform.Kind) (platform.List, error) {
+func (s *fakeStore) List(_ context.Context, kind platform.Kind) (platform.List, error) {
 	if err := s.enter(); err != nil {
 		return platform.List{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := platform.List{Revision: s.revision}
+	if kind == platform.KindConfig {
+		if s.config.Version > 0 {
+			list.Objects = append(list.Objects, s.config)
+		}
+		return list, nil
+	}
 	for _, e := range s.entries {
 		list.Objects = append(list.Objects, e)
 	}
@@ -85,6 +80,9 @@
 		delete(s.gone, kind)
 		return platform.List{}, platform.ErrHistoryGone
 	}
+	if since < s.oldest {
+		return platform.List{}, platform.ErrHistoryGone
+	}
 	list := platform.List{Revision: s.revision}
 	if s.mute || s.cut {
 		return platform.List{}, nil
@@ -290,3 +288,26 @@
 		must.Eq(t, 2, f.version())
 	})
 }
+
+// A configuration that is older than the store's history must not make the
+// watch fail again and again: found by a day of our own, where each instance
+// called the store 30 times a second after an outage.
+func TestConfigurationOlderThanTheHistory(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.store.put(3)
+		for range 30 {
+			f.store.list("u1", `{"Service":"a"}`)
+		}
+		time.Sleep(time.Second)
+		f.store.set(func() {
+			f.store.oldest = f.store.revision
+			f.store.gone = map[platform.Kind]bool{platform.KindConfig: true, platform.KindUpstream: true}
+			f.store.calls = 0
+		})
+		time.Sleep(20 * time.Second)
+		must.Less(t, 30, f.store.calls)
+		f.store.put(4)
+		time.Sleep(time.Second)
+		must.Eq(t, 4, f.version())
+	})
+}
