Swap with the zone's leads only in a large fleet, wake up less

Members of a large fleet now swap with their leads, who tell them of the others as one sum. Idle instances wake for waiting requests rather than every 15 ms.

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -14,6 +14,10 @@
 // happens.
 const stepPeriod = 15 * time.Millisecond
 
+// idlePeriod is how often old figures of peers are looked at while nothing
+// waits.
+const idlePeriod = 250 * time.Millisecond
+
 // dispatcher lets request goroutines share one assign.Scheduler.
 type dispatcher struct {
 	now func() time.Duration
@@ -43,6 +47,10 @@
 	d.waiters[j] = ready
 	d.mu.Unlock()
 	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+	select {
 	case result = <-ready:
 		return result, true
 	case <-ctx.Done():
@@ -61,16 +69,23 @@
 
 // run looks at the waiting requests until ctx ends.
 func (d *dispatcher) run(ctx context.Context) error {
-	ticker := time.NewTicker(stepPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(idlePeriod)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		case <-d.wake:
 		}
-		d.update(func(now time.Duration, s *assign.Scheduler) { s.Tick(now) })
+		period := idlePeriod
+		d.update(func(now time.Duration, s *assign.Scheduler) {
+			s.Tick(now)
+			if s.Waiting() > 0 {
+				period = stepPeriod
+			}
+		})
+		timer.Reset(period)
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -66,7 +66,7 @@
 		s.ZoneWork = workToWire(now, g.work.zone(now, own), true)
 	}
 	if to.Large && to.SameZone && to.FromLead {
-		s.Elsewhere = workToWire(now, g.work.elsewhere(now), to.Lead)
+		s.Elsewhere = workToWire(now, g.work.beside(now, to.Name), false)
 	}
 }
 
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -49,26 +49,42 @@
 // useCounter sums counters of several sources into one that grows: each
 // source's first word is its base.
 type useCounter struct {
-	sources map[string]map[string]float64 // source to organisation to total
-	total   map[string]float64
+	sources map[string]*useSource // by name and incarnation
 }
 
-func newUseCounter() *useCounter {
-	return &useCounter{sources: map[string]map[string]float64{}, total: map[string]float64{}}
+type useSource struct {
+	name  string
+	last  map[string]float64 // by organisation
+	grown map[string]float64
 }
 
-func (c *useCounter) heard(source string, use map[string]sharedlimit.Use) {
-	last, known := c.sources[source]
-	if !known {
-		last = map[string]float64{}
-		c.sources[source] = last
+func newUseCounter() *useCounter { return &useCounter{sources: map[string]*useSource{}} }
+
+func (c *useCounter) heard(name, incarnation string, use map[string]sharedlimit.Use) {
+	key := name + "/" + incarnation
+	src := c.sources[key]
+	if src == nil {
+		src = &useSource{name: name, last: map[string]float64{}, grown: map[string]float64{}}
+		c.sources[key] = src
 	}
 	for org, u := range use {
-		if before, ok := last[org]; ok {
-			c.total[org] += u.Total - before
+		if before, ok := src.last[org]; ok {
+			src.grown[org] += u.Total - before
+		}
+		src.last[org] = u.Total
+	}
+}
+
+// total returns what an organisation's counters have grown by, over all
+// sources but the one named.
+func (c *useCounter) total(org, except string) float64 {
+	sum := 0.0
+	for _, src := range c.sources {
+		if src.name != except {
+			sum += src.grown[org]
 		}
-		last[org] = u.Total
 	}
+	return sum
 }
 
 // workTerm is how long the work that a peer or zone told is counted.
@@ -81,7 +97,7 @@
 	mu       sync.Mutex
 	peers    map[string]*work // by name
 	zones    map[string]*work // by zone, as their leads told
-	outside  *work            // all other zones, as a lead of the own zone told
+	outside  *work            // all others, as a lead of the own zone told
 	told     string           // the lead that told outside
 	zoneUse  *useCounter      // of the own zone's peers
 	worldUse *useCounter      // of other zones
@@ -93,8 +109,8 @@
 	}
 }
 
-// outsideName stands for all instances of other zones.
-const outsideName = "other zones"
+// outsideName stands for instances that are summed.
+const outsideName = "others"
 
 // heard takes in what a peer told.
 func (v *workView) heard(at time.Duration, s *meshpb.InstanceState) {
@@ -105,13 +121,13 @@
 		w.zone = s.Zone
 		v.peers[s.Name] = w
 		if s.Zone == v.self.Zone {
-			v.zoneUse.heard(s.Name+"/"+s.Incarnation, w.use)
+			v.zoneUse.heard(s.Name, s.Incarnation, w.use)
 		}
 	}
 	if s.ZoneWork != nil && s.Zone != v.self.Zone {
 		w := workFromWire(at, s.ZoneWork)
 		v.zones[s.Zone] = w
-		v.worldUse.heard(s.Name+"/"+s.Incarnation, w.use)
+		v.worldUse.heard(s.Name, s.Incarnation, w.use)
 	}
 	if s.Elsewhere != nil && s.Zone == v.self.Zone {
 		stale := v.outside == nil || at-v.outside.at > workTerm/2
@@ -151,7 +167,7 @@
 		}
 	}
 	for org, u := range sum.use {
-		u.Total = own.use[org].Total + v.zoneUse.total[org]
+		u.Total = own.use[org].Total + v.zoneUse.total(org, "")
 		sum.use[org] = u
 	}
 	return sum
@@ -167,28 +183,50 @@
 		sum.add(w)
 	}
 	for org, u := range sum.use {
-		u.Total = v.worldUse.total[org]
+		u.Total = v.worldUse.total(org, "")
+		sum.use[org] = u
+	}
+	return sum
+}
+
+// beside returns, for a member of the zone, the sum of all instances but that
+// one and this one.
+func (v *workView) beside(now time.Duration, member string) *work {
+	sum := v.elsewhere(now)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for name, w := range v.peers {
+		if w.zone == v.self.Zone && name != member {
+			sum.add(w)
+		}
+	}
+	for org, u := range sum.use {
+		u.Total = v.worldUse.total(org, "") + v.zoneUse.total(org, member)
 		sum.use[org] = u
 	}
 	return sum
 }
 
-// parts returns the work to be counted beside the own: peers by name, and the
-// other zones. A zone that is summed is not counted by its instances as well.
-// lead tells whether this instance hears the other zones itself.
+// parts returns the work to be counted beside the own. In a small fleet, and
+// for a lead, that is each peer and each zone that is summed; another member of
+// a large fleet counts the lead that tells it of all others, and what it tells.
 func (v *workView) parts(now time.Duration, lead bool) map[string]*work {
 	outside := v.elsewhere(now)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	out := make(map[string]*work, len(v.peers)+1)
-	if !lead {
-		outside = v.outside
+	if !lead && v.outside != nil {
+		out[outsideName] = v.outside
+		if w := v.peers[v.told]; w != nil {
+			out[v.told] = w
+		}
+		return out
 	}
-	if outside != nil && outside.instances > 0 {
+	if outside.instances > 0 {
 		out[outsideName] = outside
 	}
 	for name, w := range v.peers {
-		if w.zone == v.self.Zone || v.zones[w.zone] == nil && (lead || v.outside == nil) {
+		if w.zone == v.self.Zone || v.zones[w.zone] == nil {
 			out[name] = w
 		}
 	}
--- a/internal/mesh/duty.go
+++ b/internal/mesh/duty.go
@@ -9,14 +9,19 @@
 
 	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/peer"
+	"github.com/eelgrassbay/eelgrassbay/internal/wait"
 	"storj.io/drpc"
 )
 
-// tickPeriod is how often the duty looks for peers to ask.
-const tickPeriod = 50 * time.Millisecond
+// How often the duty looks for peers to ask.
+const (
+	tickPeriod      = 50 * time.Millisecond
+	tickPeriodLarge = 125 * time.Millisecond
+)
 
 // Receiver is who a state is made for.
 type Receiver struct {
+	Name string // empty if it is not known yet
 	// SameZone: a peer of the own zone, or any peer of a small fleet.
 	SameZone bool
 	// Lead: a lead of its zone, or any peer of a small fleet.
@@ -125,14 +130,14 @@
 
 // Run swaps states until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
 	for {
 		d.round(ctx)
-		select {
-		case <-ctx.Done():
+		period := tickPeriod
+		if d.Large() {
+			period = tickPeriodLarge
+		}
+		if !wait.Sleep(ctx, period) {
 			return nil
-		case <-ticker.C:
 		}
 	}
 }
@@ -178,6 +183,9 @@
 		receiver.SameZone = to != nil && to.info.Zone == d.opts.Self.Zone
 		receiver.Lead = to != nil && d.members.isLead(now, to.info.Name, to.info.Zone)
 	}
+	if to != nil {
+		receiver.Name = to.info.Name
+	}
 	if to == nil || to.introduced == 0 || now-to.introduced >= introduceEvery {
 		s.Members = d.members.infos(now)
 		if to != nil {
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -2,9 +2,10 @@
 // of each other's work, use of limits and demand, and of newer configuration.
 //
 // In a small fleet each instance swaps its state with every other one. In a
-// large one it does so within its zone; the first instances of each zone, its
-// leads, swap the sums of their zones with each other and pass them on. So the
-// traffic between zones grows with the zones, not with the instances.
+// large one it does so with the first instances of its zone, its leads; they
+// swap the sums of their zones with each other and pass on what each member
+// does not know. So the traffic in a zone grows with its instances, and that
+// between zones with the zones.
 package mesh
 
 import (
@@ -168,8 +169,8 @@
 	return out
 }
 
-// partners returns whom to swap with in a large fleet: the peers of the zone
-// and, for a lead, one lead of each other zone.
+// partners returns whom to swap with in a large fleet: the leads of the zone
+// or, for a lead, its peers in the zone and one lead of each other zone.
 func (m *members) partners(now time.Duration) func(*member) bool {
 	own := m.leads(now, m.self.Zone)
 	rank := slices.Index(own, m.self.Name)
@@ -181,7 +182,12 @@
 			}
 		}
 	}
-	return func(p *member) bool { return p.info.Zone == m.self.Zone || others[p.info.Name] }
+	return func(p *member) bool {
+		if p.info.Zone != m.self.Zone {
+			return others[p.info.Name]
+		}
+		return rank >= 0 || slices.Contains(own, p.info.Name)
+	}
 }
 
 // forget drops peers that nobody has heard of for long, and returns them.
--- a/internal/placing/duty.go
+++ b/internal/placing/duty.go
@@ -13,7 +13,9 @@
 )
 
 const (
-	tickPeriod    = 40 * time.Millisecond
+	tickPeriod = 40 * time.Millisecond
+	// idlePeriod is how often an instance looks whether it holds the lease.
+	idlePeriod    = 150 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
 	orderTimeout  = 600 * time.Millisecond
 	// orderRest is how much of the lease's term must be left when an order is
@@ -94,15 +96,20 @@
 
 // Run gives orders while the lease is held, until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickPeriod)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case f := <-d.inbox:
 			f(d.opts.Now())
-		case <-ticker.C:
+		case <-timer.C:
+			period := idlePeriod
+			if d.planner != nil {
+				period = tickPeriod
+			}
+			timer.Reset(period)
 		}
 		d.step(ctx)
 	}
