--- a/cmd/eelgrass-gateway/main.go
+++ b/cmd/eelgrass-gateway/main.go
@@ -20,8 +20,6 @@
 )
 
 const (
-	// settingsVariable names the settings file where no argument does.
-	settingsVariable = "EELGRASSBAY_SETTINGS"
 	logLines         = 2048
 	logFlush         = 200 * time.Millisecond
 	// storeDial bounds the opening of a connection to the store.
@@ -33,7 +31,7 @@
 )
 
 type options struct {
-	Config      string `long:"config" value-name:"FILE" description:"settings file (HuJSON); default: the file that EELGRASSBAY_SETTINGS names"`
+	Config      string `long:"config" value-name:"FILE" description:"settings file (HuJSON); default: the one that the platform names"`
 	CheckConfig bool   `long:"check-config" description:"check the settings and exit"`
 	Version     bool   `long:"version" description:"print the version and exit"`
 }
@@ -50,7 +48,7 @@
 		return cli.ExitOK
 	}
 	if opts.Config == "" {
-		opts.Config = os.Getenv(settingsVariable)
+		opts.Config = os.Getenv(platform.SettingsVariable)
 	}
 	if opts.Config == "" {
 		return cli.Fail(cli.ExitUsage, errors.New("eelgrass-gateway: --config FILE is required"))
