Do not ask an engine again at once after an old report

Cause: a test of the duty that gives orders hung: a report from before the last accepted order was dropped without noting when it was asked for, so the next one was asked for at once, as fast as the engine answered, until its reports had caught up (some 200 ms). The test's engine never caught up.

--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -87,7 +87,8 @@
 // apply takes in a report that was asked for at sentAt.
 func (e *Engine) apply(sentAt time.Duration, r fleet.Report) {
 	if r.Sequence < e.Sequence && (r.Born == 0 || r.Born == e.Entry.Born) && e.ReadAt != 0 {
-		return // as of before the last accepted order
+		e.ReadAt = sentAt // as of before the last accepted order: ask again, but not at once
+		return
 	}
 	e.Report, e.ReadAt, e.Sequence = r, sentAt, r.Sequence
 	e.Models = cloneModels(r.Models)
