--- a/cmd/eelgrass-gateway/main.go
+++ b/cmd/eelgrass-gateway/main.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	logLines         = 2048
-	logFlush         = 200 * time.Millisecond
+	logLines = 2048
+	logFlush = 200 * time.Millisecond
 	// storeDial bounds the opening of a connection to the store.
 	storeDial = 500 * time.Millisecond
 	// engineDial bounds the opening of a connection for orders.
