Keep a failure on resuming out of the stream

Ruled out: the splitter (whole events only). Such an answer now fails the attempt and the stream is cut. TestFailureOnResumingIsNotTheStreamsEnd failed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -172,6 +172,12 @@
 	if x.route.Kind == fleet.KindStream && resp.Status == http.StatusOK {
 		return x.relayStream(placed.Placement, resp, watch)
 	}
+	if x.rec.stream.begun {
+		resp.Finish(false)
+		x.rec.lastError = errNotResumed
+		x.g.dispatch.done(placed.Placement, assign.ResultFailed)
+		return outcomeUnknown
+	}
 	return x.relayWhole(placed.Placement, resp, watch)
 }
 
@@ -263,6 +269,10 @@
 	return outcomeUnknown
 }
 
+// errNotResumed means that an upstream answered with a failure where a stream
+// should have gone on.
+var errNotResumed = errors.New("gateway: stream not resumed")
+
 var errForeignAnswer = errors.New("gateway: answer is not the upstream's own")
 
 // relayWhole passes a complete answer on.
