Remove what only counted for nobody

The pool took its lock a second time for each connection opened to keep a count that nothing read, and had a way to drop an address that nothing called; the log ring told a figure that it reports by itself. Found on rereading the change; no behaviour changes.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -26,10 +26,9 @@
 
 // Pool holds the idle connections. It is safe for concurrent use.
 type Pool struct {
-	opts   Options
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	dialed int64
+	opts Options
+	mu   sync.Mutex
+	idle map[string][]*conn
 }
 
 // New returns a pool without connections.
@@ -151,9 +150,6 @@
 		}
 		_ = c.Close()
 	}
-	p.mu.Lock()
-	p.dialed++
-	p.mu.Unlock()
 	return p.dial(ctx, address)
 }
 
@@ -203,23 +199,6 @@
 	}
 }
 
-// Drop closes the idle connections to an address.
-func (p *Pool) Drop(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
-		_ = c.Close()
-	}
-	delete(p.idle, address)
-}
-
-// Dialed returns how many connections were opened.
-func (p *Pool) Dialed() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dialed
-}
-
 // Finish ends an exchange. With whole, the body was read to its end without an
 // error, and the connection is kept if the peer allows it.
 func (r *Response) Finish(whole bool) {
--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -38,9 +38,6 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines were dropped and not reported yet.
-func (r *Ring) Dropped() int64 { return r.dropped.Load() }
-
 // batchBytes bounds what is gathered for one write.
 const batchBytes = 32 << 10
 
