Log why the gateway closed an attempt and why none followed

An attempt closed for silence now has the outcome stalled (log and metric), its line names stalled_ms, and retry_denied names the reason: budget, attempts, not_repeatable, unreachable, over, or the scheduler's refusal. eelgrassctl why says both. No decision changes: mayRetry asks the same questions in the same order.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -26,6 +26,9 @@
 	// outcomeUnknown: the request may have run; the caller has received
 	// nothing, or only the first events of a stream.
 	outcomeUnknown
+	// outcomeStalled: the gateway closed the attempt because the upstream was
+	// silent for too long; otherwise as outcomeUnknown.
+	outcomeStalled
 	// outcomeCallerLeft: the caller disconnected.
 	outcomeCallerLeft
 	// outcomeTimeout: the deadline for the answer has passed.
@@ -33,7 +36,7 @@
 )
 
 func (o outcome) String() string {
-	return [...]string{"delivered", "not_run", "not_sent", "unknown", "caller_left", "timeout"}[o]
+	return [...]string{"delivered", "not_run", "not_sent", "unknown", "stalled", "caller_left", "timeout"}[o]
 }
 
 // maxUnreachable is the maximum number of attempts of one request that fail
@@ -105,28 +108,50 @@
 	return placed, ok
 }
 
+// Reasons for which a request is not sent again, as they appear in the log and
+// the metrics. A refusal by the scheduler appears as its fleet.Reason.
+const (
+	deniedOver          = "over" // the deadline has passed or the caller left
+	deniedUnreachable   = "unreachable"
+	deniedNotRepeatable = "not_repeatable"
+	deniedAttempts      = "attempts" // the route's maximum number of attempts
+	deniedBudget        = "budget"   // the service's retry budget
+)
+
 // mayRetry reports whether the request may be sent to another upstream after an
-// attempt with outcome o. It takes the retry from the budget.
+// attempt with outcome o. It takes the retry from the budget and records why a
+// retry is denied.
 func (x *exchange) mayRetry(o outcome, unsent int) bool {
-	if x.g.now() >= x.job.Deadline || x.ctx.Err() != nil {
-		return false
-	}
-	switch o {
-	case outcomeNotSent:
-		return unsent < maxUnreachable && (x.sent == 0 || x.g.retryBudget.takeRetry(x.service))
-	case outcomeNotRun:
-		return x.sent < x.route.MaxAttempts && x.g.retryBudget.takeRetry(x.service)
-	}
-	if x.retryReserved {
+	x.rec.retryDenied = x.retryDenial(o, unsent)
+	return x.rec.retryDenied == ""
+}
+
+func (x *exchange) retryDenial(o outcome, unsent int) string {
+	ran := o != outcomeNotSent && o != outcomeNotRun // or may have run
+	switch {
+	case x.g.now() >= x.job.Deadline || x.ctx.Err() != nil:
+		return deniedOver
+	case o == outcomeNotSent && unsent >= maxUnreachable:
+		return deniedUnreachable
+	case o == outcomeNotSent && x.sent == 0:
+		return ""
+	case ran && x.retryReserved:
 		x.retryReserved = false
-		return true
+		return ""
+	case ran && !x.route.Repeatable():
+		return deniedNotRepeatable
+	case o != outcomeNotSent && x.sent >= x.route.MaxAttempts:
+		return deniedAttempts
+	case !x.g.retryBudget.takeRetry(x.service):
+		return deniedBudget
 	}
-	return x.route.Repeatable() && x.sent < x.route.MaxAttempts && x.g.retryBudget.takeRetry(x.service)
+	return ""
 }
 
 // endUnplaced ends a request for which the scheduler found no upstream.
 func (x *exchange) endUnplaced(d assign.Decision) {
 	if x.mayHaveRun {
+		x.rec.retryDenied = d.Refusal.Reason.String()
 		x.fail(outcomeUnknown)
 		return
 	}
@@ -247,17 +272,21 @@
 		return outcomeNotSent
 	}
 	x.mayHaveRun = true
-	return x.endBrokenAttempt(p)
+	return x.endBrokenAttempt(p, wd)
 }
 
 // endBrokenAttempt ends an attempt that failed after the request was sent. It
 // does not count as a failure of the upstream if the request was already over.
-func (x *exchange) endBrokenAttempt(p *assign.Placement) outcome {
+func (x *exchange) endBrokenAttempt(p *assign.Placement, wd *watchdog) outcome {
 	if o, over := x.requestOver(); over {
 		x.g.dispatcher.done(p, assign.ResultUnknown)
 		return o
 	}
 	x.g.dispatcher.done(p, assign.ResultFailed)
+	if silence := wd.silence(); silence > 0 {
+		x.rec.stalledFor = silence
+		return outcomeStalled
+	}
 	return outcomeUnknown
 }
 
@@ -315,7 +344,7 @@
 	wd.stop()
 	if err != nil {
 		x.rec.lastError = err
-		return x.endBrokenAttempt(p)
+		return x.endBrokenAttempt(p, wd)
 	}
 	if resp.Status >= http.StatusInternalServerError {
 		x.g.dispatcher.done(p, assign.ResultFailed)
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -29,6 +29,8 @@
 	status       int
 	bytes        int
 	lastError    error
+	stalledFor   time.Duration // silence for which the last stalled attempt was closed, 0 if none
+	retryDenied  string        // why no further attempt followed, empty if one did
 	callerLeft   bool
 	abort        bool // close the connection, so that nobody takes the answer for complete
 }
@@ -65,6 +67,9 @@
 	for _, a := range r.attempts {
 		flow.Attempt(a.outcome.String())
 	}
+	if r.retryDenied != "" {
+		flow.RetryDenied(r.retryDenied)
+	}
 	if r.result() == "ok" && len(r.attempts) == 1 && !x.g.successLogLimit.allow(now) {
 		return
 	}
@@ -90,6 +95,12 @@
 	if len(r.attempts) > 0 {
 		attrs = append(attrs, slog.String("attempts", r.attemptList()))
 	}
+	if r.stalledFor > 0 {
+		attrs = append(attrs, slog.Int64("stalled_ms", r.stalledFor.Milliseconds()))
+	}
+	if r.retryDenied != "" {
+		attrs = append(attrs, slog.String("retry_denied", r.retryDenied))
+	}
 	if r.firstEventAt > 0 {
 		attrs = append(attrs, slog.Int64("first_ms", (r.firstEventAt-x.arrived).Milliseconds()), slog.Int("events", r.stream.events),
 			slog.Int64("longest_gap_ms", r.stream.longestGap.Milliseconds()))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,8 +50,13 @@
 type watchdog struct {
 	timer   *time.Timer
 	timeout atomic.Int64 // the current time.Duration, 0 once the watchdog has stopped
+	fired   atomic.Int64 // the time.Duration after which it cancelled the attempt, 0 if it did not
 }
 
+// silence returns the time without progress for which the watchdog has cancelled
+// the attempt, 0 if it has not.
+func (w *watchdog) silence() time.Duration { return time.Duration(w.fired.Load()) }
+
 // newWatchdog returns a running watchdog. The zero watchdog never fires.
 func newWatchdog(timeout time.Duration, hasAlternative func() bool, cancel context.CancelFunc) *watchdog {
 	w := &watchdog{}
@@ -63,6 +68,7 @@
 		switch {
 		case timeout == 0:
 		case hasAlternative():
+			w.fired.Store(int64(timeout))
 			cancel()
 		default:
 			w.timer.Reset(timeout)
@@ -109,7 +115,7 @@
 		return outcomeCallerLeft
 	}
 	x.rec.lastError = err
-	return x.endBrokenAttempt(p)
+	return x.endBrokenAttempt(p, wd)
 }
 
 // callerDisconnectedError means that an event could not be written to the
--- a/internal/logstory/logstory.go
+++ b/internal/logstory/logstory.go
@@ -47,6 +47,8 @@
 	Adapter      string  `json:"adapter"`
 	Upstream     string  `json:"upstream"`
 	Attempts     string  `json:"attempts"`
+	StalledMS    int64   `json:"stalled_ms"`
+	RetryDenied  string  `json:"retry_denied"`
 	Error        any     `json:"error"`
 	TotalMS      int64   `json:"total_ms"`
 	WaitedMS     int64   `json:"waited_ms"`
@@ -163,7 +165,7 @@
 		}
 		return fmt.Sprintf("no upstream of service %s was listed and usable", r.Service)
 	case "outcome_unknown":
-		return fmt.Sprintf("an upstream took it and broke off, so that it may have run and could not be sent again: %s, %v", attemptsOrNone(r.Attempts), r.Error)
+		return explainUnknown(r)
 	case "timeout":
 		return fmt.Sprintf("its time was over after %d ms, %d of them waiting: %s", r.TotalMS, r.WaitedMS, attemptsOrNone(r.Attempts))
 	case "caller_left":
@@ -174,6 +176,20 @@
 	return "refused on arrival: " + r.Result
 }
 
+// explainUnknown returns a sentence that states why a request that may have run
+// ended without an answer.
+func explainUnknown(r *Line) string {
+	what := "an upstream took it and broke off"
+	if r.StalledMS > 0 {
+		what = fmt.Sprintf("the instance closed an attempt after %d ms without an event", r.StalledMS)
+	}
+	denied := ""
+	if r.RetryDenied != "" {
+		denied = " (" + r.RetryDenied + ")"
+	}
+	return fmt.Sprintf("%s, so that it may have run and could not be sent again%s: %s, %v", what, denied, attemptsOrNone(r.Attempts), r.Error)
+}
+
 // explainSuccess returns a sentence that states what took longest in a request
 // that was answered.
 func explainSuccess(r *Line, what string) string {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -153,6 +153,11 @@
 	f.scope.Tagged(map[string]string{"outcome": outcome}).Counter("attempts").Inc(1)
 }
 
+// RetryDenied counts a request that was not sent again, by the reason.
+func (f *Flow) RetryDenied(reason string) {
+	f.scope.Tagged(map[string]string{"reason": reason}).Counter("retries_denied").Inc(1)
+}
+
 // RequestEnded records a request that ended: its code, which is "ok" or that of its
 // error, its total time and its number of output tokens.
 func (f *Flow) RequestEnded(code string, total time.Duration, tokens int) {
