Secure the replacement before giving up a silent attempt

Cause: a timer closed an attempt whose upstream was silent as soon as another upstream held the model. Only then the request asked for a retry, an attempt and a place, each of which may be denied.

Change: silence alone ends no attempt. The goroutine that reads the answer notices the silence (httpconn: Send, Await, Response) and hands the request over: it takes a place at an upstream that can have it at once (assign: PlaceNow, which neither queues nor overtakes), a retry of the budget, and sends the request there while the first attempt stays open. Only if the other upstream answers, or has not rejected it for 100 ms, the first attempt is closed. Otherwise it is read on, and the handover is tried again every 200 ms. The timer's goroutine and its race with the reader are gone. A silence still counts as one failure of the upstream.

Ruled out: asking for budget and place before the close, but sending after it: the next upstream may reject the request (TestSilentStreamIsNotCutWhenTheNextUpstreamRejectsIt).

--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -379,3 +379,31 @@
 	must.NotNil(t, p, must.Sprint(v))
 	must.Eq(t, 1, s.OwnLoads()["e0"].Pending[late.Urgency+lateUrgencyPenalty])
 }
+
+// A request in progress goes on elsewhere only where it is taken at once, and not
+// before jobs that are queued.
+func TestPlaceNowNeitherQueuesNorOvertakes(t *testing.T) {
+	s := newTestScheduler(2, "m")
+	j := newChatJob(1, start)
+	j.Urgency++
+	p, first := s.Submit(start, j)
+	must.NotNil(t, p)
+	j.TriedUpstreams = []string{first.Upstream.ID}
+	other, second := s.PlaceNow(start, j)
+	must.NotNil(t, other)
+	must.NotEq(t, first.Upstream.ID, second.Upstream.ID)
+	j.TriedUpstreams = append(j.TriedUpstreams, second.Upstream.ID)
+	none, _ := s.PlaceNow(start, j)
+	must.Nil(t, none)
+	must.Eq(t, 0, s.QueueLength())
+
+	j.TriedUpstreams = j.TriedUpstreams[:1]
+	for _, id := range []string{first.Upstream.ID, second.Upstream.ID} {
+		s.RecordFull(start, id)
+	}
+	_, refused := s.Submit(start, newChatJob(2, start))
+	must.Nil(t, refused)
+	must.Eq(t, 1, s.QueueLength())
+	none, _ = s.PlaceNow(start+fullBackoff, j)
+	must.Nil(t, none)
+}
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -202,12 +202,12 @@
 	return slices.ContainsFunc(s.services[service], func(u *upstream) bool { return u.serves(now, model, adapter) })
 }
 
-// HasEligible reports whether some upstream that is not in tried is eligible for
-// a job.
-func (s *Scheduler) HasEligible(now time.Duration, j *Job, tried []string) bool {
+// HasEligible reports whether some upstream that the job has not tried is eligible
+// for it.
+func (s *Scheduler) HasEligible(now time.Duration, j *Job) bool {
 	lowestRate := s.lowestFailureRate(j.Service)
 	return slices.ContainsFunc(s.services[j.Service], func(u *upstream) bool {
-		return u.isEligible(now, j, tried, lowestRate)
+		return u.isEligible(now, j, j.TriedUpstreams, lowestRate)
 	})
 }
 
@@ -288,6 +288,12 @@
 	}
 }
 
+// RecordSilence records that the upstream of a placement makes no progress, as a
+// failure of the upstream.
+func (s *Scheduler) RecordSilence(now time.Duration, p *Placement) {
+	p.upstream.health.recordFailure(now)
+}
+
 // RequestCounts returns the number of requests at each upstream, over all
 // instances, by upstream ID.
 func (s *Scheduler) RequestCounts() map[string]int {
--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -76,14 +76,11 @@
 	if s.queueEnd != 0 {
 		j.FirstEventDeadline = min(j.FirstEventDeadline, s.queueEnd)
 	}
-	ahead := s.jobsAhead(now, j)
-	best, eligible := s.choose(now, j)
-	decision := &Decision{Job: j, Factors: Inputs{Candidates: eligible, QueueLength: ahead, PeerAge: s.peerAge(now)}}
-	if best.upstream != nil && best.fits && ahead == 0 {
-		decision.setUpstream(best)
-		return s.place(now, j, best), decision
+	placement, decision := s.PlaceNow(now, j)
+	if placement != nil {
+		return placement, decision
 	}
-	if refusal, refused := s.checkAdmission(now, j, eligible, ahead); refused {
+	if refusal, refused := s.checkAdmission(now, j, decision.Factors.Candidates, decision.Factors.QueueLength); refused {
 		decision.Refusal = refusal
 		return nil, decision
 	}
@@ -94,6 +91,20 @@
 	return nil, nil
 }
 
+// PlaceNow places a job that was submitted before if an upstream that it has not
+// tried can take it at once. It never queues the job; it returns no placement if
+// there is no such upstream or other jobs go first.
+func (s *Scheduler) PlaceNow(now time.Duration, j *Job) (*Placement, *Decision) {
+	ahead := s.jobsAhead(now, j)
+	best, eligible := s.choose(now, j)
+	decision := &Decision{Job: j, Factors: Inputs{Candidates: eligible, QueueLength: ahead, PeerAge: s.peerAge(now)}}
+	if best.upstream == nil || !best.fits || ahead > 0 {
+		return nil, decision
+	}
+	decision.setUpstream(best)
+	return s.place(now, j, best), decision
+}
+
 // setUpstream sets the fields of a decision that place the job at the
 // candidate.
 func (d *Decision) setUpstream(c candidate) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -26,8 +25,8 @@
 	// outcomeUnknown: the request may have run; the caller has received
 	// nothing, or only the first events of a stream.
 	outcomeUnknown
-	// outcomeStalled: the gateway closed the attempt because the upstream was
-	// silent for too long; otherwise as outcomeUnknown.
+	// outcomeStalled: the upstream was silent for too long and the request went on
+	// at another one; otherwise as outcomeUnknown.
 	outcomeStalled
 	// outcomeCallerLeft: the caller disconnected.
 	outcomeCallerLeft
@@ -43,56 +42,81 @@
 // because the upstream cannot be reached at all.
 const maxUnreachable = 3
 
+// attempt is one attempt to send the request to an upstream.
+type attempt struct {
+	assign.QueueResult
+	cancel   context.CancelFunc
+	charged  bool // charged to the organisation's limit
+	err      error
+	exchange *httpconn.Exchange // nil if err is set
+	response *httpconn.Response // nil until the head of the answer was read
+	silent   bool               // a silence was recorded as the upstream's failure
+}
+
 // serve sends the request to one upstream after another until one answers or no
 // further attempt is allowed.
 func (x *exchange) serve() {
 	ctx, cancel := context.WithTimeout(x.ctx, x.job.Deadline-x.arrived)
 	defer cancel()
 	x.rec.stream = &streamState{}
-	unsent := 0
 	for {
-		placed, ok := x.acquire(ctx)
-		if !ok {
-			x.endWithoutAnswer()
-			return
-		}
-		if placed.Placement == nil {
-			x.endUnplaced(placed.Decision)
-			return
-		}
-		charged := x.chargeRetry()
-		o := x.attempt(ctx, placed)
-		if charged && (o == outcomeNotSent || o == outcomeNotRun) {
-			x.g.limiter.refund(x.org.Name, x.cost)
+		a := x.next
+		x.next = nil
+		if a == nil {
+			placed, ok := x.acquire(ctx)
+			if !ok {
+				x.endWithoutAnswer()
+				return
+			}
+			if placed.Placement == nil {
+				x.endUnplaced(placed.Decision)
+				return
+			}
+			a = x.begin(ctx, placed, x.mayHaveRun)
 		}
-		x.rec.attempts = append(x.rec.attempts, attemptRecord{upstream: placed.Decision.Upstream.ID, outcome: o})
+		o := x.finishAttempt(a, x.relay(ctx, a))
 		switch o {
 		case outcomeDelivered:
 			return
 		case outcomeCallerLeft, outcomeTimeout:
 			x.endWithoutAnswer()
 			return
-		case outcomeNotSent:
-			unsent++
-		default:
-			x.sent++
 		}
-		if !x.mayRetry(o, unsent) {
+		if x.next == nil && !x.mayRetry(o) {
 			x.fail(o)
 			return
 		}
-		x.job.TriedUpstreams = append(x.job.TriedUpstreams, placed.Decision.Upstream.ID)
 	}
 }
 
-// chargeRetry charges the organisation for another attempt if an earlier one may
-// have run, because a request that runs twice is counted twice upstream.
-func (x *exchange) chargeRetry() bool {
-	if x.cost <= 0 || !x.mayHaveRun {
-		return false
+// begin sends the request to the upstream at which it was placed. mayHaveRun is
+// whether an earlier attempt may have run: a request that runs twice is counted
+// twice upstream, so it is charged to the organisation again.
+func (x *exchange) begin(ctx context.Context, placed assign.QueueResult, mayHaveRun bool) *attempt {
+	a := &attempt{QueueResult: placed, charged: mayHaveRun && x.cost > 0}
+	if a.charged {
+		x.g.limiter.charge(x.org.Name, x.cost)
 	}
-	x.g.limiter.charge(x.org.Name, x.cost)
-	return true
+	ctx, a.cancel = context.WithCancel(ctx)
+	u := placed.Decision.Upstream
+	x.job.TriedUpstreams = append(x.job.TriedUpstreams, u.ID)
+	a.exchange, a.err = x.g.pool.Send(ctx, x.upstreamRequest(u))
+	return a
+}
+
+// finishAttempt records an attempt with outcome o and returns o.
+func (x *exchange) finishAttempt(a *attempt, o outcome) outcome {
+	a.cancel()
+	if a.charged && (o == outcomeNotSent || o == outcomeNotRun) {
+		x.g.limiter.refund(x.org.Name, x.cost)
+	}
+	x.rec.attempts = append(x.rec.attempts, attemptRecord{upstream: a.Decision.Upstream.ID, outcome: o})
+	if o == outcomeNotSent {
+		x.unsent++
+	} else {
+		x.sent++
+	}
+	return o
 }
 
 // acquire waits for an upstream for the job and, if no upstream holds the job's
@@ -121,17 +145,17 @@
 // mayRetry reports whether the request may be sent to another upstream after an
 // attempt with outcome o. It takes the retry from the budget and records why a
 // retry is denied.
-func (x *exchange) mayRetry(o outcome, unsent int) bool {
-	x.rec.retryDenied = x.retryDenial(o, unsent)
+func (x *exchange) mayRetry(o outcome) bool {
+	x.rec.retryDenied = x.retryDenial(o)
 	return x.rec.retryDenied == ""
 }
 
-func (x *exchange) retryDenial(o outcome, unsent int) string {
+func (x *exchange) retryDenial(o outcome) string {
 	ran := o != outcomeNotSent && o != outcomeNotRun // or may have run
 	switch {
 	case x.g.now() >= x.job.Deadline || x.ctx.Err() != nil:
 		return deniedOver
-	case o == outcomeNotSent && unsent >= maxUnreachable:
+	case o == outcomeNotSent && x.unsent >= maxUnreachable:
 		return deniedUnreachable
 	case o == outcomeNotSent && x.sent == 0:
 		return ""
@@ -197,32 +221,51 @@
 // or that could not be sent to any.
 const refusedRetryAfter = 300 * time.Millisecond
 
-// attempt sends the request to one upstream and relays its answer.
-func (x *exchange) attempt(ctx context.Context, placed assign.QueueResult) outcome {
-	u := placed.Decision.Upstream
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	wd := x.startWatchdog(u.ID, cancel)
-	defer wd.stop()
-	resp, err := x.g.pool.Do(ctx, x.upstreamRequest(u))
-	if err != nil {
-		return x.sendFailed(placed.Placement, wd, err)
+// relay relays the upstream's answer to an attempt.
+func (x *exchange) relay(ctx context.Context, a *attempt) outcome {
+	if err := x.readHead(ctx, a); err != nil {
+		return x.sendFailed(a, err)
 	}
+	resp := a.response
 	kind := x.g.codec.ClassifyResponse(resp.Status, resp.Header, x.req.AttemptID)
 	if kind != fleet.AnswerOwn {
-		return x.rejectAnswer(placed, resp, kind)
+		return x.rejectAnswer(a, kind)
 	}
 	x.mayHaveRun = true
 	if x.route.Kind == fleet.KindStream && resp.Status == http.StatusOK {
-		return x.relayStream(placed.Placement, resp, wd)
+		return x.relayStream(ctx, a)
 	}
 	if x.rec.stream.headSent {
 		resp.Finish(false)
 		x.rec.lastError = errNotResumed
-		x.g.dispatcher.done(placed.Placement, assign.ResultFailed)
+		x.release(a, assign.ResultFailed)
 		return outcomeUnknown
 	}
-	return x.relayComplete(placed.Placement, resp, wd)
+	return x.relayComplete(ctx, a)
+}
+
+// readHead reads the head of the upstream's answer, unless that was done. It fails
+// with errHandedOver if the request goes on at another upstream.
+func (x *exchange) readHead(ctx context.Context, a *attempt) error {
+	if a.err != nil || a.response != nil {
+		return a.err
+	}
+	if err := x.awaitProgress(ctx, a, a.exchange.Await); err != nil {
+		a.exchange.Close()
+		return err
+	}
+	var err error
+	a.response, err = a.exchange.Response()
+	return err
+}
+
+// release ends the placement of an attempt. It counts one failure of the upstream
+// at most.
+func (x *exchange) release(a *attempt, result assign.Result) {
+	if a.silent && result == assign.ResultFailed {
+		result = assign.ResultUnknown
+	}
+	x.g.dispatcher.done(a.Placement, result)
 }
 
 // upstreamRequest returns the request to send to an upstream.
@@ -240,53 +283,35 @@
 	}
 }
 
-// A repeatable request is sent to another upstream if the first one stays silent
-// before its answer for silenceTimeoutObjectives times the route's objective, and
-// for at least minSilenceTimeout.
-const (
-	silenceTimeoutObjectives = 3
-	minSilenceTimeout        = 600 * time.Millisecond
-)
-
-// startWatchdog starts a watchdog that cancels the attempt if the upstream is
-// silent for too long, provided that the request may then be repeated and another
-// upstream could take it.
-func (x *exchange) startWatchdog(id string, cancel context.CancelFunc) *watchdog {
-	if !x.route.Repeatable() || x.sent+1 >= x.route.MaxAttempts {
-		return &watchdog{}
-	}
-	tried := append(slices.Clone(x.job.TriedUpstreams), id)
-	hasAlternative := func() bool { return x.g.dispatcher.hasAlternative(x.job, tried) }
-	return newWatchdog(max(minSilenceTimeout, silenceTimeoutObjectives*x.route.Objective), hasAlternative, cancel)
-}
-
 // sendFailed ends an attempt that failed before the head of an answer arrived.
-func (x *exchange) sendFailed(p *assign.Placement, wd *watchdog, err error) outcome {
+func (x *exchange) sendFailed(a *attempt, err error) outcome {
 	x.rec.lastError = err
 	if errors.Is(err, httpconn.ErrNotSent) {
 		if x.ctx.Err() != nil {
-			x.g.dispatcher.done(p, assign.ResultUnknown)
+			x.release(a, assign.ResultUnknown)
 			return outcomeCallerLeft
 		}
-		x.g.dispatcher.done(p, assign.ResultFailed)
+		x.release(a, assign.ResultFailed)
 		return outcomeNotSent
 	}
 	x.mayHaveRun = true
-	return x.endBrokenAttempt(p, wd)
+	return x.endBrokenAttempt(a, err)
 }
 
-// endBrokenAttempt ends an attempt that failed after the request was sent. It
-// does not count as a failure of the upstream if the request was already over.
-func (x *exchange) endBrokenAttempt(p *assign.Placement, wd *watchdog) outcome {
+// endBrokenAttempt ends an attempt that failed with err after the request was
+// sent. It does not count as a failure of the upstream if the request was already
+// over.
+func (x *exchange) endBrokenAttempt(a *attempt, err error) outcome {
+	x.rec.lastError = err
+	if errors.Is(err, errHandedOver) {
+		x.release(a, assign.ResultFailed)
+		return outcomeStalled
+	}
 	if o, over := x.requestOver(); over {
-		x.g.dispatcher.done(p, assign.ResultUnknown)
+		x.release(a, assign.ResultUnknown)
 		return o
 	}
-	x.g.dispatcher.done(p, assign.ResultFailed)
-	if silence := wd.silence(); silence > 0 {
-		x.rec.stalledFor = silence
-		return outcomeStalled
-	}
+	x.release(a, assign.ResultFailed)
 	return outcomeUnknown
 }
 
@@ -308,24 +333,24 @@
 const clockSlack = 5 * time.Millisecond
 
 // rejectAnswer ends an attempt whose answer must not be passed to the caller.
-func (x *exchange) rejectAnswer(placed assign.QueueResult, resp *httpconn.Response, kind fleet.AnswerKind) outcome {
-	u := placed.Decision.Upstream
+func (x *exchange) rejectAnswer(a *attempt, kind fleet.AnswerKind) outcome {
+	id, resp := a.Decision.Upstream.ID, a.response
 	switch kind {
 	case fleet.AnswerNotRun:
-		_, err := readAnswer(resp)
+		_, err := readAnswer(resp.Body)
 		resp.Finish(err == nil)
-		x.g.dispatcher.upstreamFull(placed.Placement, u.ID)
+		x.g.dispatcher.upstreamFull(a.Placement, id)
 		return outcomeNotRun
 	case fleet.AnswerMisdirected:
-		_, err := readAnswer(resp)
+		_, err := readAnswer(resp.Body)
 		resp.Finish(err == nil)
-		x.g.dispatcher.modelAbsent(placed.Placement, u.ID, x.job.Model, x.job.Adapter)
+		x.g.dispatcher.modelAbsent(a.Placement, id, x.job.Model, x.job.Adapter)
 		return outcomeNotRun
 	}
 	resp.Finish(false)
 	x.mayHaveRun = true
 	x.rec.lastError = errMismatchedAnswer
-	x.g.dispatcher.done(placed.Placement, assign.ResultFailed)
+	x.release(a, assign.ResultFailed)
 	return outcomeUnknown
 }
 
@@ -338,21 +363,20 @@
 var errMismatchedAnswer = errors.New("gateway: answer is for another request or not from the upstream")
 
 // relayComplete reads the whole answer and then passes it to the caller.
-func (x *exchange) relayComplete(p *assign.Placement, resp *httpconn.Response, wd *watchdog) outcome {
-	body, err := readAnswer(resp)
+func (x *exchange) relayComplete(ctx context.Context, a *attempt) outcome {
+	resp := a.response
+	body, err := readAnswer(&progressReader{x, ctx, a})
 	resp.Finish(err == nil)
-	wd.stop()
 	if err != nil {
-		x.rec.lastError = err
-		return x.endBrokenAttempt(p, wd)
+		return x.endBrokenAttempt(a, err)
 	}
 	if resp.Status >= http.StatusInternalServerError {
-		x.g.dispatcher.done(p, assign.ResultFailed)
+		x.release(a, assign.ResultFailed)
 		if x.reserveRetry() {
 			return outcomeUnknown
 		}
 	} else {
-		x.g.dispatcher.done(p, assign.ResultOK)
+		x.release(a, assign.ResultOK)
 	}
 	if x.ctx.Err() != nil {
 		return outcomeCallerLeft
@@ -370,7 +394,7 @@
 // reserveRetry reports whether a request that an upstream answered with a server
 // error should be retried at another one, and takes that retry from the budget.
 func (x *exchange) reserveRetry() bool {
-	if !x.route.Repeatable() || len(x.job.TriedUpstreams)+1 >= x.route.MaxAttempts || x.g.now() >= x.job.Objective {
+	if !x.route.Repeatable() || len(x.job.TriedUpstreams) >= x.route.MaxAttempts || x.g.now() >= x.job.Objective {
 		return false
 	}
 	x.retryReserved = x.g.retryBudget.takeRetry(x.service)
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -166,12 +166,24 @@
 	return d.sched.HasModel(d.now(), service, model, adapter)
 }
 
-// hasAlternative reports whether an upstream other than those tried could take
-// the job.
-func (d *dispatcher) hasAlternative(j *assign.Job, tried []string) bool {
+// placeNow places a job at an upstream that it has not tried, if one can take it at
+// once.
+func (d *dispatcher) placeNow(j *assign.Job) (result assign.QueueResult, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.sched.HasEligible(d.now(), j, tried)
+	placement, decision := d.sched.PlaceNow(d.now(), j)
+	return assign.QueueResult{Decision: *decision, Placement: placement}, placement != nil
+}
+
+// recordSilence records that an upstream makes no progress with a request, if
+// another upstream is eligible for it, and reports whether it did.
+func (d *dispatcher) recordSilence(p *assign.Placement, j *assign.Job) (recorded bool) {
+	d.update(func(now time.Duration, s *assign.Scheduler) {
+		if recorded = s.HasEligible(now, j); recorded {
+			s.RecordSilence(now, p)
+		}
+	})
+	return recorded
 }
 
 // localLoads returns this instance's load at each upstream, to be sent to peers.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -69,9 +69,11 @@
 	cost    float64 // charged to the organisation's limit
 	job     *assign.Job
 
-	mayHaveRun    bool // some upstream may have started the request
-	retryReserved bool // the next attempt has already been taken from the retry budget
-	sent          int  // attempts of which at least one byte may have been sent
+	mayHaveRun    bool     // some upstream may have started the request
+	retryReserved bool     // the next attempt has already been taken from the retry budget
+	sent          int      // ended attempts of which at least one byte may have been sent
+	unsent        int      // ended attempts of which no byte was sent
+	next          *attempt // begun already, nil if there is none
 	rec           requestRecord
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
@@ -20,11 +19,6 @@
 	// maxAnswerBytes is the maximum size of the body of a non-stream answer.
 	maxAnswerBytes  = 64 << 20
 	readBufferBytes = 16 << 10
-	// stallTimeoutGaps is how long a stream may be silent before it is resumed
-	// at another upstream, in multiples of the longest pause that still counts
-	// as on time. The time is at least minStallTimeout.
-	stallTimeoutGaps = 4
-	minStallTimeout  = 800 * time.Millisecond
 )
 
 // streamState is the part of a stream that the caller has received so far.
@@ -45,77 +39,24 @@
 // lastID returns the ID of the last event that was relayed to the caller.
 func (s *streamState) lastID() string { return s.lastEventID }
 
-// watchdog cancels an attempt that makes no progress for too long, provided that
-// another upstream could then take the request.
-type watchdog struct {
-	timer   *time.Timer
-	timeout atomic.Int64 // the current time.Duration, 0 once the watchdog has stopped
-	fired   atomic.Int64 // the time.Duration after which it cancelled the attempt, 0 if it did not
-}
-
-// silence returns the time without progress for which the watchdog has cancelled
-// the attempt, 0 if it has not.
-func (w *watchdog) silence() time.Duration { return time.Duration(w.fired.Load()) }
-
-// newWatchdog returns a running watchdog. The zero watchdog never fires.
-func newWatchdog(timeout time.Duration, hasAlternative func() bool, cancel context.CancelFunc) *watchdog {
-	w := &watchdog{}
-	w.timeout.Store(int64(timeout))
-	armed := make(chan struct{})
-	w.timer = time.AfterFunc(timeout, func() {
-		<-armed // w.timer is set
-		timeout := time.Duration(w.timeout.Load())
-		switch {
-		case timeout == 0:
-		case hasAlternative():
-			w.fired.Store(int64(timeout))
-			cancel()
-		default:
-			w.timer.Reset(timeout)
-		}
-	})
-	close(armed)
-	return w
-}
-
-func (w *watchdog) reset(timeout time.Duration) {
-	if w.timer != nil {
-		w.timeout.Store(int64(timeout))
-		w.timer.Reset(timeout)
-	}
-}
-
-func (w *watchdog) stop() {
-	if w.timer != nil {
-		w.timeout.Store(0)
-		w.timer.Stop()
-	}
-}
-
-func (x *exchange) stallTimeout() time.Duration {
-	return max(minStallTimeout, stallTimeoutGaps*x.route.MaxGap)
-}
-
 // relayStream relays events as they arrive. It passes only whole events to the
 // caller, so that another upstream can resume the stream after the last one.
-func (x *exchange) relayStream(p *assign.Placement, resp *httpconn.Response, wd *watchdog) outcome {
-	err := x.copyEvents(p, resp, wd)
-	wd.stop()
-	resp.Finish(err == nil)
+func (x *exchange) relayStream(ctx context.Context, a *attempt) outcome {
+	err := x.copyEvents(a, &progressReader{x, ctx, a})
+	a.response.Finish(err == nil)
 	var disconnected *callerDisconnectedError
 	switch {
 	case err == nil:
-		x.g.dispatcher.done(p, assign.ResultOK)
+		x.release(a, assign.ResultOK)
 		x.rec.status = http.StatusOK
-		x.sendHead(resp) // an answer without any events is complete, too
+		x.sendHead(a.response) // an answer without any events is complete, too
 		return outcomeDelivered
 	case errors.As(err, &disconnected):
 		x.rec.lastError = err
-		x.g.dispatcher.done(p, assign.ResultUnknown)
+		x.release(a, assign.ResultUnknown)
 		return outcomeCallerLeft
 	}
-	x.rec.lastError = err
-	return x.endBrokenAttempt(p, wd)
+	return x.endBrokenAttempt(a, err)
 }
 
 // callerDisconnectedError means that an event could not be written to the
@@ -130,12 +71,12 @@
 
 // copyEvents relays events until the stream ends or breaks. In a resumed stream
 // it skips the events that the caller already has.
-func (x *exchange) copyEvents(p *assign.Placement, resp *httpconn.Response, wd *watchdog) error {
+func (x *exchange) copyEvents(a *attempt, body io.Reader) error {
 	splitter := eventstream.NewSplitter(maxEventBytes)
 	buf := make([]byte, readBufferBytes)
 	resumed, started := x.rec.stream.headSent, false
 	for {
-		n, readErr := resp.Body.Read(buf)
+		n, readErr := body.Read(buf)
 		if err := splitter.Feed(buf[:n]); err != nil {
 			return err
 		}
@@ -150,9 +91,9 @@
 			}
 			if !started {
 				started = true
-				x.g.dispatcher.firstToken(p)
+				x.g.dispatcher.firstToken(a.Placement)
 			}
-			x.sendHead(resp)
+			x.sendHead(a.response)
 			if _, err := x.w.Write(event.Raw); err != nil {
 				return &callerDisconnectedError{err}
 			}
@@ -165,7 +106,6 @@
 		}
 		if wrote {
 			x.rec.stream.recordGap(x.g.now())
-			wd.reset(x.stallTimeout())
 			if err := http.NewResponseController(x.w).Flush(); err != nil {
 				return &callerDisconnectedError{err}
 			}
@@ -203,8 +143,8 @@
 	return errLast != nil || errThis != nil || this > last
 }
 
-func readAnswer(resp *httpconn.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+func readAnswer(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errAnswerTooLarge
 	}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -29,6 +30,10 @@
 	ErrExchangeFailed = errors.New("httpconn: exchange broken")
 )
 
+// ErrSilent means that the upstream has sent nothing for some time. The exchange
+// can go on.
+var ErrSilent = errors.New("httpconn: upstream silent")
+
 const (
 	readBufferBytes = 4 << 10
 	// tcpUserTimeout is the TCP_USER_TIMEOUT of connections: the kernel closes a
@@ -97,8 +102,8 @@
 	return optErr
 }
 
-// healthy reports whether an idle connection can be reused. It cannot if there is
-// unread data, an end of file or an error on it.
+// healthy reports whether the connection is open and nothing can be read from it:
+// no data, end of file or error. An idle connection can then be reused.
 func (c *conn) healthy() bool {
 	if c.reader.Buffered() > 0 {
 		return false
@@ -121,6 +126,25 @@
 	return err == nil && healthy
 }
 
+// await waits until there is something to read, including an end of file or an
+// error. It fails with ErrSilent if that takes longer than timeout; 0 means not to
+// wait.
+func (c *conn) await(timeout time.Duration) error {
+	if timeout <= 0 || c.reader.Buffered() > 0 {
+		return nil
+	}
+	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return nil // the next read reports it
+	}
+	_, err := c.reader.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	// After a suspend the deadline may have passed although data has arrived.
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.healthy() {
+		return ErrSilent
+	}
+	return nil
+}
+
 // send writes the request with one vectored write. sent reports whether any byte
 // of it may have been sent.
 func (c *conn) send(r *Request) (sent bool, err error) {
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -44,26 +44,65 @@
 // ends, the connection is closed, also while the body is read. Do fails with
 // ErrNotSent or ErrExchangeFailed.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
+	e, err := p.Send(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return e.Response()
+}
+
+// Exchange is a request that was sent, at least in part, and whose response has
+// not been read. The caller must call Response or Close.
+type Exchange struct {
+	pool         *Pool
+	conn         *conn
+	request      *Request
+	written      <-chan writeResult // see readHead
+	stopCtxWatch func() bool
+}
+
+// Send sends a request. When ctx ends, the connection is closed, also while the
+// response is read. Send fails with ErrNotSent or ErrExchangeFailed.
+func (p *Pool) Send(ctx context.Context, r *Request) (*Exchange, error) {
 	c, err := p.get(ctx, r.Address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	stopCtxWatch := context.AfterFunc(ctx, func() { _ = c.Close() })
+	e := &Exchange{pool: p, conn: c, request: r, stopCtxWatch: context.AfterFunc(ctx, func() { _ = c.Close() })}
 	if ctx.Err() != nil {
-		stopCtxWatch()
-		_ = c.Close()
+		e.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
-	resp, err := p.exchange(c, r)
+	if e.written, err = c.start(r); err != nil {
+		e.Close()
+		return nil, err
+	}
+	return e, nil
+}
+
+// Await waits until something of the response has arrived or the connection has
+// failed. It fails with ErrSilent if that takes longer than timeout; 0 means not
+// to wait.
+func (e *Exchange) Await(timeout time.Duration) error { return e.conn.await(timeout) }
+
+// Response reads the status and header of the response. It fails with
+// ErrExchangeFailed.
+func (e *Exchange) Response() (*Response, error) {
+	resp, err := e.pool.readHead(e.conn, e.request, e.written)
 	if err != nil {
-		stopCtxWatch()
-		_ = c.Close()
+		e.Close()
 		return nil, err
 	}
-	resp.stopCtxWatch = stopCtxWatch
+	resp.stopCtxWatch = e.stopCtxWatch
 	return resp, nil
 }
 
+// Close closes the connection.
+func (e *Exchange) Close() {
+	e.stopCtxWatch()
+	_ = e.conn.Close()
+}
+
 // writeResult is the outcome of sending a request in the background. A long body
 // is sent while the response is read, because an upstream may respond before it
 // has read the whole body.
@@ -76,7 +115,9 @@
 // before the response is read.
 const maxInlineBodyBytes = 16 << 10
 
-func (p *Pool) exchange(c *conn, r *Request) (*Response, error) {
+// start sends the request. The channel receives the result of a background send;
+// it is nil if the request has been sent.
+func (c *conn) start(r *Request) (<-chan writeResult, error) {
 	if len(r.Body) <= maxInlineBodyBytes {
 		sent, err := c.send(r)
 		if err != nil && !sent {
@@ -85,14 +126,14 @@
 		if err != nil {
 			return nil, brokenError(err)
 		}
-		return p.readHead(c, r, nil)
+		return nil, nil
 	}
 	written := make(chan writeResult, 1)
 	go func() {
 		sent, err := c.send(r)
 		written <- writeResult{sent, err}
 	}()
-	return p.readHead(c, r, written)
+	return written, nil
 }
 
 // readHead reads the status and header of the response and skips responses to
@@ -211,6 +252,15 @@
 	}
 }
 
+// Await waits until more of the body has arrived or the connection has failed. It
+// fails with ErrSilent if that takes longer than timeout; 0 means not to wait.
+func (r *Response) Await(timeout time.Duration) error {
+	if r.Body == http.NoBody {
+		return nil
+	}
+	return r.conn.await(timeout)
+}
+
 // Finish ends an exchange. complete means that the body was read to its end
 // without an error; then the connection is kept for reuse if the peer allows it.
 // Otherwise it is closed. Further calls do nothing.
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -199,3 +199,45 @@
 	must.ErrorIs(t, err, ErrExchangeFailed)
 	must.Error(t, <-closed)
 }
+
+func TestSilentExchangeGoesOn(t *testing.T) {
+	proceed := make(chan struct{})
+	u := newRawServer(t, func(c net.Conn, r *http.Request, _ int) bool {
+		<-proceed
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+		<-proceed
+		_, err := io.WriteString(c, "4\r\nrest\r\n0\r\n\r\n")
+		return err == nil
+	})
+	e, err := u.pool.Send(context.Background(), &Request{Address: u.address, Method: "GET", RequestURI: "/", Host: "h"})
+	must.NoError(t, err)
+	must.ErrorIs(t, e.Await(10*time.Millisecond), ErrSilent)
+	proceed <- struct{}{}
+	must.NoError(t, e.Await(time.Minute))
+	resp, err := e.Response()
+	must.NoError(t, err)
+	buf := make([]byte, 100)
+	n, err := resp.Body.Read(buf)
+	must.NoError(t, err)
+	must.Eq(t, "half", string(buf[:n]))
+	must.ErrorIs(t, resp.Await(10*time.Millisecond), ErrSilent)
+	proceed <- struct{}{}
+	must.NoError(t, resp.Await(time.Minute))
+	rest, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.Eq(t, "rest", string(rest))
+	resp.Finish(true)
+	must.Eq(t, 1, len(u.pool.idle[u.address])) // the connection is kept
+}
+
+// An empty body has nothing to wait for.
+func TestAwaitOfAnEmptyBodyReturns(t *testing.T) {
+	u := newRawServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	resp, err := u.pool.Do(context.Background(), &Request{Address: u.address, Method: "GET", RequestURI: "/", Host: "h"})
+	must.NoError(t, err)
+	must.NoError(t, resp.Await(time.Minute))
+	resp.Finish(true)
+}
