--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -131,9 +132,9 @@
 }
 
 func TestRequestIsNotRetried(t *testing.T) {
-	requests := 0
+	var requests atomic.Int32
 	u := newRawServer(t, func(c net.Conn, r *http.Request, n int) bool {
-		requests++
+		requests.Add(1)
 		if n > 0 {
 			return false // closes the reused connection without a response
 		}
@@ -144,7 +145,7 @@
 	must.NoError(t, err)
 	_, _, err = u.do("2")
 	must.ErrorIs(t, err, ErrExchangeFailed)
-	must.Eq(t, 2, requests)
+	must.Eq(t, 2, requests.Load())
 }
 
 func TestMalformedResponses(t *testing.T) {
