Let a broken stream wait for a place as long as its caller does

What callers saw: a stream whose upstream crashed was cut although another upstream became free in time.

Cause: the queue treated the stream as a new request. It refused it from the time by which a first event was due, 2.4 s after its arrival, though its caller had events and waits for the next one; and it shed it as late, which frees a place for a request that can be on time but cuts an answer that is half delivered.

Change: a job in progress has the deadline of its next event, the last event plus the caller's patience, and is not shed. The order of the queue is unchanged.

The stream's place in a stopping instance's queue is limited as before.

--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -407,3 +407,25 @@
 	none, _ = s.PlaceNow(start+fullBackoff, j)
 	must.Nil(t, none)
 }
+
+// In an overload a late job is refused, but not one whose caller has part of the
+// response.
+func TestJobInProgressIsNotShed(t *testing.T) {
+	s := newTestScheduler(1, "m")
+	s.RecordFull(start+time.Second, "e0")
+	jobs := map[bool]*Job{}
+	for _, inProgress := range []bool{false, true} {
+		j := newChatJob(1, start)
+		j.InProgress, j.FirstEventDeadline = inProgress, start+5*time.Second
+		p, d := s.Submit(start+time.Second, j)
+		must.Nil(t, p)
+		must.Nil(t, d)
+		jobs[inProgress] = j
+	}
+	_, d := s.Submit(start+time.Second, newChatJob(2, start+time.Second)) // on time
+	must.Nil(t, d)
+	results := s.PlaceQueued(start + time.Second)
+	must.Len(t, 1, results)
+	must.True(t, results[0].Decision.Job == jobs[false])
+	must.Nil(t, results[0].Placement)
+}
--- a/internal/assign/job.go
+++ b/internal/assign/job.go
@@ -27,8 +27,11 @@
 	// of a stream, by this time counts as on time.
 	Objective time.Duration
 	// FirstEventDeadline is the time at which the caller stops waiting for a
-	// first event.
+	// first event or, if the job is in progress, for the next event.
 	FirstEventDeadline time.Duration
+	// InProgress is whether the caller has received part of the response. Such a
+	// job is not shed in an overload, since the response would be cut.
+	InProgress bool
 	// Deadline is the time at which the request ends without a response.
 	Deadline time.Duration
 	// TriedUpstreams are the IDs of the upstreams that the request was already
--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -204,7 +204,7 @@
 // queued until its caller leaves. blocked is the number of jobs of its model and
 // adapter that could not be placed in this call of PlaceQueued.
 func (s *Scheduler) shouldShed(now time.Duration, j *Job, blocked int) bool {
-	return blocked > 0 && now >= j.Objective+lateQueueTime
+	return blocked > 0 && !j.InProgress && now >= j.Objective+lateQueueTime
 }
 
 // Cancel removes from the queue a job whose caller has left. It reports whether
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -125,6 +125,10 @@
 	if x.job.Adapter != "" {
 		x.g.adapterRequests.requestIfMissing(x.service, x.job.Model, x.job.Adapter)
 	}
+	if x.rec.stream.headSent {
+		x.job.InProgress = true
+		x.job.FirstEventDeadline = min(x.rec.stream.lastEventAt+x.patience, x.job.Deadline)
+	}
 	started := x.g.now()
 	placed, ok := x.g.dispatcher.acquire(ctx, x.job)
 	x.rec.queueTime += x.g.now() - started
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -45,8 +45,8 @@
 	// notReadyRetryAfter is the retry-after time of requests at an instance that
 	// has no configuration yet.
 	notReadyRetryAfter = time.Second
-	// The caller of a stream is assumed to give up waiting for the first event
-	// after the longest of these times.
+	// The caller of a stream is assumed to give up waiting for an event after the
+	// longest of these times.
 	minStreamPatience        = 2 * time.Second
 	streamPatienceObjectives = 4 // multiple of the route's objective
 	streamPatienceGaps       = 8 // multiple of the longest pause that still counts as on time
@@ -69,6 +69,8 @@
 	cost    float64 // charged to the organisation's limit
 	job     *assign.Job
 
+	patience time.Duration // how long the caller waits for an event, or for the answer
+
 	mayHaveRun    bool     // some upstream may have started the request
 	retryReserved bool     // the next attempt has already been taken from the retry budget
 	sent          int      // ended attempts of which at least one byte may have been sent
@@ -182,6 +184,7 @@
 	if x.route.Kind == fleet.KindStream {
 		patience = min(timeout, max(minStreamPatience, streamPatienceObjectives*objective, streamPatienceGaps*x.route.MaxGap))
 	}
+	x.patience = patience
 	svc := x.config.Services[x.service]
 	x.job = &assign.Job{
 		ID: x.req.AttemptID, Service: x.service, Model: x.req.Model, Adapter: x.req.Adapter,
