Return a retry that was not sent to the retry budget

What callers saw: a stream whose upstream had crashed was cut after the next upstream refused the connection.

Cause: a retry is taken from the budget before the attempt. When no byte of it was sent, the retry was spent all the same, and the following attempt needed another.

Change: the attempt knows whether it took a retry and returns it if it was not sent. No upstream has received anything, so that the budget's bound holds as before. The number of unreachable upstreams of a request stays bounded.

TestUnsentRetryKeepsTheBudget fails without the return.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,6 +47,7 @@
 	assign.QueueResult
 	cancel   context.CancelFunc
 	charged  bool // charged to the organisation's limit
+	retry    bool // taken from the retry budget
 	err      error
 	exchange *httpconn.Exchange // nil if err is set
 	response *httpconn.Response // nil until the head of the answer was read
@@ -72,7 +73,7 @@
 				x.endUnplaced(placed.Decision)
 				return
 			}
-			a = x.begin(ctx, placed, x.mayHaveRun)
+			a = x.begin(ctx, placed, false)
 		}
 		o := x.finishAttempt(a, x.relay(ctx, a))
 		switch o {
@@ -89,11 +90,11 @@
 	}
 }
 
-// begin sends the request to the upstream at which it was placed. mayHaveRun is
-// whether an earlier attempt may have run: a request that runs twice is counted
-// twice upstream, so it is charged to the organisation again.
-func (x *exchange) begin(ctx context.Context, placed assign.QueueResult, mayHaveRun bool) *attempt {
-	a := &attempt{QueueResult: placed, charged: mayHaveRun && x.cost > 0}
+// begin sends the request to the upstream at which it was placed. concurrent is
+// whether another attempt is still open. The request is charged to the organisation
+// again if an earlier attempt may have run, because it then counts twice upstream.
+func (x *exchange) begin(ctx context.Context, placed assign.QueueResult, concurrent bool) *attempt {
+	a := &attempt{QueueResult: placed, retry: concurrent || x.sent > 0, charged: (concurrent || x.mayHaveRun) && x.cost > 0}
 	if a.charged {
 		x.g.limiter.charge(x.org.Name, x.cost)
 	}
@@ -111,10 +112,13 @@
 		x.g.limiter.refund(x.org.Name, x.cost)
 	}
 	x.rec.attempts = append(x.rec.attempts, attemptRecord{upstream: a.Decision.Upstream.ID, outcome: o})
-	if o == outcomeNotSent {
-		x.unsent++
-	} else {
+	if o != outcomeNotSent {
 		x.sent++
+		return o
+	}
+	x.unsent++
+	if a.retry {
+		x.g.retryBudget.returnRetry(x.service)
 	}
 	return o
 }
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -68,6 +68,14 @@
 	c.slots[c.newest%slotsPerWindow].requests++
 }
 
+// returnRetry returns a retry that was taken from the budget and not sent.
+func (b *retryBudget) returnRetry(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.advance(service)
+	c.slots[c.newest%slotsPerWindow].retries--
+}
+
 // takeRetry takes one retry from the budget and reports whether it had one.
 func (b *retryBudget) takeRetry(service string) bool {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/gateway/retries_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/assign"
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/settings"
+	"github.com/shoenig/test/must"
+)
+
+// newTestExchange returns an exchange on a repeatable route with a budget of n
+// retries.
+func newTestExchange(n int) *exchange {
+	now := func() time.Duration { return time.Minute }
+	budget := newRetryBudget(RetrySettings{FixedPerWindow: float64(n) / budgetSafetyFactor, Window: settings.Duration(10 * time.Second)}, func() int { return 1 }, now)
+	return &exchange{
+		g: &Gateway{now: now, retryBudget: budget}, ctx: context.Background(), service: "app",
+		route: &fleet.Route{Kind: fleet.KindIdempotent, MaxAttempts: 9}, job: &assign.Job{Deadline: time.Hour},
+	}
+}
+
+// endOne ends an attempt as serve does and reports whether another may follow.
+func (x *exchange) endOne(o outcome) bool {
+	a := &attempt{
+		QueueResult: assign.QueueResult{Decision: assign.Decision{Upstream: &fleet.Upstream{ID: "u"}}},
+		cancel:      func() {}, retry: x.sent > 0,
+	}
+	return x.mayRetry(x.finishAttempt(a, o))
+}
+
+// A retry that no upstream received is not lost to the budget.
+func TestUnsentRetryKeepsTheBudget(t *testing.T) {
+	x := newTestExchange(1)
+	must.True(t, x.endOne(outcomeUnknown))
+	must.True(t, x.endOne(outcomeNotSent))
+	must.True(t, x.endOne(outcomeNotSent))
+	must.False(t, x.endOne(outcomeUnknown)) // the one retry was sent
+	must.Eq(t, deniedBudget, x.rec.retryDenied)
+}
