Reserve the next attempt before a plain attempt is given up

Callers of an idempotent route got 502 upstream_failed from a service that would have answered in time.

Cause: each attempt ended after the smaller of a third of the deadline and progress_ms. Only afterwards were the deadline and the retry budget asked for another attempt; if one of them denied it, the caller got neither answer.

Evidence: TestPlainAttemptIsKeptUnlessReplaced got 502 after 0.2 s of a deadline of 3 s, with an empty budget; the service answers after 0.4 s.

Change: once.Request.ReserveRetry takes the time and the retry while the attempt is open. AttemptDone uses the reservation, and it goes back to the budget if the attempt is answered or the request given up. The goroutine of the request asks for it after each interval without an answer, and closes the connection only if it has it. Else the attempt goes on until the call's deadline. All decisions stay in that goroutine, so that Request needs no lock.

TestIdempotentCallRetriesOnANewConnection, unchanged, passes: with a budget a silent connection is still replaced.

Not covered: a place at an upstream is still asked for after the close.

--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -150,7 +150,7 @@
 		})
 	}
 	err = p.server.runAttempts(ctx, req, acquire, func(id string, slot *dispatch.Slot) (outcome once.Outcome) {
-		answer, outcome = p.attempt(ctx, id, slot)
+		answer, outcome = p.attempt(ctx, req, id, slot)
 		p.server.flow(p.call).Attempt(string(outcome))
 		p.ran = p.ran || mayHaveRun(outcome)
 		releaseSlot(slot, outcome, 0)
@@ -177,7 +177,7 @@
 }
 
 // attempt sends the call to one upstream and reads the complete answer.
-func (p *plainCall) attempt(ctx context.Context, id string, slot *dispatch.Slot) (*plainAnswer, once.Outcome) {
+func (p *plainCall) attempt(ctx context.Context, req *once.Request, id string, slot *dispatch.Slot) (*plainAnswer, once.Outcome) {
 	address, ok := addressOf(p.call.service, slot.Upstream)
 	if !ok {
 		return nil, once.NotSent
@@ -190,37 +190,53 @@
 	a.Header.Set(headerRequestID, p.call.id)
 	p.call.attempted = true
 	p.server.recordAttempt(p.call, id, slot.Upstream)
-	return p.send(ctx, a)
+	return p.send(ctx, req, a)
 }
 
-// attemptsPerDeadline is how many attempt timeouts fit into a call's deadline, so
-// that there is time for another attempt when one gets no answer.
+// attemptsPerDeadline is how many attempts without an answer fit into a call's
+// deadline, so that there is time for another attempt when one gets no answer.
 const attemptsPerDeadline = 3
 
-// attemptTimeout returns the timeout of one attempt. An idempotent call gets only
-// part of its deadline per attempt, since the connection may have gone silent.
-// Other calls have a single attempt with the whole deadline.
-func (p *plainCall) attemptTimeout() time.Duration {
-	if !p.route.Idempotent {
-		return time.Duration(p.route.DeadlineMS) * time.Millisecond
-	}
+// silenceInterval returns the time without an answer after which an attempt may be
+// given up for another one, since the connection may have gone silent.
+func (p *plainCall) silenceInterval() time.Duration {
 	attemptMS := p.route.DeadlineMS / attemptsPerDeadline
-	return time.Duration(min(attemptMS, p.call.service.Deadlines.ProgressMS)) * time.Millisecond
+	return time.Duration(max(1, min(attemptMS, p.call.service.Deadlines.ProgressMS))) * time.Millisecond
 }
 
-// send runs an attempt within its timeout. If only the attempt timed out, the
-// connection is taken to be silent: idle connections are closed and the next
-// attempt uses a new one.
-func (p *plainCall) send(ctx context.Context, a *upstream.Attempt) (*plainAnswer, once.Outcome) {
-	attemptCtx, cancel := context.WithTimeout(ctx, p.attemptTimeout())
+// send runs an attempt. Without an answer it is given up at the end of a silence
+// interval at which another attempt can be reserved; else it is kept until ctx ends.
+func (p *plainCall) send(ctx context.Context, req *once.Request, a *upstream.Attempt) (answer *plainAnswer, outcome once.Outcome) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answer, outcome := p.exchange(attemptCtx, a)
-	if attemptCtx.Err() != nil && ctx.Err() == nil {
-		p.server.opts.Metrics.Count(metrics.SilentConnections)
-		p.server.opts.Upstream.CloseIdle()
-		p.freshConnection = true
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		answer, outcome = p.exchange(ctx, a)
+	}()
+	silence := time.NewTicker(p.silenceInterval())
+	defer silence.Stop()
+	for {
+		select {
+		case <-done:
+			return answer, outcome
+		case <-silence.C:
+			if req.ReserveRetry(p.server.opts.Now()) {
+				p.closeSilent(cancel)
+				<-done
+				return answer, outcome
+			}
+		}
 	}
-	return answer, outcome
+}
+
+// closeSilent closes the connection of an attempt and those that are idle, which may
+// be silent too; the next attempt uses a new one.
+func (p *plainCall) closeSilent(closeConnection func()) {
+	p.server.opts.Metrics.Count(metrics.SilentConnections)
+	p.server.opts.Upstream.CloseIdle()
+	p.freshConnection = true
+	closeConnection()
 }
 
 // exchange sends an attempt, reads the complete answer and classifies the
--- a/internal/once/budget.go
+++ b/internal/once/budget.go
@@ -75,6 +75,13 @@
 	return true
 }
 
+// Return gives back a retry that was deducted and not made.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balance = min(b.balance+1, b.opts.MaxBalance)
+}
+
 // refill adds the retries that accrued since the last refill. It never raises
 // the balance above the reserve.
 func (b *Budget) refill(now time.Duration) {
--- a/internal/once/request.go
+++ b/internal/once/request.go
@@ -62,6 +62,9 @@
 	machine *statechart.Machine
 	attempt string
 	retries int
+
+	reserved   bool          // the budget's retry for the next attempt is taken
+	retryDelay time.Duration // delay before that attempt
 }
 
 // NewRequest returns a request without attempts.
@@ -112,6 +115,7 @@
 	}
 	switch outcome {
 	case Answered:
+		r.returnReserved()
 		return r.fire(eventAnswered)
 	case NotSent, RefusedBeforeRun:
 		return r.retryOrFail(now, true, eventNotRunRetry, eventNotRunFinal)
@@ -119,17 +123,40 @@
 	return r.retryOrFail(now, r.opts.Idempotent, eventUnknownRetry, eventUnknownFinal)
 }
 
+// ReserveRetry takes, while an attempt is open, what another one needs if the open
+// one ends as Unknown: time before the deadline and a retry from the budget. It
+// reports whether they are taken. An attempt without an answer may be given up only
+// then. AttemptDone uses the reservation; it goes back if no attempt follows.
+func (r *Request) ReserveRetry(now time.Duration) bool {
+	if !r.reserved && r.opts.Idempotent && r.attemptOpen() {
+		r.reserved = r.takeRetry(now)
+	}
+	return r.reserved
+}
+
+func (r *Request) takeRetry(now time.Duration) bool {
+	r.retryDelay = r.budget.Backoff(r.retries + 1)
+	return now+r.retryDelay < r.opts.Deadline && r.budget.Retry(now)
+}
+
+func (r *Request) returnReserved() {
+	if r.reserved {
+		r.reserved = false
+		r.budget.Return()
+	}
+}
+
 func (r *Request) retryOrFail(now time.Duration, allowed bool, retry, final string) Decision {
 	if !r.attemptOpen() {
 		return r.decision()
 	}
-	wait := r.budget.Backoff(r.retries + 1)
-	if !allowed || now+wait >= r.opts.Deadline || !r.budget.Retry(now) {
+	if !r.reserved && (!allowed || !r.takeRetry(now)) {
 		return r.fire(final)
 	}
+	r.reserved = false
 	r.retries++
 	d := r.fire(retry)
-	d.Delay = wait
+	d.Delay = r.retryDelay
 	return d
 }
 
@@ -140,7 +167,10 @@
 // GiveUp ends the request because the caller disconnected, the deadline passed
 // or the instance is stopping. It does not release an open claim: the code that
 // calls GiveUp must do so.
-func (r *Request) GiveUp() Decision { return r.fire(eventGiveUp) }
+func (r *Request) GiveUp() Decision {
+	r.returnReserved()
+	return r.fire(eventGiveUp)
+}
 
 func (r *Request) fire(event string) Decision {
 	if _, err := r.machine.Fire(event); err != nil {
--- a/internal/once/request_test.go
+++ b/internal/once/request_test.go
@@ -69,6 +69,43 @@
 	})
 }
 
+// A reserved retry must follow although the deadline passes and the budget empties
+// in between. Without an attempt that uses it, it must return to the budget.
+func TestReservedRetryIsKeptOrReturned(t *testing.T) {
+	const deadline = time.Second
+	begin := func(idempotent bool, b *Budget) *Request {
+		r := NewRequest(RequestOptions{Idempotent: idempotent, Deadline: deadline}, b)
+		must.False(t, r.ReserveRetry(0), must.Sprint("no attempt is open"))
+		must.True(t, r.StartAttempt("a"))
+		return r
+	}
+	one := BudgetOptions{Reserve: 1, RetryRatio: 0.001, ReserveRefill: time.Hour}
+
+	b := NewBudget(0, one, newRand())
+	r := begin(true, b)
+	must.True(t, r.ReserveRetry(0))
+	must.True(t, r.ReserveRetry(0), must.Sprint("one retry is enough"))
+	must.False(t, begin(true, b).ReserveRetry(0), must.Sprint("the budget is empty"))
+	must.EqOp(t, StepStart, r.AttemptDone(2*deadline, "a", Unknown).Next)
+	must.True(t, r.StartAttempt("b"))
+	must.EqOp(t, StepFail, r.AttemptDone(0, "b", Unknown).Next, must.Sprint("it is used once"))
+
+	for _, end := range []func(*Request){
+		func(r *Request) { r.AttemptDone(0, "a", Answered) },
+		func(r *Request) { r.GiveUp() },
+	} {
+		b := NewBudget(0, one, newRand())
+		r := begin(true, b)
+		must.True(t, r.ReserveRetry(0))
+		end(r)
+		must.False(t, r.ReserveRetry(0), must.Sprint("the request has ended"))
+		must.True(t, b.Retry(0), must.Sprint("it was returned"))
+		must.False(t, b.Retry(0), must.Sprint("once"))
+	}
+	must.False(t, begin(true, NewBudget(0, one, newRand())).ReserveRetry(deadline))
+	must.False(t, begin(false, NewBudget(0, one, newRand())).ReserveRetry(0))
+}
+
 // While upstreams or a zone are unavailable, the mean number of attempts per
 // request stays bounded.
 func TestBudgetBoundsAttempts(t *testing.T) {
