Reserve the next attempt before one without an event is given up

Callers got 502 upstream_failed from an engine that would have begun its answer later: for live requests with the default deadlines always, as the deadline of attempts is 480 ms and the engine's silence was ended after progress_ms, 5 s.

Cause: the timer closed the connection first, and the deadline and the retry budget were asked for another attempt afterwards.

Change: one goroutine of the stream now receives events, ends of connections and the silence timer; each connection is read by a goroutine of its own (connection.go). So Request.ReserveRetry can be asked when the timer fires, no event can come between that and the close, and no lock is needed. Without a reservation the timer is set again, until request_ms is over. Silence after the first token is handled as before. The three log lines of a failed connection are now one, "connection failed" with its error.

Not covered: a place at an upstream is still asked for after the close.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -1,13 +1,12 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/answer"
@@ -15,7 +14,6 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/metrics"
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
-	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
 )
 
 // maxErrorBodyBytes bounds the body of an engine's error response.
@@ -23,7 +21,8 @@
 
 // Errors that end a connection of a stream.
 var (
-	errOtherAttempt = errors.New("entry: answer belongs to another attempt")
+	errOtherAttempt = errors.New("entry: event belongs to another attempt")
+	errOtherAnswer  = errors.New("entry: answer belongs to another attempt")
 	errCallerGone   = errors.New("entry: caller disconnected")
 	errIncomplete   = errors.New("entry: end marker before the answer was complete")
 )
@@ -68,44 +67,109 @@
 // complete.
 type stream struct {
 	modelCall   *modelCall
+	req         *once.Request
 	slot        *dispatch.Slot
 	attempt     string
 	address     string
 	body        []byte
+	progress    time.Duration // time without a new token that counts as silence
 	checker     *answer.Stream
 	verdict     answer.NextStep
 	lastTokenAt time.Duration // when the last token was forwarded
+
+	connection *connection
+	signals    chan signal
+	ended      chan struct{} // closed at the end of the stream
+	readers    sync.WaitGroup
 }
 
 // newStream returns the stream of an attempt that is about to be sent.
-func (m *modelCall) newStream(slot *dispatch.Slot, attempt, address string, body []byte) *stream {
-	progress := time.Duration(m.call.service.Deadlines.ProgressMS) * time.Millisecond
+func (m *modelCall) newStream(req *once.Request, slot *dispatch.Slot, attempt, address string, body []byte) *stream {
+	deadlines := m.call.service.Deadlines
+	progress := time.Duration(deadlines.ProgressMS) * time.Millisecond
 	checker := answer.NewStream(m.server.opts.Now(), answer.Options{
-		Attempt: attempt, Resumable: true, FirstTokenTimeout: progress, TokenTimeout: progress,
+		Attempt: attempt, Resumable: true, TokenTimeout: progress,
+		FirstTokenTimeout: time.Duration(deadlines.RequestMS) * time.Millisecond,
 	})
-	return &stream{modelCall: m, slot: slot, attempt: attempt, address: address, body: body, checker: checker, verdict: answer.Continue}
+	return &stream{
+		modelCall: m, req: req, slot: slot, attempt: attempt, address: address, body: body,
+		progress: progress, checker: checker, verdict: answer.Continue,
+		signals: make(chan signal), ended: make(chan struct{}),
+	}
 }
 
 // run sends the attempt and reads until the answer is complete or the attempt has
-// failed. If a connection breaks after the first token, the answer is resumed on
-// the same engine. If it breaks earlier the attempt fails, since another engine
-// may answer instead.
+// failed.
 func (st *stream) run(ctx context.Context) once.Outcome {
-	outcome := st.connect(ctx, false)
-	for outcome == once.Unknown && st.checker.Delivered() > 0 && ctx.Err() == nil && st.shouldResume() {
-		st.modelCall.server.opts.Metrics.Count(metrics.Resumes)
-		outcome = st.connect(ctx, true)
-		if outcome != once.Answered {
-			// The attempt itself has run, whatever the outcome of the resume.
-			outcome = once.Unknown
-		}
-	}
+	outcome := st.receive(ctx)
 	if outcome == once.Unknown {
 		st.cancel()
 	}
 	return outcome
 }
 
+// receive handles the signals of the connections and the silence between new tokens.
+// Nothing else decides about the stream, so that nothing is closed while it delivers.
+func (st *stream) receive(ctx context.Context) once.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer st.readers.Wait()
+	defer close(st.ended)
+	defer cancel()
+	st.connect(ctx, false)
+	silence := time.NewTimer(st.progress)
+	defer silence.Stop()
+	for {
+		select {
+		case s := <-st.signals:
+			delivered := st.checker.Delivered()
+			outcome, ended := st.handle(s)
+			if ended && !st.resume(ctx, s.from, outcome) {
+				return st.attemptOutcome(s.from, outcome)
+			}
+			if ended || st.checker.Delivered() > delivered {
+				silence.Reset(st.progress)
+			}
+		case <-silence.C:
+			st.handleSilence()
+			silence.Reset(st.progress)
+		}
+	}
+}
+
+// handleSilence closes a silent connection. Before the first event another attempt
+// follows, so the connection is kept until that one is reserved.
+func (st *stream) handleSilence() {
+	m := st.modelCall
+	replaced := st.checker.Delivered() == 0 && !m.sink.started()
+	if st.connection.closed || replaced && !st.req.ReserveRetry(m.server.opts.Now()) {
+		return
+	}
+	m.server.opts.Metrics.Count(metrics.SilentConnections)
+	m.server.opts.Upstream.CloseIdle()
+	m.freshConnection = true
+	st.connection.close()
+}
+
+// resume asks the engine for the rest of the answer after a connection ended with
+// this outcome. It returns false if the attempt has ended. Before the first token it
+// has, since another engine may answer instead.
+func (st *stream) resume(ctx context.Context, c *connection, outcome once.Outcome) bool {
+	if st.attemptOutcome(c, outcome) != once.Unknown || st.checker.Delivered() == 0 || ctx.Err() != nil || !st.shouldResume() {
+		return false
+	}
+	st.connect(ctx, true)
+	return true
+}
+
+// attemptOutcome returns the outcome of the attempt if this connection was its last.
+// An attempt that was resumed has run, whatever became of the resume.
+func (st *stream) attemptOutcome(c *connection, outcome once.Outcome) once.Outcome {
+	if c.resumed && outcome != once.Answered {
+		return once.Unknown
+	}
+	return outcome
+}
+
 // shouldResume notes the end of a connection and reports whether to resume.
 func (st *stream) shouldResume() bool {
 	if st.verdict == answer.Continue {
@@ -129,46 +193,68 @@
 	}()
 }
 
-// connect sends the attempt, or resumes it, and reads the answer. If no progress
-// is made until the progress deadline, the call is cancelled, which closes the
-// connection.
-func (st *stream) connect(ctx context.Context, resume bool) once.Outcome {
-	now := st.modelCall.server.opts.Now()
+// connect sends the attempt, or resumes it, on a connection that is read from then on.
+func (st *stream) connect(ctx context.Context, resume bool) {
+	m := st.modelCall
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	a := st.modelCall.newAttempt(st.attempt, st.address, st.body)
+	c := &connection{resumed: resume, cancel: cancel}
+	a := m.newAttempt(st.attempt, st.address, st.body)
 	if resume {
-		st.checker.ResumeSent(now)
+		m.server.opts.Metrics.Count(metrics.Resumes)
+		st.checker.ResumeSent(m.server.opts.Now())
 		st.verdict = answer.Continue
 		a.Header.Set(engine.HeaderOffset, strconv.FormatInt(st.checker.Delivered(), 10))
 	}
-	watchdog := time.AfterFunc(st.checker.NextDeadline()-now, func() {
-		st.modelCall.server.opts.Metrics.Count(metrics.SilentConnections)
-		st.modelCall.server.opts.Upstream.CloseIdle()
-		cancel()
+	st.connection = c
+	st.readers.Go(func() {
+		defer cancel()
+		c.read(ctx, m.server.opts.Upstream, a, signalSender{st.signals, st.ended})
 	})
-	defer watchdog.Stop()
-	resp, err := st.modelCall.server.opts.Upstream.Do(ctx, a)
-	if err != nil {
-		st.modelCall.freshConnection = true
-		st.log("no answer", err)
-		return once.Classify(once.Evidence{Sent: a.Sent.Load()})
+}
+
+// handle delivers an event, or notes the end of a connection. It reports whether
+// the connection has ended, and with which outcome.
+func (st *stream) handle(s signal) (outcome once.Outcome, ended bool) {
+	switch {
+	case s.from != st.connection || s.from.closed && s.event != nil:
+		return "", false
+	case s.refusal != nil:
+		return st.classifyRefusal(s.refusal), true
+	case s.event == nil:
+		if errors.Is(s.err, errOtherAnswer) {
+			st.modelCall.server.opts.Metrics.Count(metrics.ForeignResponses)
+		}
+		st.connectionFailed(s.err)
+		return s.outcome, true
 	}
-	defer resp.Body.Close()
-	if resp.Header.Get(engine.HeaderAttempt) != st.attempt {
-		st.log("answer dropped", errOtherAttempt)
-		st.modelCall.server.opts.Metrics.Count(metrics.ForeignResponses)
-		return once.Unknown
+	err := st.handleEvent(s.event)
+	if err == nil {
+		return once.Answered, st.verdict == answer.Complete && isEndMarker(s.event)
 	}
-	if resp.StatusCode != http.StatusOK {
-		return st.classifyError(resp)
+	s.from.close()
+	st.connection = nil
+	st.connectionFailed(err)
+	return once.Unknown, true
+}
+
+// connectionFailed logs why a connection ended without the end of the answer.
+func (st *stream) connectionFailed(err error) {
+	st.modelCall.freshConnection = true
+	st.log("connection failed", err)
+}
+
+func isEndMarker(event []byte) bool { return string(event) == "[DONE]" }
+
+// handleEvent delivers an event or handles the end marker. The marker alone does not
+// prove that the answer is complete.
+func (st *stream) handleEvent(event []byte) error {
+	if !isEndMarker(event) {
+		return st.deliver(event)
 	}
-	err = st.read(resp.Body, watchdog)
-	if err != nil {
-		st.modelCall.freshConnection = true
-		st.log("stream broken", err)
+	if st.verdict != answer.Complete {
+		return errIncomplete
 	}
-	return once.Classify(once.Evidence{Sent: true, Complete: err == nil, Status: resp.StatusCode})
+	return nil
 }
 
 // log logs a failed connection of the stream.
@@ -177,16 +263,15 @@
 		"upstream", st.address, "tokens", st.checker.Delivered(), "error", err)
 }
 
-// classifyError returns the outcome for an error response of the engine. A
-// response that reports an error in the caller's request is forwarded.
-func (st *stream) classifyError(resp *http.Response) once.Outcome {
-	body, err := upstream.ReadAll(resp.Body, maxErrorBodyBytes)
+// classifyRefusal returns the outcome for an answer that is not a stream. One that
+// reports an error in the caller's request is forwarded.
+func (st *stream) classifyRefusal(r *refusal) once.Outcome {
 	outcome := once.Classify(once.Evidence{
-		Sent: true, Complete: err == nil, Status: resp.StatusCode, Ran: resp.Header.Get(engine.HeaderExecuted),
+		Sent: true, Complete: r.err == nil, Status: r.status, Ran: r.header.Get(engine.HeaderExecuted),
 	})
-	badRequest := resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusUnprocessableEntity
-	if err == nil && badRequest && !st.modelCall.sink.started() {
-		st.modelCall.sink.forwardError(resp.StatusCode, resp.Header, body)
+	badRequest := r.status == http.StatusBadRequest || r.status == http.StatusUnprocessableEntity
+	if r.err == nil && badRequest && !st.modelCall.sink.started() {
+		st.modelCall.sink.forwardError(r.status, r.header, r.body)
 		return once.Answered
 	}
 	if outcome == once.Answered {
@@ -195,33 +280,6 @@
 	return outcome
 }
 
-// read delivers events until the end marker and resets the watchdog after each.
-func (st *stream) read(body io.Reader, watchdog *time.Timer) error {
-	in := bufio.NewReaderSize(body, streamBufferBytes)
-	for {
-		data, err := readEvent(in)
-		if err != nil {
-			return err
-		}
-		if string(data) == "[DONE]" {
-			return st.checkEnd()
-		}
-		if err := st.deliver(data); err != nil {
-			return err
-		}
-		watchdog.Reset(st.checker.NextDeadline() - st.modelCall.server.opts.Now())
-	}
-}
-
-// checkEnd handles the end marker. The marker alone does not prove that the
-// answer is complete.
-func (st *stream) checkEnd() error {
-	if st.verdict != answer.Complete {
-		return errIncomplete
-	}
-	return nil
-}
-
 // deliver checks an event and forwards it.
 func (st *stream) deliver(data []byte) error {
 	var c chunk
