Keep a silent connection and resume the answer beside it

Callers got stream_cut in the middle of an answer that the engine would have finished.

Cause: progress_ms without a new token closed the connection, and only then the engine was asked to resume. An engine that drops an attempt when its connection closes refused the three resumes back to back. One that kept it and stayed silent was cut after three resumes of progress_ms each.

Change: the silent connection stays open. The rest is asked for on a new one, at most three times without a new token, one every progress_ms, and with at most four open. Events of all open ones go through the same checker, which skips tokens that were delivered and rejects other attempts. A gap, a break or a refusal closes only its own connection. When none is left the answer is resumed or truncated as before. The connection that carries the end of the answer stays as the only one. An event without text has no offset of its own; it is forwarded from one connection only. The checker's own deadlines are set to request_ms, so that silence truncates nothing sooner. An error 400 or 422 to a resume is no longer forwarded as the answer: the attempt was accepted.

Connections are not closed when another delivers, since an engine may drop the attempt. An answer with several silences may thus be received up to four times.

--- a/internal/answer/stream.go
+++ b/internal/answer/stream.go
@@ -107,7 +107,8 @@
 	opts                 Options
 	delivered            int64
 	lastProgress         time.Duration // time of the last new token, start or resume
-	resumesSinceProgress int           // since the last new token
+	resumesSinceProgress int           // since the last new token, without those of Silent
+	silentResumes        int           // resumes of Silent since the last new token
 	resumed              bool          // a resume was asked for at any time
 	resumePending        bool          // a resume was asked for and has not been started
 	finalDecision        *Decision
@@ -161,7 +162,8 @@
 		return nil
 	}
 	s.delivered = end
-	s.lastProgress, s.resumesSinceProgress, s.resumePending = now, 0, false
+	s.lastProgress, s.resumePending = now, false
+	s.resumesSinceProgress, s.silentResumes = 0, 0
 	return c.Tokens[skip:]
 }
 
@@ -187,6 +189,21 @@
 	return s.resumeIfStalled(now)
 }
 
+// Silent reports that connections which stay open have carried no new token for a
+// while. It returns Resume if one more connection may be asked for the rest. Silence
+// proves nothing, so it never ends the stream.
+func (s *Stream) Silent() Decision {
+	if s.finalDecision != nil {
+		return s.repeatFinal()
+	}
+	if !s.opts.Resumable || s.silentResumes >= s.opts.MaxResumes {
+		return Decision{Next: Continue}
+	}
+	s.silentResumes++
+	s.stats.Resumes++
+	return Decision{Next: Resume, Offset: s.delivered}
+}
+
 // Cancel ends the stream because the caller disconnected or the request's deadline
 // passed.
 func (s *Stream) Cancel() Decision {
--- a/internal/answer/stream_test.go
+++ b/internal/answer/stream_test.go
@@ -155,6 +155,24 @@
 	must.ErrorIs(t, d.Err, ErrStalled)
 }
 
+// Silence must not end a stream, and a new token must allow further resumes.
+func TestSilenceEndsNoStream(t *testing.T) {
+	s := NewStream(0, Options{Attempt: "own", Resumable: true})
+	for token := range int64(3) {
+		s.Receive(0, Chunk{Attempt: "own", Offset: token, Tokens: engineTokens("own", token, token+1)})
+		for range DefaultMaxResumes {
+			d := s.Silent()
+			must.EqOp(t, Resume, d.Next)
+			must.EqOp(t, token+1, d.Offset)
+		}
+		must.EqOp(t, Continue, s.Silent().Next)
+	}
+	must.EqOp(t, Resume, s.ConnectionLost(0).Next, must.Sprint("a broken connection is resumed nevertheless"))
+	must.EqOp(t, Complete, s.Receive(0, Chunk{Attempt: "own", Offset: 3, End: true}).Next)
+	must.EqOp(t, Complete, s.Silent().Next)
+	must.EqOp(t, Continue, NewStream(0, Options{Attempt: "own"}).Silent().Next)
+}
+
 func TestCheckBody(t *testing.T) {
 	must.NoError(t, CheckBody("a", Body{Attempt: "a", Declared: 3, Received: 3, EndReceived: true}))
 	must.NoError(t, CheckBody("a", Body{Attempt: "a", Declared: -1, Received: 3, EndReceived: true}))
--- a/internal/entry/connection.go
+++ b/internal/entry/connection.go
@@ -18,7 +18,7 @@
 	cancel  context.CancelFunc
 }
 
-// close gives the connection up. Its end is still reported.
+// close gives the connection up.
 func (c *connection) close() {
 	c.closed = true
 	c.cancel()
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/answer"
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/inventory"
@@ -34,6 +35,8 @@
 	roleEvent   bool // begin with an event without text, as chat streams do
 	pauseAtEnd  bool // pause between the event that ends the answer and [DONE] instead
 	dropOnClose bool
+	firstSilent bool // the first connection is silent from the pause on
+	noResume    bool // refuse every resume
 
 	mu       sync.Mutex
 	began    map[string]time.Time
@@ -59,7 +62,7 @@
 	if text := r.Header.Get(engine.HeaderOffset); text != "" {
 		offset, _ = strconv.Atoi(text)
 		e.resumes++
-		if e.dropped[id] {
+		if e.dropped[id] || e.noResume {
 			e.refused++
 			e.mu.Unlock()
 			w.Header().Set(engine.HeaderExecuted, engine.ExecutedNo)
@@ -81,8 +84,12 @@
 	}
 	for i := offset; i < 4; i++ {
 		if i >= e.pauseBefore && !e.pauseAtEnd {
+			wait := time.Until(resumeAt)
+			if e.firstSilent && offset == 0 {
+				wait = time.Hour
+			}
 			select {
-			case <-time.After(time.Until(resumeAt)):
+			case <-time.After(wait):
 			case <-r.Context().Done():
 				e.mu.Lock()
 				e.dropped[id] = e.dropped[id] || e.dropOnClose
@@ -151,6 +158,7 @@
 		must.Eq(t, 1, strings.Count(string(body), fmt.Sprintf(`"text":"t%d "`, i)))
 	}
 	must.Eq(t, 1, strings.Count(string(body), `"finish_reason":"stop"`))
+	must.LessEq(t, answer.DefaultMaxResumes, e.resumes)
 	if e.roleEvent {
 		must.Eq(t, 1, strings.Count(string(body), `"offset":0,"choices":[{"text":""}]`))
 	}
@@ -163,6 +171,8 @@
 		name   string
 		engine *pausingEngine
 	}{
+		{"connection silent for good", &pausingEngine{pause: silenceProgress / 2, pauseBefore: 2, firstSilent: true}},
+		{"resumes refused, 6 progress times", &pausingEngine{pause: 6 * silenceProgress, pauseBefore: 2, noResume: true, dropOnClose: true}},
 		{"shorter than progress", &pausingEngine{pause: silenceProgress / 2, pauseBefore: 2}},
 		{"kept, 2 progress times", &pausingEngine{pause: 2 * silenceProgress, pauseBefore: 2}},
 		{"dropped on close, 2 progress times", &pausingEngine{pause: 2 * silenceProgress, pauseBefore: 2, dropOnClose: true}},
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -77,19 +78,29 @@
 	verdict     answer.NextStep
 	lastTokenAt time.Duration // when the last token was forwarded
 
-	connection *connection
-	signals    chan signal
-	ended      chan struct{} // closed at the end of the stream
-	readers    sync.WaitGroup
+	open     []*connection // oldest first
+	textless textlessEvent
+	signals  chan signal
+	ended    chan struct{} // closed at the end of the stream
+	readers  sync.WaitGroup
 }
 
+// textlessEvent is the last event without text that was forwarded.
+type textlessEvent struct {
+	from   *connection
+	offset int64
+}
+
+// maxConnections bounds the open connections of a stream.
+const maxConnections = 1 + answer.DefaultMaxResumes
+
 // newStream returns the stream of an attempt that is about to be sent.
 func (m *modelCall) newStream(req *once.Request, slot *dispatch.Slot, attempt, address string, body []byte) *stream {
 	deadlines := m.call.service.Deadlines
 	progress := time.Duration(deadlines.ProgressMS) * time.Millisecond
+	requestTime := time.Duration(deadlines.RequestMS) * time.Millisecond // silence ends nothing sooner
 	checker := answer.NewStream(m.server.opts.Now(), answer.Options{
-		Attempt: attempt, Resumable: true, TokenTimeout: progress,
-		FirstTokenTimeout: time.Duration(deadlines.RequestMS) * time.Millisecond,
+		Attempt: attempt, Resumable: true, FirstTokenTimeout: requestTime, TokenTimeout: requestTime,
 	})
 	return &stream{
 		modelCall: m, req: req, slot: slot, attempt: attempt, address: address, body: body,
@@ -123,38 +134,62 @@
 		case s := <-st.signals:
 			delivered := st.checker.Delivered()
 			outcome, ended := st.handle(s)
-			if ended && !st.resume(ctx, s.from, outcome) {
+			if ended && !st.goOn(ctx, s.from, outcome) {
 				return st.attemptOutcome(s.from, outcome)
 			}
 			if ended || st.checker.Delivered() > delivered {
 				silence.Reset(st.progress)
 			}
 		case <-silence.C:
-			st.handleSilence()
+			st.handleSilence(ctx)
 			silence.Reset(st.progress)
 		}
 	}
 }
 
-// handleSilence closes a silent connection. Before the first event another attempt
-// follows, so the connection is kept until that one is reserved.
-func (st *stream) handleSilence() {
+// handleSilence keeps the silent connections and asks for the rest of the answer on
+// one more. Before the first event another attempt follows instead, once it is
+// reserved; only then the connection is closed.
+func (st *stream) handleSilence(ctx context.Context) {
 	m := st.modelCall
-	replaced := st.checker.Delivered() == 0 && !m.sink.started()
-	if st.connection.closed || replaced && !st.req.ReserveRetry(m.server.opts.Now()) {
-		return
+	switch {
+	case st.mayResume():
+		if len(st.open) >= maxConnections || st.checker.Silent().Next != answer.Resume {
+			return
+		}
+		st.silenceSeen()
+		st.connect(ctx, true)
+	case st.open[0].closed || !m.sink.started() && !st.req.ReserveRetry(m.server.opts.Now()):
+	default:
+		st.silenceSeen()
+		st.open[0].close()
 	}
-	m.server.opts.Metrics.Count(metrics.SilentConnections)
-	m.server.opts.Upstream.CloseIdle()
-	m.freshConnection = true
-	st.connection.close()
 }
 
-// resume asks the engine for the rest of the answer after a connection ended with
-// this outcome. It returns false if the attempt has ended. Before the first token it
-// has, since another engine may answer instead.
-func (st *stream) resume(ctx context.Context, c *connection, outcome once.Outcome) bool {
-	if st.attemptOutcome(c, outcome) != once.Unknown || st.checker.Delivered() == 0 || ctx.Err() != nil || !st.shouldResume() {
+// silenceSeen has further connections made anew: those that are idle may be silent too.
+func (st *stream) silenceSeen() {
+	st.modelCall.server.opts.Metrics.Count(metrics.SilentConnections)
+	st.modelCall.server.opts.Upstream.CloseIdle()
+	st.modelCall.freshConnection = true
+}
+
+// mayResume reports whether the answer can only be continued by its own attempt, and
+// is not complete. Before that another engine may answer instead.
+func (st *stream) mayResume() bool {
+	return st.checker.Delivered() > 0 && st.verdict != answer.Complete
+}
+
+// goOn is called after a connection ended with this outcome. It asks the engine for
+// the rest of the answer if no connection is left, and returns false if the attempt
+// has ended.
+func (st *stream) goOn(ctx context.Context, c *connection, outcome once.Outcome) bool {
+	if outcome == once.Answered || st.verdict == answer.Truncated {
+		return false
+	}
+	if len(st.open) > 0 {
+		return true
+	}
+	if st.attemptOutcome(c, outcome) != once.Unknown || !st.mayResume() || ctx.Err() != nil || !st.shouldResume() {
 		return false
 	}
 	st.connect(ctx, true)
@@ -205,7 +240,7 @@
 		st.verdict = answer.Continue
 		a.Header.Set(engine.HeaderOffset, strconv.FormatInt(st.checker.Delivered(), 10))
 	}
-	st.connection = c
+	st.open = append(st.open, c)
 	st.readers.Go(func() {
 		defer cancel()
 		c.read(ctx, m.server.opts.Upstream, a, signalSender{st.signals, st.ended})
@@ -215,28 +250,49 @@
 // handle delivers an event, or notes the end of a connection. It reports whether
 // the connection has ended, and with which outcome.
 func (st *stream) handle(s signal) (outcome once.Outcome, ended bool) {
-	switch {
-	case s.from != st.connection || s.from.closed && s.event != nil:
+	if !slices.Contains(st.open, s.from) || s.from.closed && s.event != nil {
 		return "", false
-	case s.refusal != nil:
-		return st.classifyRefusal(s.refusal), true
-	case s.event == nil:
-		if errors.Is(s.err, errOtherAnswer) {
-			st.modelCall.server.opts.Metrics.Count(metrics.ForeignResponses)
-		}
-		st.connectionFailed(s.err)
-		return s.outcome, true
 	}
-	err := st.handleEvent(s.event)
+	if s.event == nil {
+		st.drop(s.from)
+		return st.endOutcome(s), true
+	}
+	err := st.handleEvent(s.from, s.event)
 	if err == nil {
 		return once.Answered, st.verdict == answer.Complete && isEndMarker(s.event)
 	}
-	s.from.close()
-	st.connection = nil
+	st.drop(s.from)
 	st.connectionFailed(err)
 	return once.Unknown, true
 }
 
+// drop closes a connection. What it still carries is not read.
+func (st *stream) drop(c *connection) {
+	c.close()
+	st.open = slices.DeleteFunc(st.open, func(o *connection) bool { return o == c })
+}
+
+// dropOthers closes all connections but one, which carried the end of the answer.
+func (st *stream) dropOthers(last *connection) {
+	for _, c := range slices.Clone(st.open) {
+		if c != last {
+			st.drop(c)
+		}
+	}
+}
+
+// endOutcome returns the outcome of a connection that ended by itself.
+func (st *stream) endOutcome(s signal) once.Outcome {
+	if s.refusal != nil {
+		return st.classifyRefusal(s.from, s.refusal)
+	}
+	if errors.Is(s.err, errOtherAnswer) {
+		st.modelCall.server.opts.Metrics.Count(metrics.ForeignResponses)
+	}
+	st.connectionFailed(s.err)
+	return s.outcome
+}
+
 // connectionFailed logs why a connection ended without the end of the answer.
 func (st *stream) connectionFailed(err error) {
 	st.modelCall.freshConnection = true
@@ -247,9 +303,9 @@
 
 // handleEvent delivers an event or handles the end marker. The marker alone does not
 // prove that the answer is complete.
-func (st *stream) handleEvent(event []byte) error {
+func (st *stream) handleEvent(from *connection, event []byte) error {
 	if !isEndMarker(event) {
-		return st.deliver(event)
+		return st.deliver(from, event)
 	}
 	if st.verdict != answer.Complete {
 		return errIncomplete
@@ -264,13 +320,14 @@
 }
 
 // classifyRefusal returns the outcome for an answer that is not a stream. One that
-// reports an error in the caller's request is forwarded.
-func (st *stream) classifyRefusal(r *refusal) once.Outcome {
+// reports an error in the caller's request is forwarded, but not that of a resume: the
+// attempt was accepted.
+func (st *stream) classifyRefusal(from *connection, r *refusal) once.Outcome {
 	outcome := once.Classify(once.Evidence{
 		Sent: true, Complete: r.err == nil, Status: r.status, Ran: r.header.Get(engine.HeaderExecuted),
 	})
 	badRequest := r.status == http.StatusBadRequest || r.status == http.StatusUnprocessableEntity
-	if r.err == nil && badRequest && !st.modelCall.sink.started() {
+	if r.err == nil && badRequest && !from.resumed && !st.modelCall.sink.started() {
 		st.modelCall.sink.forwardError(r.status, r.header, r.body)
 		return once.Answered
 	}
@@ -281,7 +338,7 @@
 }
 
 // deliver checks an event and forwards it.
-func (st *stream) deliver(data []byte) error {
+func (st *stream) deliver(from *connection, data []byte) error {
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return err
@@ -289,6 +346,9 @@
 	if st.verdict == answer.Complete && c.Attempt == st.attempt {
 		return st.forward(data, &c) // usage may follow the last token
 	}
+	if c.Attempt == st.attempt && c.Offset > st.checker.Delivered() {
+		return answer.ErrGap // of this connection; another may have the missing part
+	}
 	part := answer.Chunk{Attempt: c.Attempt, Offset: c.Offset, End: c.isLast()}
 	if c.hasToken() {
 		part.Tokens = [][]byte{data}
@@ -303,7 +363,11 @@
 	case d.Next == answer.Truncated:
 		return d.Err
 	case c.hasToken() && len(d.Deliver) == 0:
-		return nil // delivered before the resume
+		return nil // delivered before, by another connection
+	case d.Next == answer.Complete:
+		st.dropOthers(from)
+	case !c.hasToken() && st.isRepeated(from, c.Offset):
+		return nil
 	}
 	if err := st.forward(data, &c); err != nil {
 		return err
@@ -314,12 +378,24 @@
 	return nil
 }
 
+// isRepeated reports whether an event without text may have been forwarded already
+// from another connection. Such events have no offset of their own.
+func (st *stream) isRepeated(from *connection, offset int64) bool {
+	last := st.textless
+	if last.from != nil && last.from != from && offset <= last.offset || from.resumed && offset < st.checker.Delivered() {
+		return true
+	}
+	st.textless = textlessEvent{from, offset}
+	return false
+}
+
 // forward passes an event to the sink and notes the usage in it.
 func (st *stream) forward(data []byte, c *chunk) error {
 	if c.Usage != nil {
 		st.modelCall.usedTokens = c.Usage.TotalTokens
 	}
 	if err := st.modelCall.sink.event(data, c); err != nil {
+		st.verdict = st.checker.Cancel().Next
 		return errCallerGone
 	}
 	return nil
