Resume an answer that began with an event without text

Callers of chat streams got stream_cut when the engine paused, or its connection broke, between an event without text (the role) and the first token.

Cause: the event starts the caller's answer, so that no other attempt may follow, but the answer was resumed only once a token was delivered.

Evidence: TestSilenceAfterEventWithoutTextDoesNotCutAnswer got stream_cut after 0.2 s, without a resume.

Change: an answer is resumed, from offset 0, once any part of it has reached the caller. That the event is not forwarded again from the second connection is proved by the test: with isRepeated switched off it finds the event twice.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -176,7 +176,8 @@
 // mayResume reports whether the answer can only be continued by its own attempt, and
 // is not complete. Before that another engine may answer instead.
 func (st *stream) mayResume() bool {
-	return st.checker.Delivered() > 0 && st.verdict != answer.Complete
+	begun := st.checker.Delivered() > 0 || st.modelCall.sink.started()
+	return begun && st.verdict != answer.Complete
 }
 
 // goOn is called after a connection ended with this outcome. It asks the engine for
