Count an answer as whole once its last event was delivered

Callers got stream_cut although they had every token and the event that ends the answer.

Cause: after that event the stream waited for [DONE]. A pause of progress_ms or a break before it ended the attempt as unknown, and a stream that has started is then cut. What can still come is usage and the marker, which proves nothing.

Evidence: TestSilenceBeforeEndMarkerDoesNotCutAnswer got stream_cut after all tokens and the end. Its new case, a connection that breaks in place of [DONE], got it too.

Change: after the event that ends the answer, at the offset reached, the end of the connection or progress_ms without an event counts as answered. progress_ms begins anew at that event, so that usage has time to come. A caller who left is still no success.

--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -34,6 +34,7 @@
 	pauseBefore int
 	roleEvent   bool // begin with an event without text, as chat streams do
 	pauseAtEnd  bool // pause between the event that ends the answer and [DONE] instead
+	breakAtEnd  bool // break the connection in place of [DONE]
 	dropOnClose bool
 	firstSilent bool // the first connection is silent from the pause on
 	noResume    bool // refuse every resume
@@ -103,6 +104,9 @@
 	if e.pauseAtEnd {
 		time.Sleep(e.pause)
 	}
+	if e.breakAtEnd {
+		panic(http.ErrAbortHandler)
+	}
 	send("[DONE]")
 }
 
@@ -187,9 +191,14 @@
 	expectWholeAnswer(t, &pausingEngine{pause: 2 * silenceProgress, roleEvent: true}, 4000)
 }
 
-// A pause between the end of the answer and [DONE] must not cut the answer.
+// A pause or a break between the end of the answer and [DONE] must not cut the answer.
 func TestSilenceBeforeEndMarkerDoesNotCutAnswer(t *testing.T) {
-	expectWholeAnswer(t, &pausingEngine{pause: 2 * silenceProgress, pauseAtEnd: true}, 4000)
+	t.Run("pause", func(t *testing.T) {
+		expectWholeAnswer(t, &pausingEngine{pause: 2 * silenceProgress, pauseAtEnd: true}, 4000)
+	})
+	t.Run("break", func(t *testing.T) {
+		expectWholeAnswer(t, &pausingEngine{breakAtEnd: true}, 4000)
+	})
 }
 
 // An attempt must not be given up before its first event if no other may follow.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -134,13 +134,18 @@
 		case s := <-st.signals:
 			delivered := st.checker.Delivered()
 			outcome, ended := st.handle(s)
-			if ended && !st.goOn(ctx, s.from, outcome) {
+			switch complete := st.verdict == answer.Complete; {
+			case ended && complete:
+				return once.Answered // with or without the end marker
+			case ended && !st.goOn(ctx, s.from, outcome):
 				return st.attemptOutcome(s.from, outcome)
-			}
-			if ended || st.checker.Delivered() > delivered {
+			case ended || complete || st.checker.Delivered() > delivered:
 				silence.Reset(st.progress)
 			}
 		case <-silence.C:
+			if st.verdict == answer.Complete {
+				return once.Answered
+			}
 			st.handleSilence(ctx)
 			silence.Reset(st.progress)
 		}
@@ -159,8 +164,7 @@
 		}
 		st.silenceSeen()
 		st.connect(ctx, true)
-	case st.open[0].closed || !m.sink.started() && !st.req.ReserveRetry(m.server.opts.Now()):
-	default:
+	case !st.open[0].closed && st.req.ReserveRetry(m.server.opts.Now()):
 		st.silenceSeen()
 		st.open[0].close()
 	}
@@ -173,11 +177,10 @@
 	st.modelCall.freshConnection = true
 }
 
-// mayResume reports whether the answer can only be continued by its own attempt, and
-// is not complete. Before that another engine may answer instead.
+// mayResume reports whether a part of the answer was delivered, so that only its own
+// attempt can continue it. Before that another engine may answer instead.
 func (st *stream) mayResume() bool {
-	begun := st.checker.Delivered() > 0 || st.modelCall.sink.started()
-	return begun && st.verdict != answer.Complete
+	return st.checker.Delivered() > 0 || st.modelCall.sink.started()
 }
 
 // goOn is called after a connection ended with this outcome. It asks the engine for
@@ -396,7 +399,7 @@
 		st.modelCall.usedTokens = c.Usage.TotalTokens
 	}
 	if err := st.modelCall.sink.event(data, c); err != nil {
-		st.verdict = st.checker.Cancel().Next
+		st.verdict = answer.Truncated
 		return errCallerGone
 	}
 	return nil
