Take the place of the next attempt before one is given up

Callers got a refusal or 504 from a service that was about to answer.

Cause: time and retry of the next attempt were reserved before a silent attempt was closed, but its place at an upstream was asked for afterwards. The request then stood in the queue, behind others that took the place it had just left.

Evidence: TestAttemptIsKeptWithoutPlaceForAnother, two requests to a service with one place that answers after 0.6 s of a deadline of 0.9 s: the first got no 200.

Change: dispatch.Controller.TryAcquire takes a place that is free at once and never queues. entry.nextAttempt joins it to the reservation of time and retry; if there is no place, the retry goes back to the budget and the attempt is kept. Scheduler.SubmitIfFree leaves the queue and its rates untouched if there is no place. If the policy then chooses a saturated upstream, the request is cancelled; without that, TestTryAcquireDoesNotWaitBesideASaturatedUpstream waits 1.23 s in place of 0.

A request whose only upstreams are full keeps its silent attempt until its own time is over, also where the connection is dead and not the upstream.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -151,6 +151,23 @@
 	}
 }
 
+// TryAcquire returns a slot if one is free at once, else nil. It never queues.
+func (c *Controller) TryAcquire(req Request) *Slot {
+	acquire := &pendingAcquire{req: req, result: make(chan Outcome, 1)}
+	select {
+	case c.inbox <- tryMessage{acquire}:
+	default:
+		return nil
+	}
+	select {
+	case o := <-acquire.result:
+		slot, _ := c.newSlot(o)
+		return slot
+	case <-c.stopped:
+		return nil
+	}
+}
+
 // newSlot converts an outcome to the result of Acquire.
 func (c *Controller) newSlot(o Outcome) (*Slot, error) {
 	if o.Err != nil {
@@ -166,6 +183,23 @@
 	c.acquires[m.acquire.id] = m.acquire
 }
 
+type tryMessage struct{ acquire *pendingAcquire }
+
+func (m tryMessage) apply(c *Controller, now time.Duration) {
+	id, ok := c.scheduler.SubmitIfFree(now, m.acquire.req)
+	if !ok {
+		m.acquire.result <- Outcome{Err: ErrBusy}
+		return
+	}
+	m.acquire.id = id
+	c.acquires[id] = m.acquire
+	c.deliverOutcomes()
+	if _, queued := c.acquires[id]; queued { // the policy chose another upstream this time
+		cancelMessage(m).apply(c, now)
+		m.acquire.result <- Outcome{Err: ErrBusy}
+	}
+}
+
 // cancelMessage cancels a request whose caller has disconnected. A slot that was
 // granted in the meantime is released.
 type cancelMessage struct{ acquire *pendingAcquire }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -164,6 +164,22 @@
 	return id
 }
 
+// SubmitIfFree submits a request only if nothing is queued for its model and an
+// upstream has a place now, so that the next call of Dispatch returns its grant. It
+// returns false otherwise.
+func (s *Scheduler) SubmitIfFree(now time.Duration, req Request) (id uint64, ok bool) {
+	q := s.queue(req.Route.Model)
+	p := &pendingRequest{req: req, submitted: now, refuseAt: s.refuseAt(now, &req)}
+	if q.Len() > 0 {
+		return 0, false
+	}
+	choice, err := s.table.Pick(now, s.routeRequest(q, p), s.rng)
+	if err != nil || choice.Saturated || s.isOverShare(p, choice) {
+		return 0, false
+	}
+	return s.Submit(now, req), true
+}
+
 // fairRequest returns the description of a request for its queue. A live
 // request has to leave the queue in time to compute its prompt, so its deadline in
 // the queue is earlier by the time that this takes.
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -109,14 +109,16 @@
 	}
 	m.deadline = m.answerDeadline()
 	req := once.NewRequest(once.RequestOptions{Idempotent: true, Deadline: m.deadline}, m.server.opts.Budget)
+	next := &nextAttempt{server: m.server, call: m.call, req: req, slotRequest: m.slotRequest()}
+	defer next.release()
 	acquire := func() (*dispatch.Slot, *Error) {
 		if !m.sink.reset() {
 			return nil, outcomeError(once.Unknown)
 		}
-		return m.server.acquire(ctx, m.call, m.slotRequest())
+		return next.acquire(ctx)
 	}
 	err := m.server.runAttempts(ctx, req, acquire, func(id string, slot *dispatch.Slot) once.Outcome {
-		outcome := m.attempt(ctx, req, id, slot, body)
+		outcome := m.attempt(ctx, next, id, slot, body)
 		releaseSlot(slot, outcome, m.sink.tokens())
 		if m.sink.started() && outcome != once.Answered {
 			// Another attempt would give a different answer, which cannot
@@ -167,7 +169,7 @@
 }
 
 // attempt runs one attempt on one engine, including resumes on that engine.
-func (m *modelCall) attempt(ctx context.Context, req *once.Request, id string, slot *dispatch.Slot, body []byte) once.Outcome {
+func (m *modelCall) attempt(ctx context.Context, next *nextAttempt, id string, slot *dispatch.Slot, body []byte) once.Outcome {
 	address, ok := m.server.address(m.call.service, slot.Upstream)
 	if !ok {
 		return once.NotSent
@@ -178,7 +180,7 @@
 	}
 	m.call.attempted = true
 	m.server.recordAttempt(m.call, id, slot.Upstream)
-	outcome := m.newStream(req, slot, id, address, body).run(ctx)
+	outcome := m.newStream(next, slot, id, address, body).run(ctx)
 	m.server.flow(m.call).Attempt(string(outcome))
 	m.ran = m.ran || mayHaveRun(outcome)
 	return outcome
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -143,14 +143,14 @@
 	}
 	var answer *plainAnswer
 	defer func() { p.settleClaim(claim, req, answer) }()
-	acquire := func() (*dispatch.Slot, *Error) {
-		return p.server.acquire(ctx, p.call, dispatch.Request{
-			Organisation: p.call.org.String(), Weight: p.call.fairWeight(), Class: p.call.class,
-			Route: route.Request{Model: plainModel(p.call.service.Service), Deadline: deadline},
-		})
-	}
+	next := &nextAttempt{server: p.server, call: p.call, req: req, slotRequest: dispatch.Request{
+		Organisation: p.call.org.String(), Weight: p.call.fairWeight(), Class: p.call.class,
+		Route: route.Request{Model: plainModel(p.call.service.Service), Deadline: deadline},
+	}}
+	defer next.release()
+	acquire := func() (*dispatch.Slot, *Error) { return next.acquire(ctx) }
 	err = p.server.runAttempts(ctx, req, acquire, func(id string, slot *dispatch.Slot) (outcome once.Outcome) {
-		answer, outcome = p.attempt(ctx, req, id, slot)
+		answer, outcome = p.attempt(ctx, next, id, slot)
 		p.server.flow(p.call).Attempt(string(outcome))
 		p.ran = p.ran || mayHaveRun(outcome)
 		releaseSlot(slot, outcome, 0)
@@ -177,7 +177,7 @@
 }
 
 // attempt sends the call to one upstream and reads the complete answer.
-func (p *plainCall) attempt(ctx context.Context, req *once.Request, id string, slot *dispatch.Slot) (*plainAnswer, once.Outcome) {
+func (p *plainCall) attempt(ctx context.Context, next *nextAttempt, id string, slot *dispatch.Slot) (*plainAnswer, once.Outcome) {
 	address, ok := addressOf(p.call.service, slot.Upstream)
 	if !ok {
 		return nil, once.NotSent
@@ -190,7 +190,7 @@
 	a.Header.Set(headerRequestID, p.call.id)
 	p.call.attempted = true
 	p.server.recordAttempt(p.call, id, slot.Upstream)
-	return p.send(ctx, req, a)
+	return p.send(ctx, next, a)
 }
 
 // attemptsPerDeadline is how many attempts without an answer fit into a call's
@@ -206,7 +206,7 @@
 
 // send runs an attempt. Without an answer it is given up at the end of a silence
 // interval at which another attempt can be reserved; else it is kept until ctx ends.
-func (p *plainCall) send(ctx context.Context, req *once.Request, a *upstream.Attempt) (answer *plainAnswer, outcome once.Outcome) {
+func (p *plainCall) send(ctx context.Context, next *nextAttempt, a *upstream.Attempt) (answer *plainAnswer, outcome once.Outcome) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
@@ -221,7 +221,7 @@
 		case <-done:
 			return answer, outcome
 		case <-silence.C:
-			if req.ReserveRetry(p.server.opts.Now()) {
+			if next.reserve() {
 				p.closeSilent(cancel)
 				<-done
 				return answer, outcome
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -68,7 +68,7 @@
 // complete.
 type stream struct {
 	modelCall   *modelCall
-	req         *once.Request
+	next        *nextAttempt
 	slot        *dispatch.Slot
 	attempt     string
 	address     string
@@ -95,7 +95,7 @@
 const maxConnections = 1 + answer.DefaultMaxResumes
 
 // newStream returns the stream of an attempt that is about to be sent.
-func (m *modelCall) newStream(req *once.Request, slot *dispatch.Slot, attempt, address string, body []byte) *stream {
+func (m *modelCall) newStream(next *nextAttempt, slot *dispatch.Slot, attempt, address string, body []byte) *stream {
 	deadlines := m.call.service.Deadlines
 	progress := time.Duration(deadlines.ProgressMS) * time.Millisecond
 	requestTime := time.Duration(deadlines.RequestMS) * time.Millisecond // silence ends nothing sooner
@@ -103,7 +103,7 @@
 		Attempt: attempt, Resumable: true, FirstTokenTimeout: requestTime, TokenTimeout: requestTime,
 	})
 	return &stream{
-		modelCall: m, req: req, slot: slot, attempt: attempt, address: address, body: body,
+		modelCall: m, next: next, slot: slot, attempt: attempt, address: address, body: body,
 		progress: progress, checker: checker, verdict: answer.Continue,
 		signals: make(chan signal), ended: make(chan struct{}),
 	}
@@ -156,7 +156,6 @@
 // one more. Before the first event another attempt follows instead, once it is
 // reserved; only then the connection is closed.
 func (st *stream) handleSilence(ctx context.Context) {
-	m := st.modelCall
 	switch {
 	case st.mayResume():
 		if len(st.open) >= maxConnections || st.checker.Silent().Next != answer.Resume {
@@ -164,7 +163,7 @@
 		}
 		st.silenceSeen()
 		st.connect(ctx, true)
-	case !st.open[0].closed && st.req.ReserveRetry(m.server.opts.Now()):
+	case !st.open[0].closed && st.next.reserve():
 		st.silenceSeen()
 		st.open[0].close()
 	}
--- a/internal/once/request.go
+++ b/internal/once/request.go
@@ -115,7 +115,7 @@
 	}
 	switch outcome {
 	case Answered:
-		r.returnReserved()
+		r.ReturnRetry()
 		return r.fire(eventAnswered)
 	case NotSent, RefusedBeforeRun:
 		return r.retryOrFail(now, true, eventNotRunRetry, eventNotRunFinal)
@@ -139,7 +139,8 @@
 	return now+r.retryDelay < r.opts.Deadline && r.budget.Retry(now)
 }
 
-func (r *Request) returnReserved() {
+// ReturnRetry gives a reservation back: no other attempt can follow yet.
+func (r *Request) ReturnRetry() {
 	if r.reserved {
 		r.reserved = false
 		r.budget.Return()
@@ -168,7 +169,7 @@
 // or the instance is stopping. It does not release an open claim: the code that
 // calls GiveUp must do so.
 func (r *Request) GiveUp() Decision {
-	r.returnReserved()
+	r.ReturnRetry()
 	return r.fire(eventGiveUp)
 }
 
