--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -1,13 +1,13 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/answer"
@@ -15,7 +15,6 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/engine"
 	"github.com/eelgrassbay/eelgrassbay/internal/metrics"
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
-	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
 )
 
 // maxErrorBodyBytes bounds the body of an engine's error response.
@@ -23,7 +22,8 @@
 
 // Errors that end a connection of a stream.
 var (
-	errOtherAttempt = errors.New("entry: answer belongs to another attempt")
+	errOtherAttempt = errors.New("entry: event belongs to another attempt")
+	errOtherAnswer  = errors.New("entry: answer belongs to another attempt")
 	errCallerGone   = errors.New("entry: caller disconnected")
 	errIncomplete   = errors.New("entry: end marker before the answer was complete")
 )
@@ -68,44 +68,146 @@
 // complete.
 type stream struct {
 	modelCall   *modelCall
+	next        *nextAttempt
 	slot        *dispatch.Slot
 	attempt     string
 	address     string
 	body        []byte
+	progress    time.Duration // time without a new token that counts as silence
 	checker     *answer.Stream
 	verdict     answer.NextStep
 	lastTokenAt time.Duration // when the last token was forwarded
+
+	open     []*connection // oldest first
+	textless textlessEvent
+	signals  chan signal
+	ended    chan struct{} // closed at the end of the stream
+	readers  sync.WaitGroup
+}
+
+// textlessEvent is the last event without text that was forwarded.
+type textlessEvent struct {
+	from   *connection
+	offset int64
 }
 
+// maxConnections bounds the open connections of a stream.
+const maxConnections = 1 + answer.DefaultMaxResumes
+
 // newStream returns the stream of an attempt that is about to be sent.
-func (m *modelCall) newStream(slot *dispatch.Slot, attempt, address string, body []byte) *stream {
-	progress := time.Duration(m.call.service.Deadlines.ProgressMS) * time.Millisecond
+func (m *modelCall) newStream(next *nextAttempt, slot *dispatch.Slot, attempt, address string, body []byte) *stream {
+	deadlines := m.call.service.Deadlines
+	progress := time.Duration(deadlines.ProgressMS) * time.Millisecond
+	requestTime := time.Duration(deadlines.RequestMS) * time.Millisecond // silence ends nothing sooner
 	checker := answer.NewStream(m.server.opts.Now(), answer.Options{
-		Attempt: attempt, Resumable: true, FirstTokenTimeout: progress, TokenTimeout: progress,
+		Attempt: attempt, Resumable: true, FirstTokenTimeout: requestTime, TokenTimeout: requestTime,
 	})
-	return &stream{modelCall: m, slot: slot, attempt: attempt, address: address, body: body, checker: checker, verdict: answer.Continue}
+	return &stream{
+		modelCall: m, next: next, slot: slot, attempt: attempt, address: address, body: body,
+		progress: progress, checker: checker, verdict: answer.Continue,
+		signals: make(chan signal), ended: make(chan struct{}),
+	}
 }
 
 // run sends the attempt and reads until the answer is complete or the attempt has
-// failed. If a connection breaks after the first token, the answer is resumed on
-// the same engine. If it breaks earlier the attempt fails, since another engine
-// may answer instead.
+// failed.
 func (st *stream) run(ctx context.Context) once.Outcome {
-	outcome := st.connect(ctx, false)
-	for outcome == once.Unknown && st.checker.Delivered() > 0 && ctx.Err() == nil && st.shouldResume() {
-		st.modelCall.server.opts.Metrics.Count(metrics.Resumes)
-		outcome = st.connect(ctx, true)
-		if outcome != once.Answered {
-			// The attempt itself has run, whatever the outcome of the resume.
-			outcome = once.Unknown
-		}
-	}
+	outcome := st.receive(ctx)
 	if outcome == once.Unknown {
 		st.cancel()
 	}
 	return outcome
 }
 
+// receive handles the signals of the connections and the silence between new tokens.
+// Nothing else decides about the stream, so that nothing is closed while it delivers.
+func (st *stream) receive(ctx context.Context) once.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer st.readers.Wait()
+	defer close(st.ended)
+	defer cancel()
+	st.connect(ctx, false)
+	silence := time.NewTimer(st.progress)
+	defer silence.Stop()
+	for {
+		select {
+		case s := <-st.signals:
+			delivered := st.checker.Delivered()
+			outcome, ended := st.handle(s)
+			switch complete := st.verdict == answer.Complete; {
+			case ended && complete:
+				return once.Answered // with or without the end marker
+			case ended && !st.goOn(ctx, s.from, outcome):
+				return st.attemptOutcome(s.from, outcome)
+			case ended || complete || st.checker.Delivered() > delivered:
+				silence.Reset(st.progress)
+			}
+		case <-silence.C:
+			if st.verdict == answer.Complete {
+				return once.Answered
+			}
+			st.handleSilence(ctx)
+			silence.Reset(st.progress)
+		}
+	}
+}
+
+// handleSilence keeps the silent connections and asks for the rest of the answer on
+// one more. Before the first event another attempt follows instead, once it is
+// reserved; only then the connection is closed.
+func (st *stream) handleSilence(ctx context.Context) {
+	switch {
+	case st.mayResume():
+		if len(st.open) >= maxConnections || st.checker.Silent().Next != answer.Resume {
+			return
+		}
+		st.silenceSeen()
+		st.connect(ctx, true)
+	case !st.open[0].closed && st.next.reserve():
+		st.silenceSeen()
+		st.open[0].close()
+	}
+}
+
+// silenceSeen has further connections made anew: those that are idle may be silent too.
+func (st *stream) silenceSeen() {
+	st.modelCall.server.opts.Metrics.Count(metrics.SilentConnections)
+	st.modelCall.server.opts.Upstream.CloseIdle()
+	st.modelCall.freshConnection = true
+}
+
+// mayResume reports whether a part of the answer was delivered, so that only its own
+// attempt can continue it. Before that another engine may answer instead.
+func (st *stream) mayResume() bool {
+	return st.checker.Delivered() > 0 || st.modelCall.sink.started()
+}
+
+// goOn is called after a connection ended with this outcome. It asks the engine for
+// the rest of the answer if no connection is left, and returns false if the attempt
+// has ended.
+func (st *stream) goOn(ctx context.Context, c *connection, outcome once.Outcome) bool {
+	if outcome == once.Answered || st.verdict == answer.Truncated {
+		return false
+	}
+	if len(st.open) > 0 {
+		return true
+	}
+	if st.attemptOutcome(c, outcome) != once.Unknown || !st.mayResume() || ctx.Err() != nil || !st.shouldResume() {
+		return false
+	}
+	st.connect(ctx, true)
+	return true
+}
+
+// attemptOutcome returns the outcome of the attempt if this connection was its last.
+// An attempt that was resumed has run, whatever became of the resume.
+func (st *stream) attemptOutcome(c *connection, outcome once.Outcome) once.Outcome {
+	if c.resumed && outcome != once.Answered {
+		return once.Unknown
+	}
+	return outcome
+}
+
 // shouldResume notes the end of a connection and reports whether to resume.
 func (st *stream) shouldResume() bool {
 	if st.verdict == answer.Continue {
@@ -129,46 +231,89 @@
 	}()
 }
 
-// connect sends the attempt, or resumes it, and reads the answer. If no progress
-// is made until the progress deadline, the call is cancelled, which closes the
-// connection.
-func (st *stream) connect(ctx context.Context, resume bool) once.Outcome {
-	now := st.modelCall.server.opts.Now()
+// connect sends the attempt, or resumes it, on a connection that is read from then on.
+func (st *stream) connect(ctx context.Context, resume bool) {
+	m := st.modelCall
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	a := st.modelCall.newAttempt(st.attempt, st.address, st.body)
+	c := &connection{resumed: resume, cancel: cancel}
+	a := m.newAttempt(st.attempt, st.address, st.body)
 	if resume {
-		st.checker.ResumeSent(now)
+		m.server.opts.Metrics.Count(metrics.Resumes)
+		st.checker.ResumeSent(m.server.opts.Now())
 		st.verdict = answer.Continue
 		a.Header.Set(engine.HeaderOffset, strconv.FormatInt(st.checker.Delivered(), 10))
 	}
-	watchdog := time.AfterFunc(st.checker.NextDeadline()-now, func() {
-		st.modelCall.server.opts.Metrics.Count(metrics.SilentConnections)
-		st.modelCall.server.opts.Upstream.CloseIdle()
-		cancel()
+	st.open = append(st.open, c)
+	st.readers.Go(func() {
+		defer cancel()
+		c.read(ctx, m.server.opts.Upstream, a, signalSender{st.signals, st.ended})
 	})
-	defer watchdog.Stop()
-	resp, err := st.modelCall.server.opts.Upstream.Do(ctx, a)
-	if err != nil {
-		st.modelCall.freshConnection = true
-		st.log("no answer", err)
-		return once.Classify(once.Evidence{Sent: a.Sent.Load()})
+}
+
+// handle delivers an event, or notes the end of a connection. It reports whether
+// the connection has ended, and with which outcome.
+func (st *stream) handle(s signal) (outcome once.Outcome, ended bool) {
+	if !slices.Contains(st.open, s.from) || s.from.closed && s.event != nil {
+		return "", false
 	}
-	defer resp.Body.Close()
-	if resp.Header.Get(engine.HeaderAttempt) != st.attempt {
-		st.log("answer dropped", errOtherAttempt)
+	if s.event == nil {
+		st.drop(s.from)
+		return st.endOutcome(s), true
+	}
+	err := st.handleEvent(s.from, s.event)
+	if err == nil {
+		return once.Answered, st.verdict == answer.Complete && isEndMarker(s.event)
+	}
+	st.drop(s.from)
+	st.connectionFailed(err)
+	return once.Unknown, true
+}
+
+// drop closes a connection. What it still carries is not read.
+func (st *stream) drop(c *connection) {
+	c.close()
+	st.open = slices.DeleteFunc(st.open, func(o *connection) bool { return o == c })
+}
+
+// dropOthers closes all connections but one, which carried the end of the answer.
+func (st *stream) dropOthers(last *connection) {
+	for _, c := range slices.Clone(st.open) {
+		if c != last {
+			st.drop(c)
+		}
+	}
+}
+
+// endOutcome returns the outcome of a connection that ended by itself.
+func (st *stream) endOutcome(s signal) once.Outcome {
+	if s.refusal != nil {
+		return st.classifyRefusal(s.from, s.refusal)
+	}
+	if errors.Is(s.err, errOtherAnswer) {
 		st.modelCall.server.opts.Metrics.Count(metrics.ForeignResponses)
-		return once.Unknown
 	}
-	if resp.StatusCode != http.StatusOK {
-		return st.classifyError(resp)
+	st.connectionFailed(s.err)
+	return s.outcome
+}
+
+// connectionFailed logs why a connection ended without the end of the answer.
+func (st *stream) connectionFailed(err error) {
+	st.modelCall.freshConnection = true
+	st.log("connection failed", err)
+}
+
+func isEndMarker(event []byte) bool { return string(event) == "[DONE]" }
+
+// handleEvent delivers an event or handles the end marker. The marker alone does not
+// prove that the answer is complete.
+func (st *stream) handleEvent(from *connection, event []byte) error {
+	if !isEndMarker(event) {
+		return st.deliver(from, event)
 	}
-	err = st.read(resp.Body, watchdog)
-	if err != nil {
-		st.modelCall.freshConnection = true
-		st.log("stream broken", err)
+	if st.verdict != answer.Complete {
+		return errIncomplete
 	}
-	return once.Classify(once.Evidence{Sent: true, Complete: err == nil, Status: resp.StatusCode})
+	return nil
 }
 
 // log logs a failed connection of the stream.
@@ -177,16 +322,16 @@
 		"upstream", st.address, "tokens", st.checker.Delivered(), "error", err)
 }
 
-// classifyError returns the outcome for an error response of the engine. A
-// response that reports an error in the caller's request is forwarded.
-func (st *stream) classifyError(resp *http.Response) once.Outcome {
-	body, err := upstream.ReadAll(resp.Body, maxErrorBodyBytes)
+// classifyRefusal returns the outcome for an answer that is not a stream. One that
+// reports an error in the caller's request is forwarded, but not that of a resume: the
+// attempt was accepted.
+func (st *stream) classifyRefusal(from *connection, r *refusal) once.Outcome {
 	outcome := once.Classify(once.Evidence{
-		Sent: true, Complete: err == nil, Status: resp.StatusCode, Ran: resp.Header.Get(engine.HeaderExecuted),
+		Sent: true, Complete: r.err == nil, Status: r.status, Ran: r.header.Get(engine.HeaderExecuted),
 	})
-	badRequest := resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusUnprocessableEntity
-	if err == nil && badRequest && !st.modelCall.sink.started() {
-		st.modelCall.sink.forwardError(resp.StatusCode, resp.Header, body)
+	badRequest := r.status == http.StatusBadRequest || r.status == http.StatusUnprocessableEntity
+	if r.err == nil && badRequest && !from.resumed && !st.modelCall.sink.started() {
+		st.modelCall.sink.forwardError(r.status, r.header, r.body)
 		return once.Answered
 	}
 	if outcome == once.Answered {
@@ -195,35 +340,8 @@
 	return outcome
 }
 
-// read delivers events until the end marker and resets the watchdog after each.
-func (st *stream) read(body io.Reader, watchdog *time.Timer) error {
-	in := bufio.NewReaderSize(body, streamBufferBytes)
-	for {
-		data, err := readEvent(in)
-		if err != nil {
-			return err
-		}
-		if string(data) == "[DONE]" {
-			return st.checkEnd()
-		}
-		if err := st.deliver(data); err != nil {
-			return err
-		}
-		watchdog.Reset(st.checker.NextDeadline() - st.modelCall.server.opts.Now())
-	}
-}
-
-// checkEnd handles the end marker. The marker alone does not prove that the
-// answer is complete.
-func (st *stream) checkEnd() error {
-	if st.verdict != answer.Complete {
-		return errIncomplete
-	}
-	return nil
-}
-
 // deliver checks an event and forwards it.
-func (st *stream) deliver(data []byte) error {
+func (st *stream) deliver(from *connection, data []byte) error {
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return err
@@ -231,6 +349,9 @@
 	if st.verdict == answer.Complete && c.Attempt == st.attempt {
 		return st.forward(data, &c) // usage may follow the last token
 	}
+	if c.Attempt == st.attempt && c.Offset > st.checker.Delivered() {
+		return answer.ErrGap // of this connection; another may have the missing part
+	}
 	part := answer.Chunk{Attempt: c.Attempt, Offset: c.Offset, End: c.isLast()}
 	if c.hasToken() {
 		part.Tokens = [][]byte{data}
@@ -245,7 +366,11 @@
 	case d.Next == answer.Truncated:
 		return d.Err
 	case c.hasToken() && len(d.Deliver) == 0:
-		return nil // delivered before the resume
+		return nil // delivered before, by another connection
+	case d.Next == answer.Complete:
+		st.dropOthers(from)
+	case !c.hasToken() && st.isRepeated(from, c.Offset):
+		return nil
 	}
 	if err := st.forward(data, &c); err != nil {
 		return err
@@ -256,12 +381,24 @@
 	return nil
 }
 
+// isRepeated reports whether an event without text may have been forwarded already
+// from another connection. Such events have no offset of their own.
+func (st *stream) isRepeated(from *connection, offset int64) bool {
+	last := st.textless
+	if last.from != nil && last.from != from && offset <= last.offset || from.resumed && offset < st.checker.Delivered() {
+		return true
+	}
+	st.textless = textlessEvent{from, offset}
+	return false
+}
+
 // forward passes an event to the sink and notes the usage in it.
 func (st *stream) forward(data []byte, c *chunk) error {
 	if c.Usage != nil {
 		st.modelCall.usedTokens = c.Usage.TotalTokens
 	}
 	if err := st.modelCall.sink.event(data, c); err != nil {
+		st.verdict = answer.Truncated
 		return errCallerGone
 	}
 	return nil
