knownred: fail a run without test events

make unit pipes go test into knownred and takes its verdict. If go test ended before its first event, knownred read nothing and passed. TestClassifyWithoutEvents failed before.

--- a/internal/knownred/knownred.go
+++ b/internal/knownred/knownred.go
@@ -87,6 +87,9 @@
 		c.handle(ev)
 	}
 	c.failOpenPackages()
+	if len(c.packages) == 0 {
+		c.summary.Failures = append(c.summary.Failures, noEvents)
+	}
 	sort.Strings(c.summary.KnownFailures)
 	return c.summary, sc.Err()
 }
@@ -99,6 +102,9 @@
 // did not run to its end.
 const incompleteNote = "knownred: the package did not run to its end after a listed test failed\n"
 
+// noEvents stands for the result of a run of which no event was read.
+const noEvents = "no test events"
+
 // openNote is added to the output of a package that started and never ended.
 const openNote = "knownred: the package started but no event reports its end\n"
 
--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -36,6 +36,12 @@
 	must.False(t, sum.OK())
 }
 
+func TestClassifyWithoutEvents(t *testing.T) {
+	sum, err := Classify(strings.NewReader(""), nil)
+	must.NoError(t, err)
+	must.False(t, sum.OK())
+}
+
 func TestParseListRefusesShortLine(t *testing.T) {
 	_, err := ParseList(strings.NewReader("p"))
 	must.ErrorContains(t, err, "line 1")
