Return a retry to the slot it was taken from

A returned retry was subtracted from the newest slot of the window. Once the slot in which it had been taken left the window, the budget allowed one retry too many. The retry now carries its slot. A handover takes the retry before the place, so that a denied one leaves no mark in the scheduler: it used up the probe of a suspect upstream every 200 ms.

TestReturnedRetryIsNotReturnedTwice allowed 3 of 2 before; TestDeniedHandoverDoesNotUseUpAProbe failed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -118,7 +118,7 @@
 	}
 	x.unsent++
 	if a.retry {
-		x.g.retryBudget.returnRetry(x.service)
+		x.returnRetry()
 	}
 	return o
 }
@@ -174,12 +174,21 @@
 		return deniedNotRepeatable
 	case o != outcomeNotSent && x.sent >= x.route.MaxAttempts:
 		return deniedAttempts
-	case !x.g.retryBudget.takeRetry(x.service):
+	case !x.takeRetry():
 		return deniedBudget
 	}
 	return ""
 }
 
+// takeRetry takes a retry from the budget and reports whether there was one.
+func (x *exchange) takeRetry() (ok bool) {
+	x.retry, ok = x.g.retryBudget.takeRetry(x.service)
+	return ok
+}
+
+// returnRetry returns the retry that was taken last.
+func (x *exchange) returnRetry() { x.g.retryBudget.returnRetry(x.service, x.retry) }
+
 // endUnplaced ends a request for which the scheduler found no upstream.
 func (x *exchange) endUnplaced(d assign.Decision) {
 	if x.mayHaveRun {
@@ -405,6 +414,6 @@
 	if !x.route.Repeatable() || len(x.job.TriedUpstreams) >= x.route.MaxAttempts || x.g.now() >= x.job.Objective {
 		return false
 	}
-	x.retryReserved = x.g.retryBudget.takeRetry(x.service)
+	x.retryReserved = x.takeRetry()
 	return x.retryReserved
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -75,6 +75,7 @@
 	retryReserved bool     // the next attempt has already been taken from the retry budget
 	sent          int      // ended attempts of which at least one byte may have been sent
 	unsent        int      // ended attempts of which no byte was sent
+	retry         retry    // taken last from the retry budget
 	next          *attempt // begun already, nil if there is none
 	rec           requestRecord
 }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -81,16 +81,13 @@
 // on. It reports whether the other upstream has not rejected the request; x.next is
 // then the attempt with which the request goes on.
 func (x *exchange) handOver(ctx context.Context) bool {
-	if x.sent+1 >= x.route.MaxAttempts || x.unsent >= maxUnreachable {
+	if x.sent+1 >= x.route.MaxAttempts || x.unsent >= maxUnreachable || !x.takeRetry() {
 		return false
 	}
 	x.job.Retryable = false // a suspect upstream is not probed with this request
 	placed, ok := x.g.dispatcher.placeNow(x.job)
 	if !ok {
-		return false
-	}
-	if !x.g.retryBudget.takeRetry(x.service) {
-		x.g.dispatcher.done(placed.Placement, assign.ResultUnknown)
+		x.returnRetry()
 		return false
 	}
 	a := x.begin(ctx, placed, true)
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -68,16 +68,11 @@
 	c.slots[c.newest%slotsPerWindow].requests++
 }
 
-// returnRetry returns a retry that was taken from the budget and not sent.
-func (b *retryBudget) returnRetry(service string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c := b.advance(service)
-	c.slots[c.newest%slotsPerWindow].retries--
-}
+// retry is one retry that was taken from the budget.
+type retry struct{ slot int64 }
 
 // takeRetry takes one retry from the budget and reports whether it had one.
-func (b *retryBudget) takeRetry(service string) bool {
+func (b *retryBudget) takeRetry(service string) (retry, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.advance(service)
@@ -88,8 +83,17 @@
 	}
 	allowed := budgetSafetyFactor * (b.settings.Ratio*float64(requests) + b.settings.FixedPerWindow/float64(max(b.instances(), 1)))
 	if float64(retries)+1 > allowed {
-		return false
+		return retry{}, false
 	}
 	c.slots[c.newest%slotsPerWindow].retries++
-	return true
+	return retry{c.newest}, true
+}
+
+// returnRetry returns a retry that was taken from the budget and not sent.
+func (b *retryBudget) returnRetry(service string, r retry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c := b.advance(service); c.newest-r.slot < slotsPerWindow {
+		c.slots[r.slot%slotsPerWindow].retries--
+	}
 }
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -40,3 +40,45 @@
 	must.False(t, x.endOne(outcomeUnknown)) // the one retry was sent
 	must.Eq(t, deniedBudget, x.rec.retryDenied)
 }
+
+// A retry leaves the window with the slot in which it was taken, also if it was
+// returned later.
+func TestReturnedRetryIsNotReturnedTwice(t *testing.T) {
+	at := time.Minute
+	b := newRetryBudget(RetrySettings{FixedPerWindow: 2 / budgetSafetyFactor, Window: settings.Duration(10 * time.Second)}, func() int { return 1 }, func() time.Duration { return at })
+	taken, ok := b.takeRetry("app")
+	must.True(t, ok)
+	at += 1100 * time.Millisecond // the next slot
+	b.returnRetry("app", taken)
+	at += 9 * time.Second // the first slot has left the window
+	for range 2 {
+		_, ok = b.takeRetry("app")
+		must.True(t, ok)
+	}
+	_, ok = b.takeRetry("app")
+	must.False(t, ok)
+}
+
+// A handover that the budget denies leaves the scheduler as it was.
+func TestDeniedHandoverDoesNotUseUpAProbe(t *testing.T) {
+	at := time.Minute
+	now := func() time.Duration { return at }
+	x := newTestExchange(0)
+	x.g.now = now
+	x.g.dispatcher = newDispatcher(assign.Options{}, now)
+	x.g.dispatcher.setUpstreams(&fleet.Config{}, []fleet.Upstream{{ID: "u0", Service: "app", Slots: 4}, {ID: "u1", Service: "app", Slots: 4}})
+	job := func() *assign.Job {
+		return &assign.Job{Service: "app", TriedUpstreams: []string{"u0"}, Arrived: at, Objective: at + time.Second, FirstEventDeadline: at + 2*time.Second, Deadline: at + 5*time.Second}
+	}
+	for range 3 {
+		p, ok := x.g.dispatcher.placeNow(job())
+		must.True(t, ok)
+		x.g.dispatcher.done(p.Placement, assign.ResultFailed)
+	}
+	at += 2 * time.Second // u1 is no longer ejected and due for a probe
+	must.True(t, x.g.dispatcher.sched.HasEligible(at, job()))
+	x.job = job()
+	must.False(t, x.handOver(context.Background())) // no retry in the budget
+	at += 200 * time.Millisecond
+	must.True(t, x.g.dispatcher.sched.HasEligible(at, job()))
+}
