Close a silent attempt only once another upstream has answered

(1) The kernel reports a reset once; the wait took it, and the next read met an end of file, which ends a body without a length.

Change: the connection's own Read notices silence and calls a function in the goroutine that reads (httpconn.Watch), at every point of the head and the body. It keeps its first error. At a handover the first attempt is closed only when the other upstream has begun an answer that can be passed on. That may take 300 ms, rejection included; a timer then closes the other attempt, and the first one is read on. Any answer of the upstream's own below 500 is accepted unless a stream has begun; a failure there counts as a run, so that no 503 promises otherwise.

A rejected handover counts as one of the route's attempts, as rejections always did.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -25,8 +25,8 @@
 	// outcomeUnknown: the request may have run; the caller has received
 	// nothing, or only the first events of a stream.
 	outcomeUnknown
-	// outcomeStalled: the upstream was silent for too long and the request went on
-	// at another one; otherwise as outcomeUnknown.
+	// outcomeStalled: the gateway closed the attempt because the upstream was silent
+	// and another one has the request; otherwise as outcomeUnknown.
 	outcomeStalled
 	// outcomeCallerLeft: the caller disconnected.
 	outcomeCallerLeft
@@ -46,10 +46,10 @@
 type attempt struct {
 	assign.QueueResult
 	cancel   context.CancelFunc
-	charged  bool // charged to the organisation's limit
-	retry    bool // taken from the retry budget
-	err      error
-	exchange *httpconn.Exchange // nil if err is set
+	charged  bool               // charged to the organisation's limit
+	retry    bool               // taken from the retry budget
+	err      error              // of sending or of reading the head of the answer
+	exchange *httpconn.Exchange // nil if the request could not be sent
 	response *httpconn.Response // nil until the head of the answer was read
 	silent   bool               // a silence was recorded as the upstream's failure
 }
@@ -240,40 +240,37 @@
 
 // relay relays the upstream's answer to an attempt.
 func (x *exchange) relay(ctx context.Context, a *attempt) outcome {
-	if err := x.readHead(ctx, a); err != nil {
+	x.watch(ctx, a)
+	if err := a.readHead(); err != nil {
 		return x.sendFailed(a, err)
 	}
-	resp := a.response
-	kind := x.g.codec.ClassifyResponse(resp.Status, resp.Header, x.req.AttemptID)
-	if kind != fleet.AnswerOwn {
+	if kind := x.classify(a); kind != fleet.AnswerOwn {
 		return x.rejectAnswer(a, kind)
 	}
 	x.mayHaveRun = true
-	if x.route.Kind == fleet.KindStream && resp.Status == http.StatusOK {
-		return x.relayStream(ctx, a)
+	if x.route.Kind == fleet.KindStream && a.response.Status == http.StatusOK {
+		return x.relayStream(a)
 	}
 	if x.rec.stream.headSent {
-		resp.Finish(false)
+		a.response.Finish(false)
 		x.rec.lastError = errNotResumed
 		x.release(a, assign.ResultFailed)
 		return outcomeUnknown
 	}
-	return x.relayComplete(ctx, a)
+	return x.relayComplete(a)
 }
 
-// readHead reads the head of the upstream's answer, unless that was done. It fails
-// with errHandedOver if the request goes on at another upstream.
-func (x *exchange) readHead(ctx context.Context, a *attempt) error {
-	if a.err != nil || a.response != nil {
-		return a.err
-	}
-	if err := x.awaitProgress(ctx, a, a.exchange.Await); err != nil {
-		a.exchange.Close()
-		return err
+// readHead reads the head of the upstream's answer, unless that was done.
+func (a *attempt) readHead() error {
+	if a.err == nil && a.response == nil {
+		a.response, a.err = a.exchange.Response()
 	}
-	var err error
-	a.response, err = a.exchange.Response()
-	return err
+	return a.err
+}
+
+// classify returns what the head of the answer to an attempt proves.
+func (x *exchange) classify(a *attempt) fleet.AnswerKind {
+	return x.g.codec.ClassifyResponse(a.response.Status, a.response.Header, x.req.AttemptID)
 }
 
 // release ends the placement of an attempt. It counts one failure of the upstream
@@ -352,6 +349,7 @@
 // rejectAnswer ends an attempt whose answer must not be passed to the caller.
 func (x *exchange) rejectAnswer(a *attempt, kind fleet.AnswerKind) outcome {
 	id, resp := a.Decision.Upstream.ID, a.response
+	a.exchange.Watch(httpconn.Watch{})
 	switch kind {
 	case fleet.AnswerNotRun:
 		_, err := readAnswer(resp.Body)
@@ -380,9 +378,9 @@
 var errMismatchedAnswer = errors.New("gateway: answer is for another request or not from the upstream")
 
 // relayComplete reads the whole answer and then passes it to the caller.
-func (x *exchange) relayComplete(ctx context.Context, a *attempt) outcome {
+func (x *exchange) relayComplete(a *attempt) outcome {
 	resp := a.response
-	body, err := readAnswer(&progressReader{x, ctx, a})
+	body, err := readAnswer(resp.Body)
 	resp.Finish(err == nil)
 	if err != nil {
 		return x.endBrokenAttempt(a, err)
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -23,63 +23,49 @@
 	// handOverInterval is the interval between attempts to hand over a request
 	// whose upstream remains silent.
 	handOverInterval = 200 * time.Millisecond
-	// rejectTimeout is the time within which an upstream rejects a request that it
-	// does not take. For so long, two upstreams may hold the same request.
-	rejectTimeout = 100 * time.Millisecond
+	// handOverTimeout is the time within which another upstream has to begin its
+	// answer. For so long both upstreams may work on the request, and events of the
+	// first one are not relayed.
+	handOverTimeout = 300 * time.Millisecond
 )
 
 // errHandedOver means that an attempt was given up because the request goes on at
 // another upstream.
 var errHandedOver = errors.New("gateway: upstream silent; the request goes on at another one")
 
-// progressReader reads the body of the answer to an attempt. It fails with
-// errHandedOver if the upstream is silent and the request goes on at another one.
-type progressReader struct {
-	x   *exchange
-	ctx context.Context
-	a   *attempt
-}
-
-func (r *progressReader) Read(p []byte) (int, error) {
-	if err := r.x.awaitProgress(r.ctx, r.a, r.a.response.Await); err != nil {
-		return 0, err
+// watch supervises reading the answer to an attempt. While the upstream is silent,
+// the request is handed over to another upstream as soon as one answers it; reading
+// then fails with errHandedOver. Silence alone ends no attempt.
+func (x *exchange) watch(ctx context.Context, a *attempt) {
+	if a.err != nil || !x.route.Repeatable() {
+		return
 	}
-	return r.a.response.Body.Read(p)
+	a.exchange.Watch(httpconn.Watch{
+		Timeout: x.silenceTimeout, Interval: handOverInterval,
+		OnSilence: func(silent time.Duration) error {
+			if !a.silent {
+				a.silent = x.g.dispatcher.recordSilence(a.Placement, x.job)
+			}
+			if !x.handOver(ctx) {
+				return nil
+			}
+			x.rec.stalledFor = silent
+			return errHandedOver
+		},
+	})
 }
 
-// silenceTimeout returns the silence timeout of the current attempt, 0 if the
-// request may not be repeated.
+// silenceTimeout returns the silence timeout of the current attempt.
 func (x *exchange) silenceTimeout() time.Duration {
-	switch {
-	case !x.route.Repeatable():
-		return 0
-	case x.rec.stream.headSent:
+	if x.rec.stream.headSent {
 		return max(minStallTimeout, stallTimeoutGaps*x.route.MaxGap)
 	}
 	return max(minSilenceTimeout, silenceTimeoutObjectives*x.route.Objective)
 }
 
-// awaitProgress waits until the upstream of an attempt sends something or fails.
-// While it is silent, the request is handed over to another upstream as soon as one
-// takes it; awaitProgress then fails with errHandedOver. Silence alone ends no
-// attempt.
-func (x *exchange) awaitProgress(ctx context.Context, a *attempt, await func(time.Duration) error) error {
-	silentSince := x.g.now()
-	for timeout := x.silenceTimeout(); await(timeout) != nil; timeout = handOverInterval {
-		if !a.silent {
-			a.silent = x.g.dispatcher.recordSilence(a.Placement, x.job)
-		}
-		if x.handOver(ctx) {
-			x.rec.stalledFor = x.g.now() - silentSince
-			return errHandedOver
-		}
-	}
-	return nil
-}
-
-// handOver sends the request to another upstream while the current attempt goes
-// on. It reports whether the other upstream has not rejected the request; x.next is
-// then the attempt with which the request goes on.
+// handOver sends the request to another upstream while the current attempt stays
+// open. It reports whether the other upstream has begun its answer; x.next is then
+// the attempt with which the request goes on.
 func (x *exchange) handOver(ctx context.Context) bool {
 	if x.sent+1 >= x.route.MaxAttempts || x.unsent >= maxUnreachable || !x.takeRetry() {
 		return false
@@ -90,8 +76,11 @@
 		x.returnRetry()
 		return false
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	limit := time.AfterFunc(handOverTimeout, cancel)
 	a := x.begin(ctx, placed, true)
-	if o, rejected := x.rejected(a); rejected {
+	a.cancel = cancel
+	if o, ok := x.accepted(a, limit); !ok {
 		x.finishAttempt(a, o)
 		return false
 	}
@@ -99,27 +88,51 @@
 	return true
 }
 
-// rejected reports whether an upstream rejects or fails an attempt within
-// rejectTimeout, and the outcome of the attempt if so.
-func (x *exchange) rejected(a *attempt) (outcome, bool) {
-	if a.err != nil {
-		return x.sendFailed(a, a.err), true
-	}
-	if errors.Is(a.exchange.Await(rejectTimeout), httpconn.ErrSilent) {
-		return 0, false
-	}
-	var err error
-	if a.response, err = a.exchange.Response(); err != nil {
-		return x.sendFailed(a, err), true
+// accepted reads the head of the answer to an attempt at a handover. It reports
+// whether the request can go on with that answer, and the outcome of the attempt if
+// not. limit cancels the attempt when it fires.
+func (x *exchange) accepted(a *attempt, limit *time.Timer) (outcome, bool) {
+	defer limit.Stop()
+	err := a.readHead()
+	if err == nil {
+		if kind := x.classify(a); kind != fleet.AnswerOwn {
+			return x.rejectAnswer(a, kind), false
+		}
 	}
-	kind := x.g.codec.ClassifyResponse(a.response.Status, a.response.Header, x.req.AttemptID)
+	inTime := limit.Stop()
 	switch {
-	case kind != fleet.AnswerOwn:
-		return x.rejectAnswer(a, kind), true
-	case a.response.Status != http.StatusOK:
+	case !inTime && x.ctx.Err() == nil:
+		return x.handOverTimedOut(a, err), false
+	case err != nil:
+		return x.sendFailed(a, err), false
+	case !x.canRelay(a.response.Status):
+		x.mayHaveRun = true
 		a.response.Finish(false)
 		x.release(a, assign.ResultFailed)
-		return outcomeUnknown, true
+		return outcomeUnknown, false
+	}
+	return 0, true
+}
+
+// handOverTimedOut ends an attempt at a handover that handOverTimeout has cancelled.
+// It says nothing about the health of the upstream.
+func (x *exchange) handOverTimedOut(a *attempt, err error) outcome {
+	if a.response != nil {
+		a.response.Finish(false)
+	}
+	x.release(a, assign.ResultUnknown)
+	if errors.Is(err, httpconn.ErrNotSent) {
+		return outcomeNotSent
+	}
+	x.mayHaveRun = true
+	return outcomeStalled
+}
+
+// canRelay reports whether an upstream's own answer with this status can be passed
+// to the caller. Once a stream has begun, it goes on only with another one.
+func (x *exchange) canRelay(status int) bool {
+	if x.rec.stream.headSent {
+		return status == http.StatusOK
 	}
-	return 0, false
+	return status < http.StatusInternalServerError
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -41,8 +40,8 @@
 
 // relayStream relays events as they arrive. It passes only whole events to the
 // caller, so that another upstream can resume the stream after the last one.
-func (x *exchange) relayStream(ctx context.Context, a *attempt) outcome {
-	err := x.copyEvents(a, &progressReader{x, ctx, a})
+func (x *exchange) relayStream(a *attempt) outcome {
+	err := x.copyEvents(a)
 	a.response.Finish(err == nil)
 	var disconnected *callerDisconnectedError
 	switch {
@@ -71,12 +70,12 @@
 
 // copyEvents relays events until the stream ends or breaks. In a resumed stream
 // it skips the events that the caller already has.
-func (x *exchange) copyEvents(a *attempt, body io.Reader) error {
+func (x *exchange) copyEvents(a *attempt) error {
 	splitter := eventstream.NewSplitter(maxEventBytes)
 	buf := make([]byte, readBufferBytes)
 	resumed, started := x.rec.stream.headSent, false
 	for {
-		n, readErr := body.Read(buf)
+		n, readErr := a.response.Body.Read(buf)
 		if err := splitter.Feed(buf[:n]); err != nil {
 			return err
 		}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -30,10 +30,6 @@
 	ErrExchangeFailed = errors.New("httpconn: exchange broken")
 )
 
-// ErrSilent means that the upstream has sent nothing for some time. The exchange
-// can go on.
-var ErrSilent = errors.New("httpconn: upstream silent")
-
 const (
 	readBufferBytes = 4 << 10
 	// tcpUserTimeout is the TCP_USER_TIMEOUT of connections: the kernel closes a
@@ -76,9 +72,70 @@
 
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
+	reader  *bufio.Reader // reads through Read
 	address string
 	expires time.Duration // boot time from which the connection is not reused
+	watch   Watch
+	readErr error // ends all further reading
+}
+
+// Watch supervises the reading of a response. Its functions are called by the
+// goroutine that reads.
+type Watch struct {
+	// Timeout returns how long the upstream may send nothing until OnSilence is
+	// called. Without a Timeout, or if it returns 0, reading is not supervised.
+	Timeout func() time.Duration
+	// Interval is the time until OnSilence is called again while the silence
+	// lasts.
+	Interval time.Duration
+	// OnSilence is told how long the upstream has been silent. If it returns an
+	// error, reading fails with it; otherwise reading goes on.
+	OnSilence func(silent time.Duration) error
+}
+
+// Read reads from the connection, supervised by its watch. After an error it
+// returns the same error again, because the kernel reports a reset only once.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.readErr != nil {
+		return 0, c.readErr
+	}
+	if c.watch.Timeout == nil {
+		return c.readOnce(p)
+	}
+	began := time.Now()
+	for timeout := c.watch.Timeout(); ; timeout = c.watch.Interval {
+		n, err := c.readWithin(p, timeout)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		// After a suspend the deadline may have passed although data has arrived.
+		if c.quiet() {
+			c.readErr = c.watch.OnSilence(time.Since(began))
+		}
+		if c.readErr != nil {
+			return 0, c.readErr
+		}
+	}
+}
+
+// readWithin reads with a deadline, without one if timeout is 0.
+func (c *conn) readWithin(p []byte, timeout time.Duration) (int, error) {
+	if timeout <= 0 {
+		return c.readOnce(p)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return 0, err
+	}
+	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
+	return c.readOnce(p)
+}
+
+func (c *conn) readOnce(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.readErr = err
+	}
+	return n, err
 }
 
 // dial opens a connection to an address (IP:port).
@@ -88,7 +145,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: address}, nil
+	c := &conn{Conn: raw, address: address}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -102,12 +161,13 @@
 	return optErr
 }
 
-// healthy reports whether the connection is open and nothing can be read from it:
-// no data, end of file or error. An idle connection can then be reused.
-func (c *conn) healthy() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
+// healthy reports whether an idle connection can be reused. It cannot if there is
+// unread data, an end of file or an error on it.
+func (c *conn) healthy() bool { return c.reader.Buffered() == 0 && c.readErr == nil && c.quiet() }
+
+// quiet reports whether the connection is open and nothing can be read from it. It
+// keeps an error that the kernel reports, for the next read.
+func (c *conn) quiet() bool {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -116,33 +176,22 @@
 	if err != nil {
 		return false
 	}
-	healthy := false
+	var peekErr error
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		healthy = errors.Is(err, unix.EAGAIN)
+		_, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && healthy
-}
-
-// await waits until there is something to read, including an end of file or an
-// error. It fails with ErrSilent if that takes longer than timeout; 0 means not to
-// wait.
-func (c *conn) await(timeout time.Duration) error {
-	if timeout <= 0 || c.reader.Buffered() > 0 {
-		return nil
+	if err != nil || errors.Is(peekErr, unix.EINTR) {
+		return false
 	}
-	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
-		return nil // the next read reports it
+	if errors.Is(peekErr, unix.EAGAIN) {
+		return true
 	}
-	_, err := c.reader.Peek(1)
-	_ = c.SetReadDeadline(time.Time{})
-	// After a suspend the deadline may have passed although data has arrived.
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.healthy() {
-		return ErrSilent
+	if peekErr != nil {
+		c.readErr = os.NewSyscallError("recvfrom", peekErr)
 	}
-	return nil
+	return false
 }
 
 // send writes the request with one vectored write. sent reports whether any byte
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -80,10 +80,8 @@
 	return e, nil
 }
 
-// Await waits until something of the response has arrived or the connection has
-// failed. It fails with ErrSilent if that takes longer than timeout; 0 means not
-// to wait.
-func (e *Exchange) Await(timeout time.Duration) error { return e.conn.await(timeout) }
+// Watch sets the watch for reading the response, also its body.
+func (e *Exchange) Watch(w Watch) { e.conn.watch = w }
 
 // Response reads the status and header of the response. It fails with
 // ErrExchangeFailed.
@@ -252,15 +250,6 @@
 	}
 }
 
-// Await waits until more of the body has arrived or the connection has failed. It
-// fails with ErrSilent if that takes longer than timeout; 0 means not to wait.
-func (r *Response) Await(timeout time.Duration) error {
-	if r.Body == http.NoBody {
-		return nil
-	}
-	return r.conn.await(timeout)
-}
-
 // Finish ends an exchange. complete means that the body was read to its end
 // without an error; then the connection is kept for reuse if the peer allows it.
 // Otherwise it is closed. Further calls do nothing.
@@ -269,6 +258,7 @@
 		return
 	}
 	r.finished = true
+	r.conn.watch = Watch{}
 	open := r.stopCtxWatch()
 	framed := r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0
 	idle := idleTimeout(r.Header)
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -201,44 +203,97 @@
 	must.Error(t, <-closed)
 }
 
+// silences returns a watch that counts the silences of 10 ms in n.
+func silences(n *atomic.Int32) Watch {
+	return Watch{
+		Timeout: func() time.Duration { return 10 * time.Millisecond }, Interval: 10 * time.Millisecond,
+		OnSilence: func(time.Duration) error { n.Add(1); return nil },
+	}
+}
+
 func TestSilentExchangeGoesOn(t *testing.T) {
-	proceed := make(chan struct{})
+	var n atomic.Int32
+	silent := func() { // waits for another silence
+		for before := n.Load(); n.Load() == before; time.Sleep(time.Millisecond) {
+		}
+	}
 	u := newRawServer(t, func(c net.Conn, r *http.Request, _ int) bool {
-		<-proceed
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
-		<-proceed
-		_, err := io.WriteString(c, "4\r\nrest\r\n0\r\n\r\n")
-		return err == nil
+		for _, part := range []string{"HTTP/1.1 200", " OK\r\nKeep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nha", "lf\r\n4\r\nrest\r\n", "0\r\n\r\n"} {
+			silent()
+			if _, err := io.WriteString(c, part); err != nil {
+				return false
+			}
+		}
+		return true
 	})
 	e, err := u.pool.Send(context.Background(), &Request{Address: u.address, Method: "GET", RequestURI: "/", Host: "h"})
 	must.NoError(t, err)
-	must.ErrorIs(t, e.Await(10*time.Millisecond), ErrSilent)
-	proceed <- struct{}{}
-	must.NoError(t, e.Await(time.Minute))
+	e.Watch(silences(&n))
 	resp, err := e.Response()
 	must.NoError(t, err)
-	buf := make([]byte, 100)
-	n, err := resp.Body.Read(buf)
-	must.NoError(t, err)
-	must.Eq(t, "half", string(buf[:n]))
-	must.ErrorIs(t, resp.Await(10*time.Millisecond), ErrSilent)
-	proceed <- struct{}{}
-	must.NoError(t, resp.Await(time.Minute))
-	rest, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(resp.Body)
 	must.NoError(t, err)
-	must.Eq(t, "rest", string(rest))
+	must.Eq(t, "halfrest", string(body))
 	resp.Finish(true)
 	must.Eq(t, 1, len(u.pool.idle[u.address])) // the connection is kept
 }
 
-// An empty body has nothing to wait for.
-func TestAwaitOfAnEmptyBodyReturns(t *testing.T) {
+func TestErrorOfTheWatchEndsReading(t *testing.T) {
 	u := newRawServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
-		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-		return err == nil
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+		_, _ = c.Read(make([]byte, 1)) // until the client closes
+		return false
 	})
-	resp, err := u.pool.Do(context.Background(), &Request{Address: u.address, Method: "GET", RequestURI: "/", Host: "h"})
+	e, err := u.pool.Send(context.Background(), &Request{Address: u.address, Method: "GET", RequestURI: "/", Host: "h"})
 	must.NoError(t, err)
-	must.NoError(t, resp.Await(time.Minute))
-	resp.Finish(true)
+	enough := errors.New("enough")
+	e.Watch(Watch{Timeout: func() time.Duration { return 10 * time.Millisecond }, OnSilence: func(time.Duration) error { return enough }})
+	resp, err := e.Response()
+	must.NoError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	must.ErrorIs(t, err, enough)
+	resp.Finish(false)
+}
+
+// A body without a length that ends with a reset is incomplete, also if the reset
+// arrives while the upstream is silent.
+func TestResetDuringASilenceIsNotTheEndOfABody(t *testing.T) {
+	var n atomic.Int32
+	for name, watch := range map[string]Watch{"not watched": {}, "watched": silences(&n)} {
+		t.Run(name, func(t *testing.T) {
+			u := newRawServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+				time.Sleep(55 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				return false // closes with a reset
+			})
+			e, err := u.pool.Send(context.Background(), &Request{Address: u.address, Method: "GET", RequestURI: "/", Host: "h"})
+			must.NoError(t, err)
+			e.Watch(watch)
+			resp, err := e.Response()
+			must.NoError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			must.Error(t, err) // must not look complete
+			must.Eq(t, "half", string(body))
+		})
+	}
+}
+
+// A reset that the check of a connection meets first is not lost to the next read.
+func TestResetSeenByTheCheckEndsReading(t *testing.T) {
+	reset := make(chan struct{})
+	u := newRawServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+		close(reset)
+		return false
+	})
+	e, err := u.pool.Send(context.Background(), &Request{Address: u.address, Method: "GET", RequestURI: "/", Host: "h"})
+	must.NoError(t, err)
+	<-reset
+	for e.conn.quiet() {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = e.Response()
+	must.ErrorIs(t, err, syscall.ECONNRESET)
 }
