Let a stream in progress wait for a place at a stopping instance

Three seconds after a SIGTERM a stopping instance refuses what is queued, so that callers turn to another instance. A stream whose upstream had broken off was refused, too, and cut although up to 4.75 s of the grace time were left.

TestStopDoesNotRefuseAJobInProgress failed before.

--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -429,3 +429,15 @@
 	must.True(t, results[0].Decision.Job == jobs[false])
 	must.Nil(t, results[0].Placement)
 }
+
+// A stopping instance goes on to look for a place for a stream that is in progress.
+func TestStopDoesNotRefuseAJobInProgress(t *testing.T) {
+	s := newTestScheduler(1, "m")
+	s.LimitQueueTime(start + 3*time.Second)
+	at := start + 4*time.Second
+	s.RecordFull(at, "e0")
+	j := newChatJob(1, start)
+	j.InProgress, j.FirstEventDeadline, j.Deadline = true, at+2*time.Second, at+5*time.Second
+	_, refused := s.Submit(at, j)
+	must.Nil(t, refused)
+}
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -34,11 +34,14 @@
 }
 
 // LimitQueueTime sets the time after which no job stays queued, because the
-// instance is stopping.
+// instance is stopping. It does not apply to jobs in progress, whose callers cannot
+// turn to another instance without losing the response.
 func (s *Scheduler) LimitQueueTime(at time.Duration) {
 	s.queueEnd = at
 	for _, j := range s.queue {
-		j.FirstEventDeadline = min(j.FirstEventDeadline, at)
+		if !j.InProgress {
+			j.FirstEventDeadline = min(j.FirstEventDeadline, at)
+		}
 	}
 }
 
--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -73,7 +73,7 @@
 func (s *Scheduler) Submit(now time.Duration, j *Job) (*Placement, *Decision) {
 	j.modelHash = modelHash(j.Model, j.Adapter)
 	j.Urgency = min(max(j.Urgency, 0), UrgencyLevels-1)
-	if s.queueEnd != 0 {
+	if s.queueEnd != 0 && !j.InProgress {
 		j.FirstEventDeadline = min(j.FirstEventDeadline, s.queueEnd)
 	}
 	placement, decision := s.PlaceNow(now, j)
