--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -137,7 +137,7 @@
 			switch complete := st.verdict == answer.Complete; {
 			case ended && complete:
 				return once.Answered // with or without the end marker
-			case ended && !st.goOn(ctx, s.from, outcome):
+			case ended && !st.continueAfter(ctx, s.from, outcome):
 				return st.attemptOutcome(s.from, outcome)
 			case ended || complete || st.checker.Delivered() > delivered:
 				silence.Reset(st.progress)
@@ -161,16 +161,17 @@
 		if len(st.open) >= maxConnections || st.checker.Silent().Next != answer.Resume {
 			return
 		}
-		st.silenceSeen()
+		st.avoidIdleConnections()
 		st.connect(ctx, true)
 	case !st.open[0].closed && st.next.reserve():
-		st.silenceSeen()
+		st.avoidIdleConnections()
 		st.open[0].close()
 	}
 }
 
-// silenceSeen has further connections made anew: those that are idle may be silent too.
-func (st *stream) silenceSeen() {
+// avoidIdleConnections has further connections made anew: those that are idle may be
+// silent too. It counts the silence.
+func (st *stream) avoidIdleConnections() {
 	st.modelCall.server.opts.Metrics.Count(metrics.SilentConnections)
 	st.modelCall.server.opts.Upstream.CloseIdle()
 	st.modelCall.freshConnection = true
@@ -182,10 +183,9 @@
 	return st.checker.Delivered() > 0 || st.modelCall.sink.started()
 }
 
-// goOn is called after a connection ended with this outcome. It asks the engine for
-// the rest of the answer if no connection is left, and returns false if the attempt
-// has ended.
-func (st *stream) goOn(ctx context.Context, c *connection, outcome once.Outcome) bool {
+// continueAfter reports whether the attempt goes on after a connection has ended with
+// this outcome. If no connection is left, it asks the engine for the rest of the answer.
+func (st *stream) continueAfter(ctx context.Context, c *connection, outcome once.Outcome) bool {
 	if outcome == once.Answered || st.verdict == answer.Truncated {
 		return false
 	}
