--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -86,7 +86,7 @@
 	// called. Without a Timeout, or if it returns 0, reading is not supervised.
 	Timeout func() time.Duration
 	// Interval is the time until OnSilence is called again while the silence
-	// lasts.
+	// lasts; 0 means not again.
 	Interval time.Duration
 	// OnSilence is told how long the upstream has been silent. If it returns an
 	// error, reading fails with it; otherwise reading goes on.
