entry, assign: one place for closing idle connections, clearer comments

A silent connection of a plain call and one of a stream counted the silence and closed the idle connections in two copies; Server.closeIdle does both. SubmitIfFree looks at the queue before it builds what only a free place needs. PlaceNow's comment said that the job had been submitted, which Submit itself calls it for.

--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -91,9 +91,10 @@
 	return nil, nil
 }
 
-// PlaceNow places a job that was submitted before if an upstream that it has not
-// tried can take it at once. It never queues the job; it returns no placement if
-// there is no such upstream or other jobs go first.
+// PlaceNow places a job if an upstream that it has not tried can take it at once. It
+// never queues the job; it returns no placement if there is no such upstream or other
+// jobs go first. The job needs what Submit derives from it, as a job that was placed
+// before has.
 func (s *Scheduler) PlaceNow(now time.Duration, j *Job) (*Placement, *Decision) {
 	ahead := s.jobsAhead(now, j)
 	best, eligible := s.choose(now, j)
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -169,10 +169,10 @@
 // returns false otherwise.
 func (s *Scheduler) SubmitIfFree(now time.Duration, req Request) (id uint64, ok bool) {
 	q := s.queue(req.Route.Model)
-	p := &pendingRequest{req: req, submitted: now, refuseAt: s.refuseAt(now, &req)}
 	if q.Len() > 0 {
 		return 0, false
 	}
+	p := &pendingRequest{req: req, submitted: now, refuseAt: s.refuseAt(now, &req)}
 	choice, err := s.table.Pick(now, s.routeRequest(q, p), s.rng)
 	if err != nil || choice.Saturated || s.isOverShare(p, choice) {
 		return 0, false
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -222,7 +222,9 @@
 			return answer, outcome
 		case <-silence.C:
 			if next.reserve() {
-				p.closeSilent(cancel)
+				p.server.closeIdle()
+				p.freshConnection = true
+				cancel()
 				<-done
 				return answer, outcome
 			}
@@ -230,13 +232,11 @@
 	}
 }
 
-// closeSilent closes the connection of an attempt and those that are idle, which may
-// be silent too; the next attempt uses a new one.
-func (p *plainCall) closeSilent(closeConnection func()) {
-	p.server.opts.Metrics.Count(metrics.SilentConnections)
-	p.server.opts.Upstream.CloseIdle()
-	p.freshConnection = true
-	closeConnection()
+// closeIdle counts a silent connection and closes those that are idle, which may be
+// silent too.
+func (s *Server) closeIdle() {
+	s.opts.Metrics.Count(metrics.SilentConnections)
+	s.opts.Upstream.CloseIdle()
 }
 
 // exchange sends an attempt, reads the complete answer and classifies the
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -169,11 +169,9 @@
 	}
 }
 
-// avoidIdleConnections has further connections made anew: those that are idle may be
-// silent too. It counts the silence.
+// avoidIdleConnections has further connections made anew.
 func (st *stream) avoidIdleConnections() {
-	st.modelCall.server.opts.Metrics.Count(metrics.SilentConnections)
-	st.modelCall.server.opts.Upstream.CloseIdle()
+	st.modelCall.server.closeIdle()
 	st.modelCall.freshConnection = true
 }
 
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -79,7 +79,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	limit := time.AfterFunc(handOverTimeout, cancel)
 	a := x.begin(ctx, placed, true)
-	a.cancel = cancel
+	a.cancel = cancel // ends the context of begin, too
 	if o, ok := x.accepted(a, limit); !ok {
 		x.finishAttempt(a, o)
 		return false
