--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -20,6 +20,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/once"
 	"github.com/eelgrassbay/eelgrassbay/internal/route"
 	"github.com/eelgrassbay/eelgrassbay/internal/upstream"
+	"github.com/eelgrassbay/eelgrassbay/internal/wait"
 	"github.com/shoenig/test/must"
 )
 
@@ -85,13 +86,11 @@
 	}
 	for i := offset; i < 4; i++ {
 		if i >= e.pauseBefore && !e.pauseAtEnd {
-			wait := time.Until(resumeAt)
+			silence := time.Until(resumeAt)
 			if e.firstSilent && offset == 0 {
-				wait = time.Hour
+				silence = time.Hour
 			}
-			select {
-			case <-time.After(wait):
-			case <-r.Context().Done():
+			if !wait.Sleep(r.Context(), silence) {
 				e.mu.Lock()
 				e.dropped[id] = e.dropped[id] || e.dropOnClose
 				e.mu.Unlock()
