A rejection uses up neither an attempt nor the upstream

Cause: an upstream that rejected a request without running it (full, or without the model) counted as tried for good and as one of the route's attempts.

Change: attempts that may have run are counted apart from rejections. The route's maximum binds the former; rejections are bounded by it too, but two are always allowed. An upstream that rejected a request is chosen again once an attempt elsewhere has ended. A rejected arrival takes a retry from the budget as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -38,9 +39,15 @@
 	return [...]string{"delivered", "not_run", "not_sent", "unknown", "stalled", "caller_left", "timeout"}[o]
 }
 
-// maxUnreachable is the maximum number of attempts of one request that fail
-// because the upstream cannot be reached at all.
-const maxUnreachable = 3
+const (
+	// maxUnreachable is the maximum number of attempts of one request that fail
+	// because the upstream cannot be reached at all.
+	maxUnreachable = 3
+	// minRejections is the number of upstreams that may reject a request without
+	// running it before the request is refused, if its route allows fewer
+	// attempts. Rejections do not count as attempts.
+	minRejections = 2
+)
 
 // attempt is one attempt to send the request to an upstream.
 type attempt struct {
@@ -76,6 +83,7 @@
 			a = x.begin(ctx, placed, false)
 		}
 		o := x.finishAttempt(a, x.relay(ctx, a))
+		x.forgetRejections(a.Decision.Upstream.ID)
 		switch o {
 		case outcomeDelivered:
 			return
@@ -94,7 +102,7 @@
 // whether another attempt is still open. The request is charged to the organisation
 // again if an earlier attempt may have run, because it then counts twice upstream.
 func (x *exchange) begin(ctx context.Context, placed assign.QueueResult, concurrent bool) *attempt {
-	a := &attempt{QueueResult: placed, retry: concurrent || x.sent > 0, charged: (concurrent || x.mayHaveRun) && x.cost > 0}
+	a := &attempt{QueueResult: placed, retry: concurrent || x.arrivals() > 0, charged: (concurrent || x.mayHaveRun) && x.cost > 0}
 	if a.charged {
 		x.g.limiter.charge(x.org.Name, x.cost)
 	}
@@ -112,17 +120,33 @@
 		x.g.limiter.refund(x.org.Name, x.cost)
 	}
 	x.rec.attempts = append(x.rec.attempts, attemptRecord{upstream: a.Decision.Upstream.ID, outcome: o})
-	if o != outcomeNotSent {
-		x.sent++
-		return o
-	}
-	x.unsent++
-	if a.retry {
-		x.returnRetry()
+	switch o {
+	case outcomeNotRun:
+		x.rejected++
+	case outcomeNotSent:
+		x.unsent++
+		if a.retry {
+			x.returnRetry()
+		}
+	default:
+		x.ran++
 	}
 	return o
 }
 
+// arrivals returns the number of ended attempts that an upstream may have received.
+func (x *exchange) arrivals() int { return x.ran + x.rejected }
+
+// forgetRejections lets the scheduler choose the upstreams again that rejected the
+// request without running it before its attempt at the upstream id ended. One that
+// has just rejected it is not chosen next.
+func (x *exchange) forgetRejections(id string) {
+	x.job.TriedUpstreams = slices.DeleteFunc(x.job.TriedUpstreams, func(tried string) bool {
+		return tried != id && slices.Contains(x.rejectedBy, tried)
+	})
+	x.rejectedBy = slices.DeleteFunc(x.rejectedBy, func(by string) bool { return by != id })
+}
+
 // acquire waits for an upstream for the job and, if no upstream holds the job's
 // adapter, requests the adapter.
 func (x *exchange) acquire(ctx context.Context) (assign.QueueResult, bool) {
@@ -147,7 +171,8 @@
 	deniedUnreachable   = "unreachable"
 	deniedNotRepeatable = "not_repeatable"
 	deniedAttempts      = "attempts" // the route's maximum number of attempts
-	deniedBudget        = "budget"   // the service's retry budget
+	deniedRejections    = "rejections"
+	deniedBudget        = "budget" // the service's retry budget
 )
 
 // mayRetry reports whether the request may be sent to another upstream after an
@@ -165,15 +190,17 @@
 		return deniedOver
 	case o == outcomeNotSent && x.unsent >= maxUnreachable:
 		return deniedUnreachable
-	case o == outcomeNotSent && x.sent == 0:
+	case o == outcomeNotSent && x.arrivals() == 0:
 		return ""
 	case ran && x.retryReserved:
 		x.retryReserved = false
 		return ""
 	case ran && !x.route.Repeatable():
 		return deniedNotRepeatable
-	case o != outcomeNotSent && x.sent >= x.route.MaxAttempts:
+	case ran && x.ran >= x.route.MaxAttempts:
 		return deniedAttempts
+	case o == outcomeNotRun && !x.rec.stream.headSent && x.rejected >= max(x.route.MaxAttempts, minRejections):
+		return deniedRejections
 	case !x.takeRetry():
 		return deniedBudget
 	}
@@ -355,11 +382,15 @@
 		_, err := readAnswer(resp.Body)
 		resp.Finish(err == nil)
 		x.g.dispatcher.upstreamFull(a.Placement, id)
+		x.rejectedBy = append(x.rejectedBy, id)
 		return outcomeNotRun
 	case fleet.AnswerMisdirected:
 		_, err := readAnswer(resp.Body)
 		resp.Finish(err == nil)
 		x.g.dispatcher.modelAbsent(a.Placement, id, x.job.Model, x.job.Adapter)
+		if x.job.Model != "" { // a plain upstream that is not the one addressed stays so
+			x.rejectedBy = append(x.rejectedBy, id)
+		}
 		return outcomeNotRun
 	}
 	resp.Finish(false)
@@ -409,7 +440,7 @@
 // reserveRetry reports whether a request that an upstream answered with a server
 // error should be retried at another one, and takes that retry from the budget.
 func (x *exchange) reserveRetry() bool {
-	if !x.route.Repeatable() || len(x.job.TriedUpstreams) >= x.route.MaxAttempts || x.g.now() >= x.job.Objective {
+	if !x.route.Repeatable() || x.ran+1 >= x.route.MaxAttempts || x.g.now() >= x.job.Objective {
 		return false
 	}
 	x.retryReserved = x.takeRetry()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -73,8 +73,10 @@
 
 	mayHaveRun    bool     // some upstream may have started the request
 	retryReserved bool     // the next attempt has already been taken from the retry budget
-	sent          int      // ended attempts of which at least one byte may have been sent
+	ran           int      // ended attempts that may have run
+	rejected      int      // ended attempts that the upstream received and did not run
 	unsent        int      // ended attempts of which no byte was sent
+	rejectedBy    []string // upstreams that rejected the request and are still excluded for it
 	retry         retry    // taken last from the retry budget
 	next          *attempt // begun already, nil if there is none
 	rec           requestRecord
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -48,7 +48,7 @@
 // A handover leaves the route's maximum number of attempts unchanged.
 func TestHandoverDoesNotExceedTheAttempts(t *testing.T) {
 	x := newTestExchange(1).withUpstreams("u0")
-	x.sent = x.route.MaxAttempts - 1 // and one is open
+	x.ran = x.route.MaxAttempts - 1 // and one is open
 	must.False(t, x.handOver(context.Background()))
 	must.True(t, x.takeRetry()) // the budget is untouched
 }
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -26,7 +26,7 @@
 func (x *exchange) endOne(o outcome) bool {
 	a := &attempt{
 		QueueResult: assign.QueueResult{Decision: assign.Decision{Upstream: &fleet.Upstream{ID: "u"}}},
-		cancel:      func() {}, retry: x.sent > 0,
+		cancel:      func() {}, retry: x.arrivals() > 0,
 	}
 	return x.mayRetry(x.finishAttempt(a, o))
 }
@@ -58,3 +58,26 @@
 	_, ok = b.takeRetry("app")
 	must.False(t, ok)
 }
+
+// A rejection without a run does not use up an attempt of the route.
+func TestRejectionIsNotAnAttempt(t *testing.T) {
+	x := newTestExchange(9)
+	x.route.MaxAttempts = 1
+	x.rec.stream = &streamState{}
+	must.True(t, x.endOne(outcomeNotRun))
+	must.False(t, x.endOne(outcomeNotRun))
+	must.Eq(t, deniedRejections, x.rec.retryDenied)
+}
+
+// Runs stay within the route's attempts, however many rejections lie between.
+func TestRejectionsDoNotAddRuns(t *testing.T) {
+	x := newTestExchange(99)
+	x.route.MaxAttempts = 2
+	x.rec.stream = &streamState{headSent: true}
+	must.True(t, x.endOne(outcomeUnknown))
+	for range 3 {
+		must.True(t, x.endOne(outcomeNotRun))
+	}
+	must.False(t, x.endOne(outcomeUnknown))
+	must.Eq(t, deniedAttempts, x.rec.retryDenied)
+}
