Fetch large documents in parts that adapt to the link

Cause: the configuration and the list of upstreams came in one reply, under the timeout of 400 ms of any call between instances, and a fetch that failed began anew.

Change: each of the two is fetched on its own, compressed, in parts whose size follows the link. A transfer ends when three parts in a row fail, keeps what it has and goes on with the next peer that has the same document. The list of upstreams travels as changes since the caller's revision. An instance that is behind a peer for a second reads the store itself for a while. Builds that know whole documents only are still understood, and answered. Each transfer logs parts, bytes and time.

--- /dev/null
+++ b/internal/gateway/fetch.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"sync"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/chunk"
+	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/storesync"
+	"storj.io/drpc"
+)
+
+// The size of the parts in which documents are fetched, in bytes, adapts to the
+// link: it is halved by a part that does not come through within the timeout of a
+// call and doubled by one that does.
+const (
+	minPartBytes   = 4 << 10
+	firstPartBytes = 32 << 10
+	maxPartBytes   = 128 << 10
+	// maxFailedParts is the number of parts in a row that may fail before a
+	// transfer ends. What it has received is kept for the next one.
+	maxFailedParts = 3
+	// noRevision is a revision that no document is newer than. A request with it
+	// asks for other documents only.
+	noRevision = math.MaxUint64
+)
+
+// document is one kind of document that instances fetch from each other.
+type document interface {
+	// String returns the name of the kind, for the log.
+	String() string
+	// request returns the request for what this instance lacks.
+	request() *meshpb.KnowledgeRequest
+	// part returns the part in a reply, nil if there is none.
+	part(reply *meshpb.KnowledgeReply) *meshpb.DocumentPart
+	// apply puts the document in force: raw or, if that is nil, the whole document
+	// in the reply of an earlier build, if any.
+	apply(reply *meshpb.KnowledgeReply, raw []byte, peer string) error
+}
+
+// documentFetcher fetches one kind of document in parts, from one peer at a time. A
+// transfer that failed goes on with the next peer that has the same document. Its
+// zero value is ready for use.
+type documentFetcher struct {
+	mu        sync.Mutex // held during a transfer
+	assembly  chunk.Assembly
+	partBytes int
+}
+
+// fetch runs one transfer from a peer, unless another is running. It ends when the
+// document is in force, the peer has nothing new or maxFailedParts failed in a row.
+func (f *documentFetcher) fetch(g *Gateway, doc document, peer, address string) {
+	if !f.mu.TryLock() {
+		return
+	}
+	defer f.mu.Unlock()
+	began := g.now()
+	parts, received := 0, 0
+	log := g.log.With("peer", peer)
+	for failures := 0; failures < maxFailedParts; {
+		n, done, err := f.fetchPart(g, doc, peer, address)
+		if n > 0 {
+			parts, received = parts+1, received+n
+		}
+		switch {
+		case err != nil:
+			failures++
+			log.Warn("failed to fetch a part of a document", "kind", doc.String(), "part_bytes", f.partBytes, "parts", parts,
+				"bytes", received, "took_ms", (g.now() - began).Milliseconds(), "error", err)
+		case done && parts > 0:
+			log.Info("document fetched", "kind", doc.String(), "parts", parts, "bytes", received, "took_ms", (g.now() - began).Milliseconds())
+			return
+		case done:
+			return
+		default:
+			failures = 0
+		}
+	}
+}
+
+// fetchPart fetches the next part. It returns the number of bytes received and
+// whether the transfer has ended.
+func (f *documentFetcher) fetchPart(g *Gateway, doc document, peer, address string) (n int, done bool, err error) {
+	if f.partBytes == 0 {
+		f.partBytes = firstPartBytes
+	}
+	req := doc.request()
+	digest, offset := f.assembly.Next()
+	req.MaxPartBytes, req.Digest, req.Offset = uint32(f.partBytes), digest, uint64(offset)
+	var reply *meshpb.KnowledgeReply
+	err = g.peers.Call(context.Background(), address, func(ctx context.Context, conn drpc.Conn) (err error) {
+		reply, err = meshpb.NewDRPCMeshClient(conn).Knowledge(ctx, req)
+		return err
+	})
+	if err != nil {
+		f.partBytes = max(f.partBytes/2, minPartBytes)
+		return 0, false, err
+	}
+	p := doc.part(reply)
+	if p == nil {
+		return 0, true, doc.apply(reply, nil, peer)
+	}
+	f.partBytes = min(2*f.partBytes, maxPartBytes)
+	raw, complete, err := f.assembly.Add(chunk.Part{
+		Digest: p.Digest, Size: int(min(p.Size, math.MaxInt32)), Offset: int(min(p.Offset, math.MaxInt32)), Data: p.Data,
+	})
+	if err != nil || !complete {
+		return len(p.Data), false, err
+	}
+	return len(p.Data), true, doc.apply(reply, raw, peer)
+}
+
+// configDocument is the configuration.
+type configDocument struct{ g *Gateway }
+
+func (d configDocument) String() string { return "configuration" }
+
+func (d configDocument) request() *meshpb.KnowledgeRequest {
+	revision, _, _ := d.g.catalog.Revisions()
+	return &meshpb.KnowledgeRequest{ConfigRevision: revision, RosterRevision: noRevision}
+}
+
+func (d configDocument) part(reply *meshpb.KnowledgeReply) *meshpb.DocumentPart {
+	return reply.ConfigPart
+}
+
+func (d configDocument) apply(reply *meshpb.KnowledgeReply, raw []byte, peer string) error {
+	if raw == nil {
+		raw = reply.Config
+	}
+	return d.g.catalog.Apply(storesync.Update{ConfigRevision: reply.ConfigRevision, Config: raw}, peer)
+}
+
+// rosterDocument is the list of upstreams, as changes since the revision that this
+// instance has.
+type rosterDocument struct{ g *Gateway }
+
+func (d rosterDocument) String() string { return "upstreams" }
+
+func (d rosterDocument) request() *meshpb.KnowledgeRequest {
+	return &meshpb.KnowledgeRequest{ConfigRevision: noRevision, RosterRevision: d.g.catalog.RosterBase()}
+}
+
+func (d rosterDocument) part(reply *meshpb.KnowledgeReply) *meshpb.DocumentPart {
+	return reply.RosterPart
+}
+
+func (d rosterDocument) apply(reply *meshpb.KnowledgeReply, raw []byte, peer string) error {
+	if raw != nil {
+		return d.g.catalog.ApplyRosterChanges(reply.RosterRevision, raw, peer)
+	}
+	return d.g.catalog.Apply(storesync.Update{RosterRevision: reply.RosterRevision, Roster: reply.Roster}, peer)
+}
+
+// configEncoder encodes the configuration once for each of its revisions. It is safe
+// for concurrent use.
+type configEncoder struct {
+	mu       sync.Mutex
+	revision uint64
+	encoded  *chunk.Document
+}
+
+func (e *configEncoder) encode(revision uint64, raw []byte) (*chunk.Document, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.encoded != nil && e.revision == revision {
+		return e.encoded, nil
+	}
+	encoded, err := chunk.Encode(raw)
+	if err == nil {
+		e.revision, e.encoded = revision, encoded
+	}
+	return encoded, err
+}
+
+// knowledgeParts answers a request for parts of the documents that are newer than
+// the caller's.
+func (g *Gateway) knowledgeParts(in *meshpb.KnowledgeRequest) (*meshpb.KnowledgeReply, error) {
+	out := &meshpb.KnowledgeReply{}
+	u, err := g.catalog.UpdateSince(in.ConfigRevision, noRevision)
+	if err != nil {
+		return nil, err
+	}
+	if u.ConfigRevision > 0 {
+		encoded, err := g.configEncoder.encode(u.ConfigRevision, u.Config)
+		if err != nil {
+			return nil, err
+		}
+		out.ConfigRevision, out.ConfigPart = u.ConfigRevision, partToWire(encoded, in)
+	}
+	revision, changes, err := g.catalog.RosterChanges(in.RosterRevision)
+	if err != nil || revision == 0 {
+		return out, err
+	}
+	encoded, err := chunk.Encode(changes)
+	if err != nil {
+		return nil, err
+	}
+	out.RosterRevision, out.RosterPart = revision, partToWire(encoded, in)
+	return out, nil
+}
+
+func partToWire(d *chunk.Document, in *meshpb.KnowledgeRequest) *meshpb.DocumentPart {
+	p := d.Part(in.Digest, int(min(in.Offset, chunk.MaxSize)), int(min(in.MaxPartBytes, maxPartBytes)))
+	return &meshpb.DocumentPart{Digest: p.Digest, Size: uint64(p.Size), Offset: uint64(p.Offset), Data: p.Data}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,10 +76,14 @@
 
 	peerWork       *workView
 	residencyTable *residencyTable
-
-	fetchingUpdate atomic.Bool // a fetch of the configuration or upstreams from a peer is running
-	fetchingTable  atomic.Bool // a fetch of a peer's residency table is running
-	stopping       atomic.Bool
+	configLag      lag
+	rosterLag      lag
+	configFetcher  documentFetcher
+	rosterFetcher  documentFetcher
+	configEncoder  configEncoder
+
+	fetchingTable atomic.Bool // a fetch of a peer's residency table is running
+	stopping      atomic.Bool
 }
 
 // New returns a gateway built from validated settings. It opens the listener for
@@ -188,11 +192,12 @@
 )
 
 // watchesStore reports whether this instance watches the store. Package mesh
-// chooses the watchers: of the zone's instances that reach the store, the first
-// by name. The others get updates from peers.
+// chooses the watchers among the zone's instances that reach the store. The others
+// get updates from peers; one that stays behind reads the store itself.
 func (g *Gateway) watchesStore() bool {
-	_, _, reachable := g.catalog.Revisions()
-	return g.mesh.IsStoreWatcher(reachable)
+	config, roster, reachable := g.catalog.Revisions()
+	now := g.now()
+	return g.configLag.needsHelp(now, config) || g.rosterLag.needsHelp(now, roster) || g.mesh.IsStoreWatcher(reachable)
 }
 
 // pollsStore reports whether this instance polls the store on behalf of all
--- /dev/null
+++ b/internal/gateway/lag_test.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestInstanceThatIsBehindReadsTheStore(t *testing.T) {
+	var l lag
+	at := time.Minute
+	l.observe(at, 5, 5)
+	must.False(t, l.needsHelp(at+time.Hour, 5))
+	l.observe(at, 5, 7)
+	must.False(t, l.needsHelp(at+selfHelpAfter-1, 5)) // peers are asked first
+	l.observe(at+selfHelpAfter/2, 5, 5)               // another peer that is behind too
+	must.True(t, l.needsHelp(at+selfHelpAfter, 5))
+	must.False(t, l.needsHelp(at+selfHelpAfter, 7)) // no longer behind
+}
+
+// A revision that the store does not have does not make all instances read the store
+// for good.
+func TestReadingTheStoreForARevisionEnds(t *testing.T) {
+	var l lag
+	at, reading := time.Minute, time.Duration(0)
+	l.observe(at, 5, 1<<40)
+	for range 600 {
+		at += 100 * time.Millisecond
+		l.observe(at, 5, 5)
+		if l.needsHelp(at, 5) {
+			reading += 100 * time.Millisecond
+		}
+	}
+	must.LessEq(t, selfHelpFor+200*time.Millisecond, reading)
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,7 +11,6 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/residency"
 	"github.com/eelgrassbay/eelgrassbay/internal/sharedlimit"
-	"github.com/eelgrassbay/eelgrassbay/internal/storesync"
 	"storj.io/drpc"
 )
 
@@ -98,28 +97,19 @@
 	g.fetchResidencyTable(s)
 }
 
-// fetchCatalogUpdate fetches the configuration or list of upstreams from a peer
-// that has a newer revision than this instance.
+// fetchCatalogUpdate fetches the configuration and the list of upstreams from a peer
+// that has newer revisions than this instance, each on its own.
 func (g *Gateway) fetchCatalogUpdate(s *meshpb.InstanceState) {
 	config, roster, _ := g.catalog.Revisions()
-	if s.ConfigRevision <= config && s.RosterRevision <= roster || !g.fetchingUpdate.CompareAndSwap(false, true) {
-		return
+	now := g.now()
+	g.configLag.observe(now, config, s.ConfigRevision)
+	g.rosterLag.observe(now, roster, s.RosterRevision)
+	if s.ConfigRevision > config {
+		go g.configFetcher.fetch(g, configDocument{g}, s.Name, s.PeerAddress)
+	}
+	if s.RosterRevision > roster {
+		go g.rosterFetcher.fetch(g, rosterDocument{g}, s.Name, s.PeerAddress)
 	}
-	go func() {
-		defer g.fetchingUpdate.Store(false)
-		err := g.peers.Call(context.Background(), s.PeerAddress, func(ctx context.Context, conn drpc.Conn) error {
-			reply, err := meshpb.NewDRPCMeshClient(conn).Knowledge(ctx, &meshpb.KnowledgeRequest{ConfigRevision: config, RosterRevision: roster})
-			if err != nil {
-				return err
-			}
-			return g.catalog.Apply(storesync.Update{
-				ConfigRevision: reply.ConfigRevision, Config: reply.Config, RosterRevision: reply.RosterRevision, Roster: reply.Roster,
-			}, s.Name)
-		})
-		if err != nil {
-			g.log.Warn("failed to fetch the configuration or upstreams from a peer", "peer", s.Name, "config_revision", s.ConfigRevision, "error", err)
-		}
-	}()
 }
 
 // fetchResidencyTable fetches the changes from a peer whose residency table is
@@ -199,6 +189,9 @@
 
 // Knowledge implements meshpb.DRPCMeshServer.
 func (s meshServer) Knowledge(_ context.Context, in *meshpb.KnowledgeRequest) (*meshpb.KnowledgeReply, error) {
+	if in.MaxPartBytes > 0 {
+		return s.g.knowledgeParts(in)
+	}
 	u, err := s.g.catalog.UpdateSince(in.ConfigRevision, in.RosterRevision)
 	if err != nil {
 		return nil, err
--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -85,6 +85,7 @@
 	lastAnswered       time.Duration // when the store last answered
 	storeLost          bool          // as last logged; true before the first answer
 	malformedRevisions map[string]uint64
+	wholeRosterNext    bool // a peer's changes of the list did not fit
 }
 
 // New returns a controller without a configuration or a list of upstreams.
