Large machines relay for small ones

Cause: the leads of a zone, the instances that watch the store and those that poll it were the first by name. Besides, each member of a large fleet sent its leads a row for each instance every second.

Change: instances tell link and cores, from new settings machine.link_mbps and machine.cores; the highest product goes first, then the name. Members that are no leads send their list of members every 10 s.

TestLargeMachinesRelay, TestLargeMachinesReadTheStore and TestMemberListsComeFromLeads fail on the code before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -92,7 +91,7 @@
 	s := opts.Settings
 	g := &Gateway{opts: opts, codec: opts.Format, now: opts.Now, started: opts.Now()}
 	g.settings.Store(s)
-	g.self = &meshpb.MemberInfo{Name: s.Name, Incarnation: uuid.NewString(), PeerAddress: s.PeerListen, Zone: s.Zone}
+	g.self = &meshpb.MemberInfo{Name: s.Name, Incarnation: uuid.NewString(), PeerAddress: s.PeerListen, Zone: s.Zone, Capacity: s.Machine.capacity()}
 	g.log = opts.Log.With("instance", s.Name, "zone", s.Zone)
 	srv, err := peer.NewServer(s.PeerListen, nil)
 	if err != nil {
@@ -201,14 +200,13 @@
 }
 
 // pollsStore reports whether this instance polls the store on behalf of all
-// instances. The first storePollers, by name, of the instances that respond and
-// reach the store do so.
+// instances. The storePollers fittest of the instances that respond and reach the
+// store do so.
 func (g *Gateway) pollsStore() bool {
 	if _, _, reachable := g.catalog.Revisions(); !reachable {
 		return false
 	}
-	rank, _ := slices.BinarySearch(g.mesh.PeersReachingStore(""), g.self.Name)
-	return rank < storePollers
+	return g.mesh.StoreReaderRank() < storePollers
 }
 
 // applyCatalog passes the current configuration and list of upstreams to the
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -201,6 +201,7 @@
 	Incarnation string `json:"incarnation"`
 	PeerAddress string `json:"peer_address"`
 	Zone        string `json:"zone"`
+	Capacity    uint32 `json:"capacity,omitempty"` // see MachineSettings
 }
 
 // registerInstance reads the other instances from the store's list and adds this
@@ -237,10 +238,10 @@
 			g.log.Warn("skipped an invalid entry in the list of instances", "peer", obj.Name, "error", err)
 			continue
 		}
-		members = append(members, &meshpb.MemberInfo{Name: obj.Name, Incarnation: entry.Incarnation, PeerAddress: entry.PeerAddress, Zone: entry.Zone})
+		members = append(members, &meshpb.MemberInfo{Name: obj.Name, Incarnation: entry.Incarnation, PeerAddress: entry.PeerAddress, Zone: entry.Zone, Capacity: entry.Capacity})
 	}
 	g.mesh.AddPeers(members)
-	value, err := json.Marshal(instanceEntry{Incarnation: g.self.Incarnation, PeerAddress: g.self.PeerAddress, Zone: g.self.Zone})
+	value, err := json.Marshal(instanceEntry{Incarnation: g.self.Incarnation, PeerAddress: g.self.PeerAddress, Zone: g.self.Zone, Capacity: g.self.Capacity})
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -8,6 +8,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -34,6 +35,7 @@
 	Placement PlacementSettings `json:"placement"`
 	Log       LogSettings       `json:"log"`
 	Memory    MemorySettings    `json:"memory"`
+	Machine   MachineSettings   `json:"machine"`
 }
 
 // StoreSettings configure the connection to the platform's store.
@@ -88,6 +90,19 @@
 	LimitMB int `json:"limit_mb"` // 0 for no limit
 }
 
+// MachineSettings describe the machine. Instances on larger machines relay what the
+// others need to know.
+type MachineSettings struct {
+	LinkMbps float64 `json:"link_mbps"` // bandwidth of the network link in Mbit/s, 0 if unknown
+	Cores    float64 `json:"cores"`     // share of the processor in cores, 0 if unknown
+}
+
+// capacity returns the capacity that the instance tells its peers: Mbit/s times cores,
+// 0 if either is unknown.
+func (m *MachineSettings) capacity() uint32 {
+	return uint32(min(math.Ceil(m.LinkMbps*m.Cores), math.MaxUint32))
+}
+
 // DefaultSettings returns the values of the settings that a file may omit.
 func DefaultSettings() *Settings {
 	return &Settings{
@@ -126,6 +141,8 @@
 	c.Require(level.UnmarshalText([]byte(s.Log.Level)) == nil, "log.level", "must be debug, info, warn or error")
 	c.Require(s.Log.RequestsPerS >= 0, "log.requests_per_s", "must be 0 or more")
 	c.Require(s.Memory.LimitMB >= 0, "memory.limit_mb", "must be 0 or more")
+	c.Require(s.Machine.LinkMbps >= 0, "machine.link_mbps", "must be 0 or more")
+	c.Require(s.Machine.Cores >= 0, "machine.cores", "must be 0 or more")
 	return c.Err()
 }
 
--- a/internal/mesh/exchanger.go
+++ b/internal/mesh/exchanger.go
@@ -121,13 +121,12 @@
 	return ""
 }
 
-// PeersReachingStore returns the sorted names of the peers that answer and
-// report that they reach the store. If zone is not empty, only peers of that
-// zone are returned.
-func (e *Exchanger) PeersReachingStore(zone string) []string {
+// StoreReaderRank returns the number of peers that answer, reach the store and are
+// fitter than this instance to read it on behalf of all.
+func (e *Exchanger) StoreReaderRank() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.members.withStoreReachable(e.opts.Now(), zone)
+	return e.members.storeReaderRank(e.opts.Now(), "")
 }
 
 // MarkLeaving marks this instance as leaving in the states that it sends.
@@ -194,7 +193,7 @@
 	e.sequence++
 	s := &meshpb.InstanceState{
 		Name: e.opts.Self.Name, Incarnation: e.opts.Self.Incarnation, Zone: e.opts.Self.Zone,
-		PeerAddress: e.opts.Self.PeerAddress, Sequence: e.sequence, Leaving: e.leaving,
+		PeerAddress: e.opts.Self.PeerAddress, Capacity: e.opts.Self.Capacity, Sequence: e.sequence, Leaving: e.leaving,
 	}
 	receiver := Receiver{SameZone: true, IsLead: true, LargeFleet: e.members.large(now)}
 	if receiver.LargeFleet {
@@ -205,7 +204,11 @@
 	if to != nil {
 		receiver.Name = to.info.Name
 	}
-	if to == nil || to.memberListSentAt == 0 || now-to.memberListSentAt >= memberListInterval {
+	interval := memberListInterval
+	if receiver.LargeFleet && !receiver.SenderIsLead {
+		interval = memberListIntervalMember
+	}
+	if to == nil || to.memberListSentAt == 0 || now-to.memberListSentAt >= interval {
 		s.Members = e.members.memberInfos(now)
 		if to != nil {
 			to.memberListSentAt = now
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -4,7 +4,7 @@
 //
 // In a small fleet, each instance exchanges its state with every other
 // instance. In a large one, it does so with the leads of its zone, which are
-// the first instances of the zone by name. Leads exchange the sums of their
+// the instances of the zone with the highest capacity. Leads exchange the sums of their
 // zones with each other and pass on to each member what it does not know. A lead
 // need not be the zone leader, which holds the lease of the zone. The traffic
 // within a zone grows with its instances, and the traffic between zones with the
@@ -51,6 +51,9 @@
 	// memberListInterval is the interval at which the member list is sent to a
 	// peer.
 	memberListInterval = time.Second
+	// memberListIntervalMember is the same for an instance of a large fleet that
+	// is no lead, since its leads hear from all instances.
+	memberListIntervalMember = 10 * time.Second
 )
 
 // member is this instance's view of a peer.
@@ -117,7 +120,7 @@
 	if s.Sequence <= known.sequence {
 		return false
 	}
-	known.info = &meshpb.MemberInfo{Name: s.Name, Incarnation: s.Incarnation, PeerAddress: s.PeerAddress, Zone: s.Zone}
+	known.info = &meshpb.MemberInfo{Name: s.Name, Incarnation: s.Incarnation, PeerAddress: s.PeerAddress, Zone: s.Zone, Capacity: s.Capacity}
 	known.sequence, known.stateAt, known.seenAt = s.Sequence, at, at
 	known.leaving, known.storeReachable = s.Leaving, s.StoreReachable
 	if len(s.Watchers) > 0 {
@@ -159,20 +162,34 @@
 // large reports whether the fleet is large, so that states are summed by zone.
 func (m *members) large(now time.Duration) bool { return m.presentCount(now) > smallFleetSize }
 
+// compareRelays orders instances by their fitness to relay for others: by capacity,
+// the highest first, then by name.
+func compareRelays(a, b *meshpb.MemberInfo) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Name, b.Name))
+}
+
 // leads returns the names of a zone's leads in this instance's view: the first
-// members of the zone by name that are not silent.
+// members of the zone by compareRelays that are not silent.
 func (m *members) leads(now time.Duration, zone string) []string {
-	var names []string
+	var infos []*meshpb.MemberInfo
 	if zone == m.self.Zone {
-		names = append(names, m.self.Name)
+		infos = append(infos, m.self)
 	}
 	for _, p := range m.peers {
 		if p.info.Zone == zone && !p.silent(now) {
-			names = append(names, p.info.Name)
+			infos = append(infos, p.info)
 		}
 	}
-	slices.Sort(names)
-	return names[:min(len(names), leadsPerZone)]
+	slices.SortFunc(infos, compareRelays)
+	return names(infos[:min(len(infos), leadsPerZone)])
+}
+
+func names(infos []*meshpb.MemberInfo) []string {
+	var out []string
+	for _, i := range infos {
+		out = append(out, i.Name)
+	}
+	return out
 }
 
 // isLead reports whether the named member of a zone is one of its leads.
@@ -246,27 +263,44 @@
 	out := []*meshpb.MemberInfo{m.self}
 	for _, p := range m.present(now) {
 		out = append(out, &meshpb.MemberInfo{
-			Name: p.info.Name, Incarnation: p.info.Incarnation, PeerAddress: p.info.PeerAddress, Zone: p.info.Zone,
+			Name: p.info.Name, Incarnation: p.info.Incarnation, PeerAddress: p.info.PeerAddress, Zone: p.info.Zone, Capacity: p.info.Capacity,
 			AgeMs: uint32((now - max(p.stateAt, p.seenAt)).Milliseconds()),
 		})
 	}
 	return out
 }
 
-// withStoreReachable returns the sorted names of the peers that answer and
-// report that they reach the store. If zone is not empty, only peers of that
-// zone are returned.
+// withStoreReachable returns the names of the peers that answer and report that
+// they reach the store, ordered by compareRelays. If zone is not empty, only peers of
+// that zone are returned.
 func (m *members) withStoreReachable(now time.Duration, zone string) []string {
-	var out []string
-	for name, p := range m.peers {
+	return names(m.storeReaders(now, zone))
+}
+
+func (m *members) storeReaders(now time.Duration, zone string) []*meshpb.MemberInfo {
+	var out []*meshpb.MemberInfo
+	for _, p := range m.peers {
 		if p.stateAt != 0 && now-p.stateAt <= silentAfter && p.storeReachable && !p.leaving && (zone == "" || p.info.Zone == zone) {
-			out = append(out, name)
+			out = append(out, p.info)
 		}
 	}
-	slices.Sort(out)
+	slices.SortFunc(out, compareRelays)
 	return out
 }
 
+// storeReaderRank returns the number of peers that reach the store and are fitter
+// than this instance to read it for others. If zone is not empty, only peers of that
+// zone count.
+func (m *members) storeReaderRank(now time.Duration, zone string) int {
+	rank := 0
+	for _, i := range m.storeReaders(now, zone) {
+		if compareRelays(i, m.self) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
 // dueSeeds returns the seeds that are not the address of a known peer and are
 // due for another exchange.
 func (m *members) dueSeeds(now time.Duration, seeds []string) []string {
--- a/internal/mesh/members_test.go
+++ b/internal/mesh/members_test.go
@@ -120,3 +120,61 @@
 	m.update(3*time.Second, newState(newInfo("z0", 1), 1))
 	must.SliceEmpty(t, m.dueSeeds(10*time.Second, seeds))
 }
+
+// A lead carries the traffic of its zone: a small machine does not do so because of
+// its name, while a larger one is there.
+func TestLargeMachinesRelay(t *testing.T) {
+	m := newFleet(time.Second, 4, 6, 4)
+	for _, n := range []int{3, 5} {
+		m.peers[newInfo("z0", n).Name].info.Capacity = 160
+	}
+	must.Eq(t, []string{"z0-03", "z0-05"}, m.leads(time.Second, "z0"))
+	must.Eq(t, []string{"z0-03", "z0-05"}, memberNames(m.dueForExchange(time.Second, rand.New(rand.NewPCG(1, 1)))))
+	m.peers["z0-03"].requestedAt = time.Second
+	now := time.Second + silentAfter + time.Millisecond
+	for name, p := range m.peers {
+		if name != "z0-03" {
+			p.seenAt = now
+		}
+	}
+	must.Eq(t, []string{"z0-05", "z0-00"}, m.leads(now, "z0"))
+}
+
+// The largest machines that reach the store read it for the others.
+func TestLargeMachinesReadTheStore(t *testing.T) {
+	large := newState(newInfo("z0", 5), 1)
+	large.Capacity = 160
+	m := newMembers(0, newInfo("z0", 0))
+	m.update(time.Second, large)
+	m.update(time.Second, newState(newInfo("z1", 0), 1))
+	must.Eq(t, []string{"z0-05", "z1-00"}, m.withStoreReachable(time.Second, ""))
+	must.Eq(t, 1, m.storeReaderRank(time.Second, ""))
+	must.False(t, m.isWatcher(time.Second, true))
+	m.self.Capacity = 200
+	must.Eq(t, 0, m.storeReaderRank(time.Second, ""))
+	must.True(t, m.isWatcher(time.Second, true))
+}
+
+// In a large fleet only leads tell all members about all members.
+func TestMemberListsComeFromLeads(t *testing.T) {
+	var now time.Duration
+	counts := map[int]int{}
+	for _, self := range []int{0, 4} {
+		now = time.Second
+		e := New(Options{
+			Self: newInfo("z0", self), Now: func() time.Duration { return now },
+			FillState: func(time.Duration, *meshpb.InstanceState, Receiver) {},
+		})
+		for ; now < 9*time.Second; now += 250 * time.Millisecond {
+			for z := range 4 {
+				for n := range 6 {
+					e.members.addReported(now, newInfo(fmt.Sprintf("z%d", z), n))
+				}
+			}
+			if len(e.buildState(now, e.members.peers["z0-01"]).Members) > 0 {
+				counts[self]++
+			}
+		}
+	}
+	must.Eq(t, map[int]int{0: 8, 4: 1}, counts)
+}
--- a/internal/mesh/watchers.go
+++ b/internal/mesh/watchers.go
@@ -29,16 +29,19 @@
 // watchCandidate is an instance that may watch the store for its zone.
 type watchCandidate struct {
 	name           string
+	capacity       uint32
 	storeReachable bool // it reports that it reaches the store
 }
 
-// chooseWatchers returns the names of the instances that watch the store: the
-// first by name that reach it. While these are too few, some of the others try
+// chooseWatchers returns the names of the instances that watch the store: those of
+// the highest capacity, then the first by name, that reach it. While these are too few, some of the others try
 // in rotation, because attempts by all instances of a large fleet would
 // overload a store that has failed.
 func chooseWatchers(now time.Duration, zone []watchCandidate) []string {
 	var out, unreachable []string
-	slices.SortFunc(zone, func(a, b watchCandidate) int { return cmp.Compare(a.name, b.name) })
+	slices.SortFunc(zone, func(a, b watchCandidate) int {
+		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(a.name, b.name))
+	})
 	for _, c := range zone {
 		switch {
 		case c.storeReachable && len(out) < watchersPerZone:
@@ -57,10 +60,10 @@
 // chosenWatchers returns the names of the instances that this instance, as a
 // lead, chooses to watch the store for its zone.
 func (m *members) chosenWatchers(now time.Duration, storeReachable bool) []string {
-	zone := []watchCandidate{{name: m.self.Name, storeReachable: storeReachable}}
+	zone := []watchCandidate{{name: m.self.Name, capacity: m.self.Capacity, storeReachable: storeReachable}}
 	for _, p := range m.peers {
 		if p.info.Zone == m.self.Zone && !p.leaving && p.stateAt != 0 && now-p.stateAt <= silentAfter {
-			zone = append(zone, watchCandidate{name: p.info.Name, storeReachable: p.storeReachable})
+			zone = append(zone, watchCandidate{name: p.info.Name, capacity: p.info.Capacity, storeReachable: p.storeReachable})
 		}
 	}
 	return chooseWatchers(now, zone)
@@ -72,8 +75,7 @@
 // watches.
 func (m *members) isWatcher(now time.Duration, storeReachable bool) bool {
 	if !m.large(now) {
-		rank, _ := slices.BinarySearch(m.withStoreReachable(now, m.self.Zone), m.self.Name)
-		return rank < watchersPerZone
+		return m.storeReaderRank(now, m.self.Zone) < watchersPerZone
 	}
 	if m.isLead(now, m.self.Name, m.self.Zone) {
 		return slices.Contains(m.chosenWatchers(now, storeReachable), m.self.Name)
