A controller that fails is started again and cuts no answer

Cause: the first error of any controller cancelled all others and ended the instance, with the answers in progress; a panic in the handling of one peer's message ended the process.

Change: package supervise starts a controller again that returned an error or panicked, with a growing pause. The server for peers opens its listener anew, and a panic fails the one call. Both stacks use it.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -4,22 +4,27 @@
 	"context"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/supervise"
 	"github.com/eelgrassbay/eelgrassbay/internal/wait"
 	"github.com/go-kratos/kratos/v2"
 	"golang.org/x/sync/errgroup"
 )
 
-// Run serves until SIGTERM or SIGINT or until a controller fails, then stops
-// gracefully and returns.
+// Run serves until SIGTERM or SIGINT, then stops gracefully and returns. A controller
+// that fails is started again.
 func (n *Node) Run() error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
-	for _, run := range []func(context.Context) error{
-		n.peerServer.Serve, n.leader.Run, n.replica.Run, n.dispatch.Run, n.inventory.Run, n.quota.Run, n.claims.Run, n.recorder.Run,
-		n.placer.Run, n.syncRoutingTable, n.registerUntilListed, n.reportControlMetrics,
+	for name, run := range map[string]func(context.Context) error{
+		"peer server": n.peerServer.Serve, "leader": n.leader.Run, "replica": n.replica.Run, "dispatch": n.dispatch.Run,
+		"inventory": n.inventory.Run, "quota": n.quota.Run, "claims": n.claims.Run, "recorder": n.recorder.Run, "placer": n.placer.Run,
+		"routing table": n.syncRoutingTable, "registration": n.registerUntilListed, "control metrics": n.reportControlMetrics,
 	} {
-		g.Go(func() error { return run(ctx) })
+		g.Go(func() error {
+			supervise.Run(ctx, n.log, name, run)
+			return nil
+		})
 	}
 	app := kratos.New(
 		kratos.Name("eelgrass-entry"), kratos.ID(n.self.Incarnation), kratos.Logger(kratosLogger{n.log}), kratos.Context(ctx),
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -16,6 +16,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
 	"github.com/eelgrassbay/eelgrassbay/internal/settings"
+	"github.com/eelgrassbay/eelgrassbay/internal/supervise"
 	"github.com/eelgrassbay/eelgrassbay/internal/wait"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"golang.org/x/sync/errgroup"
@@ -58,15 +59,23 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	tasks, taskCtx := errgroup.WithContext(ctx)
-	for _, task := range []func(context.Context) error{
-		g.peerSrv.Serve, g.catalog.Run, g.mesh.Run, g.placing.Run, g.dispatcher.run, g.registerInstance, g.sweepIdleConns,
-	} {
-		tasks.Go(func() error { return task(taskCtx) })
-	}
 	leaseCtx, stopLease := context.WithCancel(taskCtx)
 	defer stopLease()
-	tasks.Go(func() error { return g.leader.Run(leaseCtx) })
-	tasks.Go(func() error { return g.watchSettings(taskCtx, file, hup) })
+	for _, c := range []struct {
+		name string
+		ctx  context.Context
+		run  func(context.Context) error
+	}{
+		{"peer server", taskCtx, g.peerSrv.Serve}, {"catalog", taskCtx, g.catalog.Run}, {"mesh", taskCtx, g.mesh.Run},
+		{"placing", taskCtx, g.placing.Run}, {"dispatcher", taskCtx, g.dispatcher.run}, {"lease", leaseCtx, g.leader.Run},
+		{"registration", taskCtx, g.registerInstance}, {"idle connections", taskCtx, g.sweepIdleConns},
+		{"settings", taskCtx, func(ctx context.Context) error { return g.watchSettings(ctx, file, hup) }},
+	} {
+		tasks.Go(func() error {
+			supervise.Run(c.ctx, g.log, c.name, c.run)
+			return nil
+		})
+	}
 	servers, err := g.listen(tasks)
 	if err != nil {
 		return err
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -103,3 +103,55 @@
 	must.NoError(t, exchange(load(own.Issue(t, "client.pem", 3))))
 	must.ErrorIs(t, exchange(load(other.Issue(t, "stranger.pem", 4))), ErrUnreachable)
 }
+
+// failingServer panics on the message with hash 1.
+type failingServer struct{ echoServer }
+
+func (s failingServer) Exchange(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	if req.Knowledge.GetHash() == 1 {
+		panic("malformed")
+	}
+	return s.echoServer.Exchange(ctx, req)
+}
+
+// A call whose handling panics fails alone.
+func TestPanicFailsOneCall(t *testing.T) {
+	s, err := NewServer("127.0.0.1:0", nil)
+	must.NoError(t, err)
+	must.NoError(t, s.Register(failingServer{}, peerpb.DRPCSyncDescription{}))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx) }()
+	c := NewClient(ClientOptions{})
+	_, err = c.Exchange(ctx, s.Address(), newRequest(1))
+	must.ErrorContains(t, err, "panic")
+	_, err = c.Exchange(ctx, s.Address(), newRequest(2))
+	must.NoError(t, err)
+	cancel()
+	must.NoError(t, <-done)
+}
+
+// A server whose listener failed serves again at the same address.
+func TestServerListensAgain(t *testing.T) {
+	s, err := NewServer("127.0.0.1:0", nil)
+	must.NoError(t, err)
+	must.NoError(t, s.Register(echoServer{}, peerpb.DRPCSyncDescription{}))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx) }()
+	c := NewClient(ClientOptions{})
+	_, err = c.Exchange(ctx, s.Address(), newRequest(2))
+	must.NoError(t, err)
+	must.NoError(t, s.listener.Close())
+	must.Error(t, <-done)
+	go func() { done <- s.Serve(ctx) }()
+	for {
+		if _, err = c.Exchange(ctx, s.Address(), newRequest(2)); err == nil {
+			break
+		}
+		must.ErrorIs(t, err, ErrUnreachable)
+	}
+	cancel()
+	must.NoError(t, <-done)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/supervise"
 	"github.com/eelgrassbay/eelgrassbay/internal/traffic"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
@@ -15,23 +16,33 @@
 
 // Server answers peers' calls.
 type Server struct {
-	mux      *drpcmux.Mux
-	listener net.Listener
-	traffic  traffic.Counter
+	mux       *drpcmux.Mux
+	tlsConfig *tls.Config // nil for plain connections
+	address   string
+	listener  net.Listener // nil after Serve has failed
+	traffic   traffic.Counter
 }
 
 // NewServer listens on address (IP:port). tlsConfig may be nil.
 func NewServer(address string, tlsConfig *tls.Config) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	s := &Server{mux: drpcmux.New(), tlsConfig: tlsConfig, address: address}
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	s.address = s.listener.Addr().String()
+	return s, nil
+}
+
+func (s *Server) listen() error {
+	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
-		return nil, fmt.Errorf("peer: %w", err)
+		return fmt.Errorf("peer: listening on %s: %w", s.address, err)
 	}
-	s := &Server{mux: drpcmux.New()}
 	s.listener = &countingListener{Listener: listener, traffic: &s.traffic}
-	if tlsConfig != nil {
-		s.listener = tls.NewListener(s.listener, tlsConfig)
+	if s.tlsConfig != nil {
+		s.listener = tls.NewListener(s.listener, s.tlsConfig)
 	}
-	return s, nil
+	return nil
 }
 
 // Register adds a service, given its implementation and generated description.
@@ -43,20 +54,36 @@
 }
 
 // Address returns the address that the server listens on.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.address }
 
 // Traffic returns the counters of bytes sent and received.
 func (s *Server) Traffic() *traffic.Counter { return &s.traffic }
 
-// Serve answers calls until ctx ends.
+// Serve answers calls until ctx ends or the listener fails. It may then be called
+// again, and opens the listener anew.
 func (s *Server) Serve(ctx context.Context) error {
-	err := drpcserver.New(s.mux).Serve(ctx, s.listener)
+	if s.listener == nil {
+		if err := s.listen(); err != nil {
+			return err
+		}
+	}
+	err := drpcserver.New(recoveringHandler{s.mux}).Serve(ctx, s.listener) // closes the listener
+	s.listener = nil
 	if ctx.Err() != nil {
 		return nil
 	}
 	return err
 }
 
+// recoveringHandler turns a panic in the handling of one call into the failure of
+// that call.
+type recoveringHandler struct{ drpc.Handler }
+
+// HandleRPC implements drpc.Handler.
+func (h recoveringHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	return supervise.Recover(func() error { return h.Handler.HandleRPC(stream, rpc) })
+}
+
 const keepAlivePeriod = 5 * time.Second
 
 // countingListener counts the bytes of the connections that it accepts.
