Place models by the work at engines, and those in use first

Cause: the capacity of an engine was 600 prompt tokens a second for each slot, whatever it reads: 38,400 for engines of 64 slots that read 22,100, 7,200 for 12 slots that read 29,400.

Change: capacity is bound by reading prompts and by decoding steps; the rate of reading is learned from answers. The work of each model is divided among its engines as instances do, and the work at the least loaded one decides. Where not all models fit, models in use take the places of others, and none that nobody requests is loaded.

--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -34,13 +34,13 @@
 	return o.DefaultTokens
 }
 
-// outputTokenWork is the number of prompt tokens that cost an engine as much as
+// OutputTokenWork is the number of prompt tokens that cost an engine as much as
 // one output token: each output token needs a decoding step, which the whole batch
 // shares, while prompt tokens are processed many at a time.
-const outputTokenWork = 10
+const OutputTokenWork = 10
 
 // Work returns the expected work of a request at an engine, in prompt tokens.
-func (r *Request) Work() float64 { return float64(r.PromptTokens + outputTokenWork*r.OutputTokens) }
+func (r *Request) Work() float64 { return float64(r.PromptTokens + OutputTokenWork*r.OutputTokens) }
 
 // Forward is what the gateway tells an upstream about a forwarded request.
 type Forward struct {
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -10,7 +10,7 @@
 //     one order for each sequence number, so an order that arrives late, or one
 //     of a former holder, cannot take effect in addition to later decisions.
 //   - The last replica of a model is never unloaded to load a second replica
-//     of another model.
+//     of another model while the engines have room for all models.
 //   - In each window no more loads from the weight store begin than the store
 //     allows.
 package residency
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -52,6 +52,22 @@
 	return (e.holds(model) || e.Loading == model || e.Reserved == model) && e.Unloading != model
 }
 
+// assignedModels returns the models for which assigned reports true.
+func (e *Engine) assignedModels() []string {
+	var out []string
+	add := func(name string) {
+		if name != "" && name != e.Unloading && !slices.Contains(out, name) {
+			out = append(out, name)
+		}
+	}
+	for i := range e.Models {
+		add(e.Models[i].Model)
+	}
+	add(e.Loading)
+	add(e.Reserved)
+	return out
+}
+
 func (e *Engine) usedMB() float64 {
 	mb := 0.0
 	for _, m := range e.Models {
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -9,13 +10,13 @@
 )
 
 const (
-	// workPerSlot is the work per second and batch slot, in prompt tokens, that
-	// an engine does while first tokens are still produced without delay. An
-	// engine's capacity is workPerSlot times its slots.
-	workPerSlot = 600.0
-	// scaleUpShare is the share of an engine's capacity from which the load of
-	// a model's replicas justifies another replica.
-	scaleUpShare = 0.3
+	// scaleUpShare is the share of an engine's capacity from which the work at the
+	// least loaded engine of a model justifies another replica.
+	scaleUpShare = 0.4
+	// minRelief is the work, as a share of an engine's capacity, that another
+	// replica of a model must be able to take over, and the margin by which its
+	// engine must have less work than the model's other engines.
+	minRelief = 0.05
 	// replaceRatio is the factor by which the work per replica of a model must
 	// exceed the eviction cost of another model's replica to replace it.
 	replaceRatio = 2.0
@@ -51,8 +52,13 @@
 	replicas  int     // engines to which the model is assigned
 	standby   int     // replicas to keep regardless of the demand
 	zones     map[string]int
+	level     float64 // work per second at its least loaded engine
 }
 
+// relief returns the work per second that its engines are relieved of by another
+// replica at most.
+func (m *modelState) relief() float64 { return min(m.fastRate, m.level) }
+
 // workPerReplica returns the work per second and replica, in prompt tokens. A
 // model without replicas counts as if it had half of one.
 func (m *modelState) workPerReplica() float64 {
@@ -75,7 +81,8 @@
 	}
 	spec := engines[0].Spec
 	states := p.modelStates(service, spec, engines)
-	capacity := workPerSlot * float64(max(spec.Slots, 1))
+	p.expectations.apply(now, service, states, engineCapacity(spec, p.prefillRates[service]))
+	capacity := engineCapacity(spec, p.prefillRates[service])
 	loading := 0
 	for _, e := range engines {
 		if e.Loading != "" {
@@ -89,12 +96,13 @@
 	for _, e := range engines {
 		zones[e.Upstream.Zone] = true
 	}
-	setStandby(states, len(zones), capacity)
-	for _, m := range p.rankCandidates(states, len(zones), capacity) {
+	fit := allModelsFit(spec, engines)
+	setStandby(states, len(zones), fit, capacity)
+	for _, m := range p.rankCandidates(engines, states, len(zones), fit, capacity) {
 		if len(actions) >= maxOrdersPerStep || loading >= loadLimit {
 			break
 		}
-		a, ok := p.addReplica(now, engines, states, m, capacity)
+		a, ok := p.addReplica(now, engines, states, m, fit, capacity)
 		if !ok {
 			continue
 		}
@@ -104,7 +112,7 @@
 		}
 	}
 	if len(actions) == 0 && float64(loading) < standbyLoadShare*float64(loadLimit) {
-		actions = append(actions, p.planStandby(now, engines, states, capacity)...)
+		actions = append(actions, p.planStandby(now, engines, states, fit, capacity)...)
 	}
 	return actions
 }
@@ -112,13 +120,13 @@
 // planStandby anticipates demand that is about to shift. Models that are likely
 // to be requested get replicas in several zones, in place of replicas that are
 // not needed, while no more urgent loads use the weight store.
-func (p *Planner) planStandby(now time.Duration, engines []*Engine, states map[string]*modelState, capacity float64) []Action {
+func (p *Planner) planStandby(now time.Duration, engines []*Engine, states map[string]*modelState, fit bool, capacity float64) []Action {
 	for _, name := range engines[0].Spec.ModelNames {
 		m := states[name]
 		if m.replicas == 0 || m.replicas >= m.standby {
 			continue
 		}
-		if a, ok := p.addReplica(now, engines, states, m, capacity); ok {
+		if a, ok := p.addReplica(now, engines, states, m, fit, capacity); ok {
 			return []Action{a}
 		}
 	}
@@ -128,9 +136,10 @@
 // setStandby sets how many replicas each model should have regardless of its
 // demand. Models are likely to be requested if they were busy lately, if they
 // have adapters, since somebody made those for a purpose, or if they have not
-// been requested yet while most other models have. Before the first request, a
-// model that many engines hold is expected to be busy.
-func setStandby(states map[string]*modelState, zones int, capacity float64) {
+// been requested yet while most other models have. The last two count only if the
+// engines have room for all models. Before the first request, a model that many
+// engines hold is expected to be busy.
+func setStandby(states map[string]*modelState, zones int, fit bool, capacity float64) {
 	requestedModels := 0
 	for _, m := range states {
 		if m.requested {
@@ -140,7 +149,7 @@
 	for _, m := range states {
 		m.standby = 1
 		switch {
-		case m.spec.Adapters > 0, m.slowRate > activeShare*capacity, !m.requested && 2*requestedModels > len(states):
+		case m.slowRate > activeShare*capacity, fit && m.spec.Adapters > 0, fit && !m.requested && 2*requestedModels > len(states):
 			m.standby = min(zones, standbyZones)
 		}
 		if requestedModels == 0 {
@@ -184,40 +193,63 @@
 	for _, name := range spec.ModelNames {
 		key := ModelKey{Service: service, Model: name}
 		rates := p.demand[key]
-		m := &modelState{spec: spec.Models[name], key: key, fastRate: rates.Fast, slowRate: rates.Slow, requested: rates.Slow > 0, zones: map[string]int{}}
-		for _, e := range engines {
-			if e.assigned(name) {
+		states[name] = &modelState{
+			spec: spec.Models[name], key: key, fastRate: rates.Fast, slowRate: rates.Slow, requested: rates.Slow > 0, zones: map[string]int{},
+		}
+	}
+	for _, e := range engines {
+		for _, name := range e.assignedModels() {
+			if m := states[name]; m != nil {
 				m.replicas++
 				m.zones[e.Upstream.Zone]++
 			}
 		}
-		states[name] = m
 	}
 	return states
 }
 
-// urgency returns the rank of a model that needs a replica: its work per
-// replica, plus a bonus for a model that callers request and no engine holds.
-// A model that nobody requests ranks last and is loaded when the weight store has
-// capacity left.
-func (m *modelState) urgency(capacity float64) float64 {
-	if m.replicas == 0 && m.fastRate > 0 {
+// allModelsFit reports whether the engines together have room for all models. If not,
+// models that are requested take the places of those that are not.
+func allModelsFit(spec *fleet.Engine, engines []*Engine) bool {
+	if len(spec.Models) == 0 {
+		return true
+	}
+	total := 0.0
+	for _, m := range spec.Models {
+		total += m.WeightsMB
+	}
+	perEngine := math.Floor((spec.MemoryMB - memoryMarginMB) / (total / float64(len(spec.Models))))
+	return perEngine*float64(len(engines)) >= float64(len(spec.Models))
+}
+
+// urgency returns the rank of a model that needs a replica: the work of which
+// another one relieves its engines or, for a model that callers request and no engine
+// holds, its work and a bonus, if all models can be held. A model that nobody requests
+// ranks last and is loaded when the weight store has capacity left.
+func (m *modelState) urgency(fit bool, capacity float64) float64 {
+	switch {
+	case m.replicas == 0 && m.fastRate > 0 && fit:
 		return m.workPerReplica() + absentModelBonus*capacity
+	case m.replicas == 0:
+		return m.workPerReplica()
 	}
-	return m.workPerReplica()
+	return m.relief()
 }
 
 // rankCandidates returns the models that need a replica, the most urgent first.
-func (p *Planner) rankCandidates(states map[string]*modelState, zones int, capacity float64) []*modelState {
+func (p *Planner) rankCandidates(engines []*Engine, states map[string]*modelState, zones int, fit bool, capacity float64) []*modelState {
+	p.balance = newBalance(engines, states)
 	var out []*modelState
 	for _, m := range states {
+		absent := m.replicas == 0 && (fit || m.fastRate > 0)
+		overloaded := m.level > scaleUpShare*capacity && m.relief() > minRelief*capacity
 		missingZone := m.fastRate > activeShare*capacity && len(m.zones) < zones
-		if m.replicas == 0 || m.workPerReplica() > scaleUpShare*capacity || missingZone {
+		if absent || overloaded || missingZone {
 			out = append(out, m)
 		}
 	}
 	slices.SortFunc(out, func(a, b *modelState) int {
-		return cmp.Or(cmp.Compare(b.urgency(capacity), a.urgency(capacity)), cmp.Compare(b.slowRate, a.slowRate), cmp.Compare(a.spec.Name, b.spec.Name))
+		return cmp.Or(cmp.Compare(b.urgency(fit, capacity), a.urgency(fit, capacity)), cmp.Compare(b.slowRate, a.slowRate), cmp.Compare(a.spec.Name, b.spec.Name))
 	})
 	return out
 }
@@ -232,21 +264,21 @@
 // addReplica orders the load of one more replica of a model, or the unload that
 // makes room for it, on the engine with the lowest cost. It reports false if no
 // engine can take the model now.
-func (p *Planner) addReplica(now time.Duration, engines []*Engine, states map[string]*modelState, m *modelState, capacity float64) (Action, bool) {
+func (p *Planner) addReplica(now time.Duration, engines []*Engine, states map[string]*modelState, m *modelState, fit bool, capacity float64) (Action, bool) {
 	var best *placement
 	for _, e := range engines {
 		if !e.canTakeOrder(now) || e.Reserved != "" || e.assigned(m.spec.Name) || e.holds(m.spec.Name) {
 			continue
 		}
-		candidate, ok := p.placementOn(e, states, m, capacity)
-		if !ok {
+		candidate, ok := p.placementOn(e, states, m, fit, capacity)
+		if !ok || !p.relieves(e, candidate.victim, m, capacity) {
 			continue
 		}
 		d, fromStore := e.loadTime(m.spec)
 		if fromStore && p.budgets[m.key.Service].remaining(now, e.Spec.LoadsPerS) <= 0 {
 			continue
 		}
-		candidate.cost += d.Seconds()*capacity*loadTimeCost + float64(m.zones[e.Upstream.Zone])*capacity*zoneCost + float64(e.Requests)*workPerSlot*requestCost
+		candidate.cost += d.Seconds()*capacity*loadTimeCost + float64(m.zones[e.Upstream.Zone])*capacity*zoneCost + p.balance.without(e, candidate.victim)
 		if best == nil || candidate.cost < best.cost {
 			best = &candidate
 		}
@@ -267,25 +299,34 @@
 	return p.issueOrder(now, best.e, fleet.OrderLoad, m.spec.Name, "", "demand"), true
 }
 
-// Weights of the costs of a placement, as shares of an engine's capacity unless
-// stated otherwise.
+// relieves reports whether the engine, without the victim, has less work than the
+// engines of the model. Models that lack an engine, a zone or a standby replica take
+// any.
+func (p *Planner) relieves(e *Engine, victim, m *modelState, capacity float64) bool {
+	if m.level <= scaleUpShare*capacity {
+		return true
+	}
+	return p.balance.without(e, victim) < m.level-minRelief*capacity
+}
+
+// Weights of the costs of a placement, as shares of an engine's capacity. The work at
+// the engine counts too.
 const (
 	loadTimeCost = 0.2  // each second of loading
 	zoneCost     = 0.15 // each replica that the zone already has
-	requestCost  = 0.5  // each request at the engine, as a share of workPerSlot
 )
 
 // placementOn returns how the engine can take the model: without an unload if
 // the model fits, otherwise in place of the evictable model with the lowest
 // eviction cost. It reports false if it cannot.
-func (p *Planner) placementOn(e *Engine, states map[string]*modelState, m *modelState, capacity float64) (placement, bool) {
+func (p *Planner) placementOn(e *Engine, states map[string]*modelState, m *modelState, fit bool, capacity float64) (placement, bool) {
 	if e.fits(m.spec) {
 		return placement{e: e}, true
 	}
 	var victim *modelState
 	for _, r := range e.Models {
 		v := states[r.Model]
-		if v == nil || v == m || !p.evictable(v, m, capacity) {
+		if v == nil || v == m || !p.evictable(v, m, fit, capacity) {
 			continue
 		}
 		if victim == nil || v.evictionCost() < victim.evictionCost() {
@@ -300,9 +341,13 @@
 
 // evictable reports whether a replica of v may be unloaded to make room for one
 // of m.
-func (p *Planner) evictable(v, m *modelState, capacity float64) bool {
+func (p *Planner) evictable(v, m *modelState, fit bool, capacity float64) bool {
+	need := m.relief()
+	if m.replicas == 0 {
+		need = m.workPerReplica()
+	}
 	if v.replicas <= 1 {
-		return false
+		return !fit && v.evictionCost()*replaceRatio < need
 	}
 	if m.replicas == 0 {
 		return m.fastRate > 0 || v.evictionCost() < scaleUpShare*capacity
@@ -310,5 +355,5 @@
 	if m.replicas < m.standby && v.replicas > v.standby && v.evictionCost() < scaleUpShare*capacity {
 		return true
 	}
-	return v.evictionCost()*replaceRatio < m.workPerReplica()
+	return v.evictionCost()*replaceRatio < need
 }
--- a/internal/residency/planner.go
+++ b/internal/residency/planner.go
@@ -25,6 +25,9 @@
 	engines         map[string]*Engine
 	budgets         map[string]*loadBudget     // by service
 	adapterRequests map[ModelKey]time.Duration // time of the last request
+	prefillRates    map[string]float64         // see SetPrefillRates
+	balance         *balance                   // of the current step
+	expectations    expectations
 }
 
 // NewPlanner returns a planner for one leadership, from taking to losing the
@@ -34,7 +37,7 @@
 func NewPlanner(opts Options) *Planner {
 	return &Planner{
 		opts: opts, engines: map[string]*Engine{}, budgets: map[string]*loadBudget{},
-		adapterRequests: map[ModelKey]time.Duration{},
+		adapterRequests: map[ModelKey]time.Duration{}, expectations: expectations{},
 	}
 }
 
@@ -66,6 +69,10 @@
 // instances.
 func (p *Planner) SetDemand(demand map[ModelKey]Rates) { p.demand = demand }
 
+// SetPrefillRates sets the number of prompt tokens that an engine of a service is seen
+// to read per second, by service.
+func (p *Planner) SetPrefillRates(rates map[string]float64) { p.prefillRates = rates }
+
 // SetRequests sets the number of requests at each engine, by engine ID.
 func (p *Planner) SetRequests(requests map[string]int) {
 	for id, e := range p.engines {
--- a/internal/residencycontroller/controller.go
+++ b/internal/residencycontroller/controller.go
@@ -57,6 +57,9 @@
 	Requests  func() map[string]int // requests at each upstream by ID, over all instances
 	// Demand returns the requested work, summed over all instances.
 	Demand func() map[residency.ModelKey]residency.Rates
+	// PrefillRates returns the number of prompt tokens that an engine is seen to read
+	// per second, by service; nil for unknown.
+	PrefillRates func() map[string]float64
 	// OnStep is called after each step with the models that the engines hold.
 	OnStep func(fence uint64, residents []residency.EngineState)
 	// OnDraining is called when an engine reports that it is draining.
@@ -170,6 +173,9 @@
 	c.planner.SetEngines(now, config, c.opts.Upstreams())
 	c.planner.SetRequests(c.opts.Requests())
 	c.planner.SetDemand(c.opts.Demand())
+	if c.opts.PrefillRates != nil {
+		c.planner.SetPrefillRates(c.opts.PrefillRates())
+	}
 	for _, a := range c.planner.Step(now) {
 		c.execute(ctx, a)
 	}
