Only whole events keep a stream at its upstream; nothing is sent too late

A stalled stream whose upstream sends a byte of the next event now and then was never handed over, as any byte ended the silence; it ended with its timeout. Now a stream's silence counts from its last whole event. Slow streams that make progress stay where they are, as before.

A process that was suspended between a placement and the send sent the request although its deadline had passed, with a negative time left, since timers do not count the time of a suspend. Now the deadline is checked on the clock that does, and the upstream is not blamed. TestNothingIsSentAfterTheDeadline failed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -53,6 +54,7 @@
 type attempt struct {
 	assign.QueueResult
 	cancel   context.CancelFunc
+	begunAt  time.Duration
 	charged  bool               // charged to the organisation's limit
 	retry    bool               // taken from the retry budget
 	err      error              // of sending or of reading the head of the answer
@@ -102,13 +104,17 @@
 // whether another attempt is still open. The request is charged to the organisation
 // again if an earlier attempt may have run, because it then counts twice upstream.
 func (x *exchange) begin(ctx context.Context, placed assign.QueueResult, concurrent bool) *attempt {
-	a := &attempt{QueueResult: placed, retry: concurrent || x.arrivals() > 0, charged: (concurrent || x.mayHaveRun) && x.cost > 0}
+	a := &attempt{QueueResult: placed, begunAt: x.g.now(), retry: concurrent || x.arrivals() > 0, charged: (concurrent || x.mayHaveRun) && x.cost > 0}
 	if a.charged {
 		x.g.limiter.charge(x.org.Name, x.cost)
 	}
 	ctx, a.cancel = context.WithCancel(ctx)
 	u := placed.Decision.Upstream
 	x.job.TriedUpstreams = append(x.job.TriedUpstreams, u.ID)
+	if _, over := x.requestOver(); over { // a suspended process may find a placement after the deadline
+		a.err = fmt.Errorf("%w: %w", httpconn.ErrNotSent, context.DeadlineExceeded)
+		return a
+	}
 	a.exchange, a.err = x.g.pool.Send(ctx, x.upstreamRequest(u))
 	return a
 }
@@ -328,9 +334,9 @@
 func (x *exchange) sendFailed(a *attempt, err error) outcome {
 	x.rec.lastError = err
 	if errors.Is(err, httpconn.ErrNotSent) {
-		if x.ctx.Err() != nil {
+		if o, over := x.requestOver(); over {
 			x.release(a, assign.ResultUnknown)
-			return outcomeCallerLeft
+			return o
 		}
 		x.release(a, assign.ResultFailed)
 		return outcomeNotSent
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -41,7 +41,7 @@
 		return
 	}
 	a.exchange.Watch(httpconn.Watch{
-		Timeout: x.silenceTimeout, Interval: handOverInterval,
+		Timeout: x.silenceTimeout, Silent: x.silence(a), Interval: handOverInterval,
 		OnSilence: func(silent time.Duration) error {
 			if !a.silent {
 				a.silent = x.g.dispatcher.recordSilence(a.Placement, x.job)
@@ -55,6 +55,16 @@
 	})
 }
 
+// silence returns a function that returns how long the upstream of an attempt has made
+// no progress. In a stream only whole events are progress, since an upstream may send a
+// byte now and then and never an event; nil stands for any byte.
+func (x *exchange) silence(a *attempt) func() time.Duration {
+	if x.route.Kind != fleet.KindStream {
+		return nil
+	}
+	return func() time.Duration { return x.g.now() - max(a.begunAt, x.rec.stream.lastEventAt) }
+}
+
 // silenceTimeout returns the silence timeout of the current attempt.
 func (x *exchange) silenceTimeout() time.Duration {
 	if x.rec.stream.headSent {
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -63,3 +63,21 @@
 	must.True(t, x.job.InProgress)
 	must.Eq(t, time.Minute+2*time.Second, x.job.FirstEventDeadline)
 }
+
+// A process that was suspended between a placement and the send sends nothing once the
+// deadline has passed, and does not blame the upstream.
+func TestNothingIsSentAfterTheDeadline(t *testing.T) {
+	at := time.Minute
+	x := newTestExchange(0)
+	x.g.now = func() time.Duration { return at }
+	x.withUpstreams("u0")
+	x.rec.stream = &streamState{}
+	x.job.Objective, x.job.FirstEventDeadline, x.job.Deadline = at+time.Second, at+time.Second, at+time.Second
+	placed, ok := x.g.dispatcher.placeNow(x.job)
+	must.True(t, ok)
+	at += 3 * time.Second
+	a := x.begin(context.Background(), placed, false) // without a pool, a send would panic
+	must.Eq(t, outcomeTimeout, x.relay(context.Background(), a))
+	must.False(t, x.mayHaveRun)
+	must.MapEmpty(t, x.g.dispatcher.localLoads())
+}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -76,15 +76,19 @@
 	address string
 	expires time.Duration // boot time from which the connection is not reused
 	watch   Watch
-	readErr error // ends all further reading
+	told    time.Time // last call of watch.OnSilence in the current silence, zero for none
+	readErr error     // ends all further reading
 }
 
 // Watch supervises the reading of a response. Its functions are called by the
 // goroutine that reads.
 type Watch struct {
-	// Timeout returns how long the upstream may send nothing until OnSilence is
+	// Timeout returns how long the upstream may be silent until OnSilence is
 	// called. Without a Timeout, or if it returns 0, reading is not supervised.
 	Timeout func() time.Duration
+	// Silent returns how long the upstream has made no progress, however many bytes
+	// it has sent. Without it, each byte is progress.
+	Silent func() time.Duration
 	// Interval is the time until OnSilence is called again while the silence
 	// lasts; 0 means not again.
 	Interval time.Duration
@@ -103,14 +107,19 @@
 		return c.readOnce(p)
 	}
 	began := time.Now()
-	for timeout := c.watch.Timeout(); ; timeout = c.watch.Interval {
-		n, err := c.readWithin(p, timeout)
+	silent := c.watch.Silent
+	if silent == nil {
+		silent = func() time.Duration { return time.Since(began) }
+	}
+	for {
+		n, err := c.readWithin(p, c.untilSilence(silent()))
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 		// After a suspend the deadline may have passed although data has arrived.
 		if c.quiet() {
-			c.readErr = c.watch.OnSilence(time.Since(began))
+			c.told = time.Now()
+			c.readErr = c.watch.OnSilence(silent())
 		}
 		if c.readErr != nil {
 			return 0, c.readErr
@@ -118,6 +127,27 @@
 	}
 }
 
+// untilSilence returns the time until OnSilence is to be called, given how long the
+// upstream has been silent; 0 means never.
+func (c *conn) untilSilence(silent time.Duration) time.Duration {
+	timeout := c.watch.Timeout()
+	switch {
+	case timeout <= 0:
+		return 0
+	case silent < timeout:
+		c.told = time.Time{}
+		return timeout - silent
+	case c.told.IsZero():
+		return minReadWait
+	case c.watch.Interval <= 0:
+		return 0
+	}
+	return max(c.watch.Interval-time.Since(c.told), minReadWait)
+}
+
+// minReadWait is how long a read waits for data if OnSilence is due.
+const minReadWait = time.Millisecond
+
 // readWithin reads with a deadline, without one if timeout is 0.
 func (c *conn) readWithin(p []byte, timeout time.Duration) (int, error) {
 	if timeout <= 0 {
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -81,7 +81,7 @@
 }
 
 // Watch sets the watch for reading the response, also its body.
-func (e *Exchange) Watch(w Watch) { e.conn.watch = w }
+func (e *Exchange) Watch(w Watch) { e.conn.watch, e.conn.told = w, time.Time{} }
 
 // Response reads the status and header of the response. It fails with
 // ErrExchangeFailed.
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -297,3 +298,36 @@
 	_, err = e.Response()
 	must.ErrorIs(t, err, syscall.ECONNRESET)
 }
+
+// An upstream that sends a byte now and then and makes no progress is silent.
+func TestBytesWithoutProgressAreSilence(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for range 400 {
+			if _, err := io.WriteString(w, "x"); err != nil || r.Context().Err() != nil {
+				return
+			}
+			w.(http.Flusher).Flush()
+			time.Sleep(5 * time.Millisecond)
+		}
+	}))
+	t.Cleanup(srv.Close)
+	e, err := New(Options{DialTimeout: time.Second}).Send(context.Background(), &Request{Address: strings.TrimPrefix(srv.URL, "http://"), Method: "GET", RequestURI: "/", Host: "h"})
+	must.NoError(t, err)
+	began, enough := time.Now(), errors.New("enough")
+	calls := 0
+	e.Watch(Watch{
+		Timeout: func() time.Duration { return 60 * time.Millisecond }, Silent: func() time.Duration { return time.Since(began) }, Interval: 40 * time.Millisecond,
+		OnSilence: func(silent time.Duration) error {
+			must.GreaterEq(t, 60*time.Millisecond+time.Duration(calls)*40*time.Millisecond, silent)
+			if calls++; calls == 3 {
+				return enough
+			}
+			return nil
+		},
+	})
+	resp, err := e.Response()
+	must.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	must.ErrorIs(t, err, enough)
+	resp.Finish(false)
+}
