Refuse a request soon that all upstreams of its model had

Cause: a job that was sent to every upstream that serves it stayed queued until its caller gave up, since another upstream might be added. A sole holder that rejected a request held its caller for the whole deadline.

Change: such a job is refused after 300 ms, unless a replica is loading or its caller has a part of the response.

TestJobThatAllUpstreamsHadIsRefusedSoon failed before.

--- a/internal/assign/job.go
+++ b/internal/assign/job.go
@@ -40,6 +40,7 @@
 
 	modelHash uint64
 	queued    bool
+	queuedAt  time.Duration
 	sequence  uint64 // order of arrival in the queue
 }
 
--- a/internal/assign/refuse.go
+++ b/internal/assign/refuse.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"slices"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
@@ -35,6 +36,13 @@
 	if eligible > 0 {
 		return fleet.Refusal{}, false
 	}
+	if j.queued && now-j.queuedAt >= triedQueueTime && s.triedAll(now, j) {
+		reason := fleet.ReasonOverloaded
+		if !j.NeedsEngine {
+			reason = fleet.ReasonNoUpstream
+		}
+		return fleet.Refusal{Reason: reason, RetryAfter: s.retryAfter(now, j, 0)}, true
+	}
 	readyAt := s.expectedReady(now, j)
 	if readyAt < j.FirstEventDeadline-giveUpMargin {
 		return fleet.Refusal{}, false
@@ -46,6 +54,30 @@
 	return fleet.Refusal{Reason: reason, RetryAfter: s.retryAfter(now, j, readyAt-now)}, true
 }
 
+// triedQueueTime is how long a job that was sent to all its upstreams stays queued for
+// another one to appear.
+const triedQueueTime = 300 * time.Millisecond
+
+// triedAll reports whether the job was sent to every upstream that serves it, and no
+// other is expected. A job in progress stays queued all the same, since its response
+// would be cut.
+func (s *Scheduler) triedAll(now time.Duration, j *Job) bool {
+	if _, loading := s.readyTimes[modelKey{model: j.Model}]; loading || j.InProgress {
+		return false
+	}
+	tried := false
+	for _, u := range s.services[j.Service] {
+		if !u.serves(now, j.Model, j.Adapter) {
+			continue
+		}
+		if !slices.Contains(j.TriedUpstreams, u.entry.ID) {
+			return false
+		}
+		tried = true
+	}
+	return tried
+}
+
 // expectedReady returns the time at which an eligible upstream for the job is
 // expected.
 func (s *Scheduler) expectedReady(now time.Duration, j *Job) time.Duration {
--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -84,7 +84,7 @@
 		decision.Refusal = refusal
 		return nil, decision
 	}
-	j.queued = true
+	j.queued, j.queuedAt = true, now
 	s.lastSequence++
 	j.sequence = s.lastSequence
 	s.queue = append(s.queue, j)
