--- a/internal/mesh/watchers.go
+++ b/internal/mesh/watchers.go
@@ -33,8 +33,9 @@
 	storeReachable bool // it reports that it reaches the store
 }
 
-// chooseWatchers returns the names of the instances that watch the store: those of
-// the highest capacity, then the first by name, that reach it. While these are too few, some of the others try
+// chooseWatchers returns the names of the instances that watch the store: of those
+// that reach it, the ones of the highest capacity, then the first by name. While these
+// are too few, some of the others try
 // in rotation, because attempts by all instances of a large fleet would
 // overload a store that has failed.
 func chooseWatchers(now time.Duration, zone []watchCandidate) []string {
