--- a/internal/mesh/watchers.go
+++ b/internal/mesh/watchers.go
@@ -35,9 +35,8 @@
 
 // chooseWatchers returns the names of the instances that watch the store: of those
 // that reach it, the ones of the highest capacity, then the first by name. While these
-// are too few, some of the others try
-// in rotation, because attempts by all instances of a large fleet would
-// overload a store that has failed.
+// are too few, some of the others try in rotation, because attempts by all instances
+// of a large fleet would overload a store that has failed.
 func chooseWatchers(now time.Duration, zone []watchCandidate) []string {
 	var out, unreachable []string
 	slices.SortFunc(zone, func(a, b watchCandidate) int {
