mesh: watchers are ordered by compareRelays

Cause: the choice of watchers repeated the order by capacity and name that the leads and the pollers use. Change: a watchCandidate holds the member's info, and compareRelays orders all three. Behaviour is the same; the test's constructor follows, its assertions are as before.

--- a/internal/mesh/watchers.go
+++ b/internal/mesh/watchers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
 )
 
 const (
@@ -28,8 +29,7 @@
 
 // watchCandidate is an instance that may watch the store for its zone.
 type watchCandidate struct {
-	name           string
-	capacity       uint32
+	info           *meshpb.MemberInfo
 	storeReachable bool // it reports that it reaches the store
 }
 
@@ -39,15 +39,13 @@
 // of a large fleet would overload a store that has failed.
 func chooseWatchers(now time.Duration, zone []watchCandidate) []string {
 	var out, unreachable []string
-	slices.SortFunc(zone, func(a, b watchCandidate) int {
-		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(a.name, b.name))
-	})
+	slices.SortFunc(zone, func(a, b watchCandidate) int { return compareRelays(a.info, b.info) })
 	for _, c := range zone {
 		switch {
 		case c.storeReachable && len(out) < watchersPerZone:
-			out = append(out, c.name)
+			out = append(out, c.info.Name)
 		case !c.storeReachable:
-			unreachable = append(unreachable, c.name)
+			unreachable = append(unreachable, c.info.Name)
 		}
 	}
 	attempters := attemptersPerWatcher * (watchersPerZone - len(out))
@@ -60,10 +58,10 @@
 // chosenWatchers returns the names of the instances that this instance, as a
 // lead, chooses to watch the store for its zone.
 func (m *members) chosenWatchers(now time.Duration, storeReachable bool) []string {
-	zone := []watchCandidate{{name: m.self.Name, capacity: m.self.Capacity, storeReachable: storeReachable}}
+	zone := []watchCandidate{{info: m.self, storeReachable: storeReachable}}
 	for _, p := range m.peers {
 		if p.info.Zone == m.self.Zone && !p.leaving && p.stateAt != 0 && now-p.stateAt <= silentAfter {
-			zone = append(zone, watchCandidate{name: p.info.Name, capacity: p.info.Capacity, storeReachable: p.storeReachable})
+			zone = append(zone, watchCandidate{info: p.info, storeReachable: p.storeReachable})
 		}
 	}
 	return chooseWatchers(now, zone)
--- a/internal/mesh/watchers_test.go
+++ b/internal/mesh/watchers_test.go
@@ -11,7 +11,7 @@
 func newZone(n int, storeReachable func(i int) bool) []watchCandidate {
 	var out []watchCandidate
 	for i := range n {
-		out = append(out, watchCandidate{name: fmt.Sprintf("z0-%02d", i), storeReachable: storeReachable(i)})
+		out = append(out, watchCandidate{info: newInfo("z0", i), storeReachable: storeReachable(i)})
 	}
 	return out
 }
