--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -30,6 +30,8 @@
 type document interface {
 	// String returns the name of the kind, for the log.
 	String() string
+	// lag returns what is known of the revisions that this instance lacks.
+	lag() *lag
 	// request returns the request for what this instance lacks.
 	request() *meshpb.KnowledgeRequest
 	// part returns the part in a reply, nil if there is none.
@@ -69,7 +71,8 @@
 			log.Warn("failed to fetch a part of a document", "kind", doc.String(), "part_bytes", f.partBytes, "parts", parts,
 				"bytes", received, "took_ms", (g.now() - began).Milliseconds(), "error", err)
 		case done && parts > 0:
-			log.Info("document fetched", "kind", doc.String(), "parts", parts, "bytes", received, "took_ms", (g.now() - began).Milliseconds())
+			log.Info("document fetched", "kind", doc.String(), "parts", parts, "bytes", received, "took_ms", (g.now() - began).Milliseconds(),
+				"behind_ms", doc.lag().behind(g.now()).Milliseconds())
 			return
 		case done:
 			return
@@ -116,6 +119,8 @@
 
 func (d configDocument) String() string { return "configuration" }
 
+func (d configDocument) lag() *lag { return &d.g.configLag }
+
 func (d configDocument) request() *meshpb.KnowledgeRequest {
 	revision, _, _ := d.g.catalog.Revisions()
 	return &meshpb.KnowledgeRequest{ConfigRevision: revision, RosterRevision: noRevision}
@@ -138,6 +143,8 @@
 
 func (d rosterDocument) String() string { return "upstreams" }
 
+func (d rosterDocument) lag() *lag { return &d.g.rosterLag }
+
 func (d rosterDocument) request() *meshpb.KnowledgeRequest {
 	return &meshpb.KnowledgeRequest{ConfigRevision: noRevision, RosterRevision: d.g.catalog.RosterBase()}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,8 +195,20 @@
 // get updates from peers; one that stays behind reads the store itself.
 func (g *Gateway) watchesStore() bool {
 	config, roster, reachable := g.catalog.Revisions()
-	now := g.now()
-	return g.configLag.needsHelp(now, config) || g.rosterLag.needsHelp(now, roster) || g.mesh.IsStoreWatcher(reachable)
+	return g.isBehind(configDocument{g}, config) || g.isBehind(rosterDocument{g}, roster) || g.mesh.IsStoreWatcher(reachable)
+}
+
+// isBehind reports whether this instance has lacked a revision of a document for so
+// long that it reads the store itself. own is the revision that it has.
+func (g *Gateway) isBehind(doc document, own uint64) bool {
+	l, now := doc.lag(), g.now()
+	if !l.needsHelp(now, own) {
+		return false
+	}
+	if target, first := l.firstHelp(); first {
+		g.log.Warn("document behind, reading the store", "kind", doc.String(), "revision", own, "lacks", target, "behind_ms", l.behind(now).Milliseconds())
+	}
+	return true
 }
 
 // pollsStore reports whether this instance polls the store on behalf of all
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -22,6 +22,7 @@
 	newest uint64        // revision that some peer has
 	target uint64        // revision that the instance lacks, 0 if none is known
 	since  time.Duration // when it learned of target
+	logged uint64        // last target for which firstHelp reported true
 }
 
 // observe records the revisions that this instance and a peer have.
@@ -49,3 +50,24 @@
 	late := now - l.since
 	return own < l.target && late >= selfHelpAfter && late <= selfHelpAfter+selfHelpFor
 }
+
+// firstHelp reports whether needsHelp has become true for a revision for which
+// firstHelp was not called before. It returns that revision.
+func (l *lag) firstHelp() (target uint64, first bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first = l.logged != l.target
+	l.logged = l.target
+	return l.target, first
+}
+
+// behind returns for how long the instance has known of a revision that it lacked at
+// the last observation, 0 if it lacked none.
+func (l *lag) behind(now time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.target == 0 {
+		return 0
+	}
+	return now - l.since
+}
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -48,3 +48,15 @@
 		own = peer
 	}
 }
+
+// The line about an instance that is behind is logged once for each revision.
+func TestFirstHelpOnceForARevision(t *testing.T) {
+	var l lag
+	l.observe(time.Minute, 5, 7)
+	must.Eq(t, 2*time.Second, l.behind(time.Minute+2*time.Second))
+	target, first := l.firstHelp()
+	must.Eq(t, 7, target)
+	must.True(t, first)
+	_, first = l.firstHelp()
+	must.False(t, first)
+}
