Test: a large configuration while instances restart in groups

Each instance that has run for 4 s has to have a change in force 3 s after it was stored.

Gateway.peers becomes the interface peer.Caller, so that the test can join instances.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,7 +67,7 @@
 	metrics         *metrics.Metrics
 	successLogLimit *logRateLimiter
 
-	peers   *peer.Client
+	peers   peer.Caller
 	peerSrv *peer.Server
 	mesh    *mesh.Exchanger
 	leader  *leader.Elector
