storesync: a large configuration is read from the store over a slow link

Cause: each read of the store ended after 600 ms. A configuration of the store's largest value, 1 MB, takes 0.84 s over 10 Mbit/s, so an instance without peers that have it never got it, at its start or after a change.

Change: a read that its timeout ended doubles the timeout of the next, up to 1.8 s; it shrinks again with reads that succeed. The bound is low because a silent store is waited for as long. Ruled out: a timeout on silence alone, for which the adapter's client would need a timer.

--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -22,8 +22,11 @@
 )
 
 const (
-	// readTimeout is the timeout of one read of the store.
-	readTimeout = 600 * time.Millisecond
+	// minReadTimeout is the timeout of one read of the store. It doubles with each
+	// read that it ends, up to maxReadTimeout, so that a large configuration comes
+	// through a slow link. The bound limits how long a silent store is waited for.
+	minReadTimeout = 600 * time.Millisecond
+	maxReadTimeout = 1800 * time.Millisecond
 	// minRetryBackoff is the pause after a failed read; it doubles with each
 	// further failure up to maxRetryBackoff.
 	minRetryBackoff = 150 * time.Millisecond
@@ -86,6 +89,8 @@
 	storeLost          bool          // as last logged; true before the first answer
 	malformedRevisions map[string]uint64
 	wholeRosterNext    bool // a peer's changes of the list did not fit
+	configTimeout      readTimeout
+	rosterTimeout      readTimeout
 }
 
 // New returns a controller without a configuration or a list of upstreams.
@@ -141,8 +146,8 @@
 // Run keeps the copies up to date until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
-	wg.Go(func() { c.follow(ctx, c.readConfig, objectstore.KindConfig, c.applyConfigEvents) })
-	wg.Go(func() { c.follow(ctx, c.readRoster, objectstore.KindUpstream, c.applyRosterEvents) })
+	wg.Go(func() { c.follow(ctx, c.readConfig, objectstore.KindConfig, &c.configTimeout, c.applyConfigEvents) })
+	wg.Go(func() { c.follow(ctx, c.readRoster, objectstore.KindUpstream, &c.rosterTimeout, c.applyRosterEvents) })
 	wg.Go(func() { c.poll(ctx) })
 	wg.Go(func() { c.tick(ctx) })
 	wg.Wait()
@@ -151,7 +156,7 @@
 
 // follow reads all objects of a kind, then watches them. It reads them again
 // whenever the watch fails.
-func (c *Controller) follow(ctx context.Context, read func(context.Context) (uint64, error), kind objectstore.Kind, events func(objectstore.List)) {
+func (c *Controller) follow(ctx context.Context, read func(context.Context) (uint64, error), kind objectstore.Kind, timeout *readTimeout, events func(objectstore.List)) {
 	pause := minRetryBackoff
 	for ctx.Err() == nil {
 		if c.Ready() && !c.opts.Watches() {
@@ -160,7 +165,7 @@
 		}
 		since, err := read(ctx)
 		for err == nil && ctx.Err() == nil && (c.opts.Watches() || !c.Ready()) {
-			if since, err = c.watch(ctx, kind, since, events); err == nil {
+			if since, err = c.watch(ctx, kind, since, timeout, events); err == nil {
 				pause = minRetryBackoff
 				wait.Sleep(ctx, watchBatchDelay)
 			}
@@ -178,8 +183,8 @@
 	}
 }
 
-func (c *Controller) watch(ctx context.Context, kind objectstore.Kind, since uint64, events func(objectstore.List)) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.opts.WatchWait+readTimeout)
+func (c *Controller) watch(ctx context.Context, kind objectstore.Kind, since uint64, timeout *readTimeout, events func(objectstore.List)) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.WatchWait+timeout.get())
 	defer cancel()
 	list, err := c.opts.Store.Watch(ctx, kind, since)
 	if err != nil {
@@ -220,13 +225,26 @@
 	}
 }
 
+// list reads all objects of a kind within the timeout and adapts it.
+func (c *Controller) list(ctx context.Context, kind objectstore.Kind, timeout *readTimeout) (objectstore.List, error) {
+	limit := timeout.get()
+	callCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	list, err := c.opts.Store.List(callCtx, kind)
+	switch {
+	case err == nil:
+		timeout.succeeded()
+	case ctx.Err() == nil && callCtx.Err() != nil:
+		timeout.expired(limit)
+	}
+	return list, err
+}
+
 // readConfig lists the configuration instead of getting the single object: a
 // watch must start at the store's revision, since the object's own revision may
 // be older than the store's history.
 func (c *Controller) readConfig(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	list, err := c.opts.Store.List(ctx, objectstore.KindConfig)
+	list, err := c.list(ctx, objectstore.KindConfig, &c.configTimeout)
 	if err != nil {
 		return 0, err
 	}
@@ -269,9 +287,7 @@
 }
 
 func (c *Controller) readRoster(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	list, err := c.opts.Store.List(ctx, objectstore.KindUpstream)
+	list, err := c.list(ctx, objectstore.KindUpstream, &c.rosterTimeout)
 	if err != nil {
 		return 0, err
 	}
