gateway: read and log what upstreams say about themselves

An upstream's notice (limit, leaving, pause) is now a typed value that platform decodes, and is logged when it changes. No decision uses it yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -301,9 +301,14 @@
 	return a.err
 }
 
-// classify returns what the head of the answer to an attempt proves.
+// classify returns what the head of the answer to an attempt proves, and records what
+// the upstream says there about itself.
 func (x *exchange) classify(a *attempt) fleet.AnswerKind {
-	return x.g.codec.ClassifyResponse(a.response.Status, a.response.Header, x.req.AttemptID)
+	kind := x.g.codec.ClassifyResponse(a.response.Status, a.response.Header, x.req.AttemptID)
+	if kind != fleet.AnswerMismatched {
+		x.g.recordNotice(a)
+	}
+	return kind
 }
 
 // release ends the placement of an attempt. It counts one failure of the upstream
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,6 +27,9 @@
 	// prove. attemptID is the ID that the caller gave the request; an answer with
 	// another ID is not the answer to it.
 	ClassifyResponse(status int, h http.Header, attemptID string) fleet.AnswerKind
+	// DecodeNotice returns what an upstream says about its own state in the status and
+	// headers of an answer. The error names what is malformed.
+	DecodeNotice(status int, h http.Header) (fleet.Notice, error)
 	// MatchesRequest reports whether an answer may belong to a request, given the
 	// headers of both.
 	MatchesRequest(request, answer http.Header) bool
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	demandMeter     *demandMeter
 	retryBudget     *retryBudget
 	adapterRequests *adapterRequester
+	notices         noticeBook
 	metrics         *metrics.Metrics
 	successLogLimit *logRateLimiter
 
