Keep the limits that upstreams name, over all instances

Cause: no part of the product read the limit.

Change: package upstreamlimit, a decision value of the scheduler. All instances agree on the few senders of an upstream by a hash over the members, silent ones included, so that the sum over the sides of a partition holds; limits travel with the states of instances. The scheduler asks when it places a request and the gateway when it sends it. The planner does not count an engine with a low limit as a home of its models.

--- /dev/null
+++ b/internal/assign/available.go
@@ -0,0 +1,111 @@
+package assign
+
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/upstreamlimit"
+)
+
+// maxSendDelay is the longest time from a placement until its request is sent. A process
+// that was suspended in between asks again.
+const maxSendDelay = 500 * time.Millisecond
+
+// Limits returns the limits that upstreams name.
+func (s *Scheduler) Limits() *upstreamlimit.Limiter { return s.limits }
+
+// RecordNotice records what an incarnation of an upstream says about itself.
+func (s *Scheduler) RecordNotice(now time.Duration, id string, startedAtMS int64, n fleet.Notice) {
+	u := s.byID[id]
+	if u == nil || u.entry.StartedAtMS != startedAtMS || n.LimitUnknown {
+		return
+	}
+	s.limits.Observe(now, u.limitKey(), n.Limited, n.RatePerS)
+}
+
+// MergeLimits records the limits that a peer has told, of upstreams that this instance
+// knows. It returns the upstreams whose new limit was not in force.
+func (s *Scheduler) MergeLimits(now time.Duration, told []upstreamlimit.Observation) []upstreamlimit.Upstream {
+	told = slices.DeleteFunc(told, func(o upstreamlimit.Observation) bool {
+		u := s.byID[o.Upstream.ID]
+		return u == nil || u.limitKey() != o.Upstream
+	})
+	return s.limits.Merge(now, told)
+}
+
+// LimitedRates returns the limits in force in requests per second, by upstream ID.
+func (s *Scheduler) LimitedRates(now time.Duration) map[string]float64 {
+	out := map[string]float64{}
+	for _, u := range s.limits.Limited(now) {
+		if rate, ok := s.limits.Rate(now, u); ok {
+			out[u.ID] = rate
+		}
+	}
+	return out
+}
+
+func (u *upstream) limitKey() upstreamlimit.Upstream {
+	return upstreamlimit.Upstream{ID: u.entry.ID, StartedAtMS: u.entry.StartedAtMS}
+}
+
+// availableAt returns the earliest time at which this instance may send a request to the
+// upstream by what the upstream says of itself.
+func (s *Scheduler) availableAt(now time.Duration, u *upstream) time.Duration {
+	return s.limits.AvailableAt(now, u.limitKey())
+}
+
+// isWithinPatience reports whether a time is early enough for the job to wait for it.
+func (j *Job) isWithinPatience(at time.Duration) bool { return at < j.FirstEventDeadline-giveUpMargin }
+
+// takeLimit takes a request from the limit of an available upstream and reports whether
+// there is a limit.
+func (s *Scheduler) takeLimit(now time.Duration, u *upstream) bool {
+	if _, limited := s.limits.Rate(now, u.limitKey()); !limited {
+		return false
+	}
+	return s.limits.Take(now, u.limitKey())
+}
+
+// MaySend reports whether the request of a placement may still be sent. What binds is the
+// moment of sending: since the placement the upstream may have left, or named a limit.
+func (s *Scheduler) MaySend(now time.Duration, p *Placement) bool {
+	u := p.upstream
+	if s.byID[u.entry.ID] != u || now-p.sentAt > maxSendDelay {
+		return false
+	}
+	if p.limited {
+		return true
+	}
+	if s.availableAt(now, u) > now {
+		return false
+	}
+	p.limited = s.takeLimit(now, u)
+	return true
+}
+
+// RecordNotSent records that no byte of the request of a placement was sent.
+func (s *Scheduler) RecordNotSent(p *Placement) {
+	if p.limited {
+		p.limited = false
+		s.limits.Return(p.upstream.limitKey())
+	}
+}
+
+// limitedOut reports whether all upstreams that could serve the job have a limit that
+// leaves nothing to this instance while the caller waits. at is the earliest time at which
+// one of them is available, upstreamlimit.Never if that is not known.
+func (s *Scheduler) limitedOut(now time.Duration, j *Job) (at time.Duration, limitedOut bool) {
+	at = upstreamlimit.Never
+	for _, u := range s.services[j.Service] {
+		if !u.serves(now, j.Model, j.Adapter) || slices.Contains(j.TriedUpstreams, u.entry.ID) {
+			continue
+		}
+		available := s.availableAt(now, u)
+		if j.isWithinPatience(available) {
+			return 0, false
+		}
+		at, limitedOut = min(at, available), true
+	}
+	return at, limitedOut
+}
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -81,7 +81,7 @@
 }
 
 // choose returns the best candidate for a job and the number of eligible
-// upstreams. The best candidate has the lowest expected time to the first
+// upstreams, also of those that are available only later. The best candidate has the lowest expected time to the first
 // token, with a penalty for a full batch and for another zone. While the peers'
 // load reports are stale, it chooses at random among candidates with similar
 // scores.
@@ -93,7 +93,14 @@
 		if !u.isEligible(now, j, j.TriedUpstreams, lowestRate) {
 			continue
 		}
+		available := s.availableAt(now, u)
+		if available > now && !j.isWithinPatience(available) {
+			continue
+		}
 		eligible++
+		if available > now {
+			continue
+		}
 		totals.add(u)
 		if now < u.fullUntil {
 			continue
--- a/internal/assign/refuse.go
+++ b/internal/assign/refuse.go
@@ -44,6 +44,11 @@
 		return fleet.Refusal{Reason: reason, RetryAfter: s.retryAfter(now, j, 0)}, true
 	}
 	readyAt := s.expectedReady(now, j)
+	if _, loading := s.readyTimes[modelKey{model: j.Model}]; !loading && !j.InProgress {
+		if at, limitedOut := s.limitedOut(now, j); limitedOut {
+			return fleet.Refusal{Reason: fleet.ReasonOverloaded, RetryAfter: s.retryAfter(now, j, min(at-now, defaultModelLoadTime))}, true
+		}
+	}
 	if readyAt < j.FirstEventDeadline-giveUpMargin {
 		return fleet.Refusal{}, false
 	}
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -6,12 +6,16 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/upstreamlimit"
 )
 
 // Options configure a Scheduler.
 type Options struct {
-	Zone string // of this instance
-	Seed uint64
+	Name        string // of this instance
+	Incarnation string // of this instance; differs between its starts
+	Zone        string // of this instance
+	Started     time.Duration
+	Seed        uint64
 	// DisableSpread disables the random choice under stale load reports: the
 	// best upstream is always chosen. It serves as a baseline.
 	DisableSpread bool
@@ -28,6 +32,7 @@
 	peers          map[string]PeerLoads
 	queue          []*Job
 	placementRates map[string]*placementRate
+	limits         *upstreamlimit.Limiter
 	readyTimes     map[modelKey]time.Duration // when a model is expected to be ready
 	lastSequence   uint64                     // of the last job queued
 	queueEnd       time.Duration              // no job stays queued beyond this time, 0 for no limit
@@ -59,7 +64,7 @@
 	return &Scheduler{
 		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 0)), byID: map[string]*upstream{},
 		services: map[string][]*upstream{}, peers: map[string]PeerLoads{}, placementRates: map[string]*placementRate{},
-		readyTimes: map[modelKey]time.Duration{},
+		limits: upstreamlimit.New(opts.Started, opts.Name, opts.Incarnation), readyTimes: map[modelKey]time.Duration{},
 	}
 }
 
@@ -82,6 +87,9 @@
 		services[entry.Service] = append(services[entry.Service], u)
 	}
 	s.byID, s.services = byID, services
+	s.limits.Keep(func(l upstreamlimit.Upstream) bool {
+		return byID[l.ID] != nil && byID[l.ID].entry.StartedAtMS == l.StartedAtMS
+	})
 	s.sumPeers()
 }
 
@@ -210,7 +218,7 @@
 func (s *Scheduler) HasEligible(now time.Duration, j *Job) bool {
 	lowestRate := s.lowestFailureRate(j.Service)
 	return slices.ContainsFunc(s.services[j.Service], func(u *upstream) bool {
-		return u.isEligible(now, j, j.TriedUpstreams, lowestRate)
+		return u.isEligible(now, j, j.TriedUpstreams, lowestRate) && s.availableAt(now, u) <= now
 	})
 }
 
@@ -222,14 +230,16 @@
 	urgency  int
 	tokens   int  // prompt tokens counted as pending
 	started  bool // the first token was produced
+	limited  bool // taken from the upstream's limit
 	sentAt   time.Duration
 	expected time.Duration
 }
 
-// place assigns the job to the candidate's upstream and adds it to the
-// upstream's load.
+// place assigns the job to the candidate's upstream, which is available, and adds it to
+// the upstream's load and limit.
 func (s *Scheduler) place(now time.Duration, j *Job, c candidate) *Placement {
 	p := &Placement{job: j, upstream: c.upstream, urgency: j.UrgencyAt(now), sentAt: now, expected: c.expected}
+	p.limited = s.takeLimit(now, c.upstream)
 	if c.upstream.engine != nil {
 		p.tokens = max(j.PromptTokens-c.upstream.cache.cachedTokens(j.modelHash, j.PromptParts), 1)
 		c.upstream.cache.record(j.modelHash, j.PromptParts)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -115,10 +115,18 @@
 		a.err = fmt.Errorf("%w: %w", httpconn.ErrNotSent, context.DeadlineExceeded)
 		return a
 	}
+	if !x.g.dispatcher.maySend(a.Placement) {
+		a.err = fmt.Errorf("%w: %w", httpconn.ErrNotSent, errPlacementLapsed)
+		return a
+	}
 	a.exchange, a.err = x.g.pool.Send(ctx, x.upstreamRequest(u))
 	return a
 }
 
+// errPlacementLapsed means that a request was not sent because its upstream has left, or
+// takes no request from this instance, since it was placed there.
+var errPlacementLapsed = errors.New("gateway: upstream no longer takes the request")
+
 // finishAttempt records an attempt with outcome o and returns o.
 func (x *exchange) finishAttempt(a *attempt, o outcome) outcome {
 	a.cancel()
@@ -131,6 +139,7 @@
 		x.rejected++
 	case outcomeNotSent:
 		x.unsent++
+		x.g.dispatcher.recordNotSent(a.Placement)
 		if a.retry {
 			x.returnRetry()
 		}
@@ -343,6 +352,10 @@
 			x.release(a, assign.ResultUnknown)
 			return o
 		}
+		if errors.Is(err, errPlacementLapsed) {
+			x.release(a, assign.ResultUnknown)
+			return outcomeNotSent
+		}
 		x.release(a, assign.ResultFailed)
 		return outcomeNotSent
 	}
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -8,6 +8,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
 	"github.com/eelgrassbay/eelgrassbay/internal/residency"
+	"github.com/eelgrassbay/eelgrassbay/internal/upstreamlimit"
 )
 
 // busyTickPeriod is the interval at which the scheduler runs while requests are
@@ -186,6 +187,41 @@
 	return recorded
 }
 
+// maySend reports whether the request of a placement may still be sent.
+func (d *dispatcher) maySend(p *assign.Placement) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sched.MaySend(d.now(), p)
+}
+
+// recordNotSent records that no byte of the request of a placement was sent.
+func (d *dispatcher) recordNotSent(p *assign.Placement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sched.RecordNotSent(p)
+}
+
+// recordNotice records what an upstream says about itself.
+func (d *dispatcher) recordNotice(u *fleet.Upstream, n fleet.Notice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sched.RecordNotice(d.now(), u.ID, u.StartedAtMS, n)
+}
+
+// limitObservations returns what is known of the limits of upstreams.
+func (d *dispatcher) limitObservations() []upstreamlimit.Observation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sched.Limits().Observations(d.now())
+}
+
+// limits returns the limits that upstreams name, in requests per second by upstream ID.
+func (d *dispatcher) limits() map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sched.LimitedRates(d.now())
+}
+
 // localLoads returns this instance's load at each upstream, to be sent to peers.
 func (d *dispatcher) localLoads() map[string]assign.Load {
 	d.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,7 +108,9 @@
 func (g *Gateway) initComponents() {
 	s := g.settings.Load()
 	g.metrics = metrics.New()
-	g.dispatcher = newDispatcher(assign.Options{Zone: s.Zone, Seed: rand.Uint64()}, g.now)
+	g.dispatcher = newDispatcher(assign.Options{
+		Name: s.Name, Incarnation: g.self.Incarnation, Zone: s.Zone, Started: g.started, Seed: rand.Uint64(),
+	}, g.now)
 	g.pool = httpconn.New(httpconn.Options{DialTimeout: dialTimeout, MaxIdlePerAddress: maxIdlePerUpstream, IsResponseTo: g.codec.MatchesRequest})
 	g.limiter = &limiter{now: g.now, inner: sharedlimit.New(g.now(), g.expectedPeers(), s.Limits.Window.Std())}
 	g.demandMeter = &demandMeter{now: g.now, meter: residency.NewMeter()}
@@ -148,7 +150,7 @@
 	})
 	g.placing = residencycontroller.New(residencycontroller.Options{
 		Name: s.Name, Lease: g.leader, Engines: g.opts.Engines, Config: g.catalog.Config, Upstreams: g.catalog.Usable,
-		Requests: g.dispatcher.requestsByUpstream, Demand: g.totalDemand, OnStep: g.publishEngineStates, OnDraining: g.catalog.MarkDraining,
+		Requests: g.dispatcher.requestsByUpstream, Limits: g.dispatcher.limits, Demand: g.totalDemand, OnStep: g.publishEngineStates, OnDraining: g.catalog.MarkDraining,
 		LoadWindow: s.Placement.LoadWindow.Std(), Now: g.now, Log: g.log,
 	})
 }
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -1,11 +1,22 @@
 package gateway
 
 import (
+	"context"
+	"math"
 	"sync"
+	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/assign"
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/upstreamlimit"
+	"github.com/eelgrassbay/eelgrassbay/internal/wait"
 )
 
+// memberUpdateInterval is the interval at which the limits of upstreams learn which
+// instances there are.
+const memberUpdateInterval = 250 * time.Millisecond
+
 // incarnation is one run of an upstream.
 type incarnation struct {
 	id          string
@@ -45,7 +56,54 @@
 	if n.Pause > 0 {
 		g.log.Info("upstream asks for a pause", "upstream", u.ID, "pause_ms", n.Pause.Milliseconds())
 	}
+	g.dispatcher.recordNotice(u, n)
 	if g.notices.record(incarnation{u.ID, u.StartedAtMS}, n) {
 		g.log.Info("upstream says of itself", "upstream", u.ID, "limited", n.Limited, "rate_per_s", n.RatePerS, "leaving", n.Leaving)
 	}
 }
+
+// updateLimitMembers tells the limits of upstreams which instances there are, until ctx
+// ends.
+func (g *Gateway) updateLimitMembers(ctx context.Context) error {
+	for wait.Sleep(ctx, memberUpdateInterval) {
+		names := g.mesh.Names()
+		g.dispatcher.update(func(now time.Duration, s *assign.Scheduler) { s.Limits().SetMembers(now, names) })
+	}
+	return nil
+}
+
+// mergeLimits records the limits of upstreams that a peer has told as of at.
+func (g *Gateway) mergeLimits(at time.Duration, in []*meshpb.UpstreamLimit) {
+	if len(in) == 0 {
+		return
+	}
+	told := make([]upstreamlimit.Observation, 0, len(in))
+	for _, m := range in {
+		if !(m.RatePerS >= 0) || math.IsInf(m.RatePerS, 0) {
+			g.log.Warn("malformed limit of an upstream skipped", "upstream", m.Upstream, "origin", m.Origin, "rate_per_s", m.RatePerS)
+			continue
+		}
+		told = append(told, upstreamlimit.Observation{
+			Upstream: upstreamlimit.Upstream{ID: m.Upstream, StartedAtMS: m.Born}, Limited: m.Limited, RatePerS: m.RatePerS,
+			At: at - time.Duration(m.AgeMs)*time.Millisecond, Origin: m.Origin, Sequence: m.Sequence,
+		})
+	}
+	g.dispatcher.update(func(now time.Duration, s *assign.Scheduler) {
+		for _, u := range s.MergeLimits(now, told) {
+			rate, _ := s.Limits().Rate(now, u)
+			g.log.Info("limit of an upstream learned from a peer", "upstream", u.ID, "rate_per_s", rate)
+		}
+	})
+}
+
+// limitsToWire returns what this instance knows of limits, to be sent to peers.
+func (g *Gateway) limitsToWire(now time.Duration) []*meshpb.UpstreamLimit {
+	var out []*meshpb.UpstreamLimit
+	for _, o := range g.dispatcher.limitObservations() {
+		out = append(out, &meshpb.UpstreamLimit{
+			Upstream: o.Upstream.ID, Born: o.Upstream.StartedAtMS, Limited: o.Limited, RatePerS: o.RatePerS,
+			AgeMs: uint32(max(now-o.At, 0).Milliseconds()), Origin: o.Origin, Sequence: o.Sequence,
+		})
+	}
+	return out
+}
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -17,7 +17,7 @@
 	now := func() time.Duration { return time.Minute }
 	budget := newRetryBudget(RetrySettings{FixedPerWindow: float64(n) / budgetSafetyFactor, Window: settings.Duration(10 * time.Second)}, func() int { return 1 }, now)
 	return &exchange{
-		g: &Gateway{now: now, retryBudget: budget}, ctx: context.Background(), service: "app",
+		g: &Gateway{now: now, retryBudget: budget, dispatcher: newDispatcher(assign.Options{}, now)}, ctx: context.Background(), service: "app",
 		route: &fleet.Route{Kind: fleet.KindIdempotent, MaxAttempts: 9}, job: &assign.Job{Deadline: time.Hour},
 	}
 }
@@ -25,7 +25,7 @@
 // endOne ends an attempt as serve does and reports whether another may follow.
 func (x *exchange) endOne(o outcome) bool {
 	a := &attempt{
-		QueueResult: assign.QueueResult{Decision: assign.Decision{Upstream: &fleet.Upstream{ID: "u"}}},
+		QueueResult: assign.QueueResult{Decision: assign.Decision{Upstream: &fleet.Upstream{ID: "u"}}, Placement: &assign.Placement{}},
 		cancel:      func() {}, retry: x.arrivals() > 0,
 	}
 	return x.mayRetry(x.finishAttempt(a, o))
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -69,6 +69,7 @@
 		{"peer server", taskCtx, g.peerSrv.Serve}, {"catalog", taskCtx, g.catalog.Run}, {"mesh", taskCtx, g.mesh.Run},
 		{"placing", taskCtx, g.placing.Run}, {"dispatcher", taskCtx, g.dispatcher.run}, {"lease", leaseCtx, g.leader.Run},
 		{"registration", taskCtx, g.registerInstance}, {"idle connections", taskCtx, g.sweepIdleConns},
+		{"upstream limits", taskCtx, g.updateLimitMembers},
 		{"settings", taskCtx, func(ctx context.Context) error { return g.watchSettings(ctx, file, hup) }},
 	} {
 		tasks.Go(func() error {
--- a/internal/mesh/exchanger.go
+++ b/internal/mesh/exchanger.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,6 +89,14 @@
 	return e.members.presentCount(e.opts.Now())
 }
 
+// Names returns the names of the known instances, including this one and those that are
+// silent or leaving.
+func (e *Exchanger) Names() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append(slices.Collect(maps.Keys(e.members.peers)), e.opts.Self.Name)
+}
+
 // IsLargeFleet reports whether the fleet is large, so that states are summed by
 // zone.
 func (e *Exchanger) IsLargeFleet() bool {
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -33,6 +33,9 @@
 	// engine.
 	Requests int
 
+	// limited is whether the engine takes so few requests that its models need
+	// replicas elsewhere.
+	limited            bool
 	backoffUntil       time.Duration // no call before then
 	failures           int
 	adapterLastOrdered map[string]time.Duration // model/adapter to the time of its last order
@@ -41,7 +44,7 @@
 }
 
 func (e *Engine) canTakeOrder(now time.Duration) bool {
-	return e.ReadAt != 0 && !e.needsReport && !e.callPending && !e.Busy && now >= e.backoffUntil
+	return e.ReadAt != 0 && !e.limited && !e.needsReport && !e.callPending && !e.Busy && now >= e.backoffUntil
 }
 
 func (e *Engine) holds(model string) bool { return fleet.FindModel(e.Models, model) != nil }
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -204,6 +204,9 @@
 		}
 	}
 	for _, e := range engines {
+		if e.limited {
+			continue
+		}
 		for _, name := range e.assignedModels() {
 			if m := states[name]; m != nil {
 				m.replicas++
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -270,3 +270,42 @@
 		}
 	})
 }
+
+// A model whose only holder takes few requests gets a replica on another engine, which is
+// not such an engine itself.
+func TestModelOfALimitedEngineGetsAnotherReplica(t *testing.T) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		sim := newSimulation(rt, 6, 9)
+		p := NewPlanner(Options{Holder: "n1", LoadWindow: 5 * time.Second})
+		demand := func(name string) func(time.Duration) map[ModelKey]Rates {
+			return func(time.Duration) map[ModelKey]Rates {
+				return map[ModelKey]Rates{testModelKey(name): {Fast: 800, Slow: 800}}
+			}
+		}
+		runPlanner(sim, p, 5*time.Second, demand("m0"))
+		limited := sim.engines[rapid.IntRange(0, 5).Draw(rt, "limited")]
+		if len(limited.models) == 0 {
+			rt.Skip("holds no model")
+		}
+		name := limited.models[0].Model
+		elsewhere := func() int {
+			n := sim.replicas(name)
+			if fleet.FindModel(limited.models, name) != nil {
+				n--
+			}
+			return n
+		}
+		for end := sim.now + 15*time.Second; sim.now < end; {
+			sim.tick()
+			p.SetDemand(demand(name)(sim.now))
+			p.SetEngines(sim.now, sim.config, sim.upstreams())
+			p.SetLimits(map[string]float64{limited.entry.ID: 1})
+			for _, a := range p.Step(sim.now) {
+				sim.execute(p, 1, a, 0)
+			}
+		}
+		if elsewhere() == 0 {
+			rt.Fatalf("%s has no replica besides that of the limited engine", name)
+		}
+	})
+}
--- a/internal/residency/planner.go
+++ b/internal/residency/planner.go
@@ -71,6 +71,27 @@
 	}
 }
 
+// SetLimits sets the limits that engines name, in requests per second by engine ID. An
+// engine with a low limit does not count as a home of the models that it holds, unless
+// half of its service are such engines.
+func (p *Planner) SetLimits(limits map[string]float64) {
+	all, low := map[string]int{}, map[string]int{}
+	for id, e := range p.engines {
+		rate, limited := limits[id]
+		e.limited = limited && rate < minServingRate*float64(e.Spec.Slots)
+		all[e.Upstream.Service]++
+		if e.limited {
+			low[e.Upstream.Service]++
+		}
+	}
+	for _, e := range p.engines {
+		e.limited = e.limited && 2*low[e.Upstream.Service] < all[e.Upstream.Service]
+	}
+}
+
+// minServingRate is the limit, in requests per second and slot, below which it is low.
+const minServingRate = 0.25
+
 // RequestAdapter records that an instance waits for an adapter.
 func (p *Planner) RequestAdapter(now time.Duration, adapter ModelKey) {
 	p.adapterRequests[adapter] = now
@@ -90,6 +111,8 @@
 	// reportInterval is how often the report of an engine that executes no
 	// order is read.
 	reportInterval = 2 * time.Second
+	// limitedReportInterval is the same for an engine that takes few requests.
+	limitedReportInterval = 8 * time.Second
 	// busyReportInterval is how often the report is read while an engine
 	// executes an order.
 	busyReportInterval = 150 * time.Millisecond
@@ -136,6 +159,9 @@
 	case e.Busy:
 		return now-e.ReadAt >= busyReportInterval
 	}
+	if e.limited {
+		return now-e.ReadAt >= limitedReportInterval
+	}
 	return now-e.ReadAt >= reportInterval
 }
 
--- a/internal/residencycontroller/controller.go
+++ b/internal/residencycontroller/controller.go
@@ -55,6 +55,8 @@
 	Config    func() *fleet.Config
 	Upstreams func() []fleet.Upstream
 	Requests  func() map[string]int // requests at each upstream by ID, over all instances
+	// Limits returns the limits that upstreams name, in requests per second by ID.
+	Limits func() map[string]float64
 	// Demand returns the requested work, summed over all instances.
 	Demand func() map[residency.ModelKey]residency.Rates
 	// OnStep is called after each step with the models that the engines hold.
@@ -169,6 +171,7 @@
 	}
 	c.planner.SetEngines(now, config, c.opts.Upstreams())
 	c.planner.SetRequests(c.opts.Requests())
+	c.planner.SetLimits(c.opts.Limits())
 	c.planner.SetDemand(c.opts.Demand())
 	for _, a := range c.planner.Step(now) {
 		c.execute(ctx, a)
