An upstream that says in an answer that it leaves gets nothing more

The users' rule: an instance that passed on such an answer sends nothing more there after the drain time, in touch with the store or not. Until now only the store's list and reports to the giver of orders told it.

Change: such an answer marks the incarnation as draining, as a report does; it takes effect on the queue and, by the check when a request is sent, on requests already placed. Instances tell each other of upstreams that leave until the list says so.

--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -56,6 +56,9 @@
 	if n.Pause > 0 {
 		g.log.Info("upstream asks for a pause", "upstream", u.ID, "pause_ms", n.Pause.Milliseconds())
 	}
+	if n.Leaving {
+		g.catalog.MarkDraining(u.ID, u.StartedAtMS)
+	}
 	g.dispatcher.recordNotice(u, n)
 	if g.notices.record(incarnation{u.ID, u.StartedAtMS}, n) {
 		g.log.Info("upstream says of itself", "upstream", u.ID, "limited", n.Limited, "rate_per_s", n.RatePerS, "leaving", n.Leaving)
@@ -107,3 +110,12 @@
 	}
 	return out
 }
+
+// leavingToWire returns the upstreams that said that they leave, to be told to peers.
+func (g *Gateway) leavingToWire() []*meshpb.UpstreamIncarnation {
+	var out []*meshpb.UpstreamIncarnation
+	for _, u := range g.catalog.Leaving() {
+		out = append(out, &meshpb.UpstreamIncarnation{Upstream: u.ID, Born: u.StartedAtMS})
+	}
+	return out
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -61,7 +61,7 @@
 func (g *Gateway) fillState(now time.Duration, s *meshpb.InstanceState, to mesh.Receiver) {
 	s.ConfigRevision, s.RosterRevision, s.StoreReachable = g.catalog.Revisions()
 	s.Board = g.residencyTable.version()
-	s.Limits = g.limitsToWire(now)
+	s.Limits, s.LeavingUpstreams = g.limitsToWire(now), g.leavingToWire()
 	own := g.localWork(now)
 	if to.SameZone {
 		s.Work = workSummaryToWire(now, own, to.IsLead)
@@ -79,6 +79,9 @@
 func (g *Gateway) handlePeerState(at time.Duration, s *meshpb.InstanceState) {
 	g.peerWork.update(at, s)
 	g.mergeLimits(at, s.Limits)
+	for _, u := range s.LeavingUpstreams {
+		g.catalog.MarkDraining(u.Upstream, u.Born)
+	}
 	_, lead := g.mesh.Candidates()
 	var remote map[string]*workSummary
 	g.dispatcher.update(func(now time.Duration, sched *assign.Scheduler) {
--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -138,11 +138,19 @@
 	changed := c.roster.Version() != before
 	c.mu.Unlock()
 	if changed {
-		c.opts.Log.Info("upstream leaves", "upstream", id, "source", "its own answer")
+		c.opts.Log.Info("upstream leaves", "upstream", id, "born", born, "source", "its own answer")
 		c.opts.OnChange()
 	}
 }
 
+// Leaving returns the upstreams that said themselves that they leave, as far as the list
+// does not say so.
+func (c *Controller) Leaving() []fleet.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.roster.Leaving()
+}
+
 // Run keeps the copies up to date until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
--- a/internal/upstreamlist/upstreamlist.go
+++ b/internal/upstreamlist/upstreamlist.go
@@ -191,6 +191,19 @@
 	return dropped
 }
 
+// Leaving returns the upstreams that are known to be draining although their entry does
+// not say so, sorted by ID.
+func (s *View) Leaving() []fleet.Upstream {
+	var out []fleet.Upstream
+	for _, id := range slices.Sorted(maps.Keys(s.members)) {
+		u := s.members[id].upstream
+		if u.State != fleet.UpstreamDraining && s.draining[incarnation{u.ID, u.StartedAtMS}] {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // Usable returns the upstreams that may get new requests, sorted by ID.
 func (s *View) Usable() []fleet.Upstream {
 	out := make([]fleet.Upstream, 0, len(s.members))
--- a/internal/upstreamlist/upstreamlist_test.go
+++ b/internal/upstreamlist/upstreamlist_test.go
@@ -38,6 +38,20 @@
 	must.Eq(t, []string{"a", "b"}, usableIDs(s))
 }
 
+// What an upstream said itself is told to peers until its entry says so.
+func TestLeavingUntilTheListSaysSo(t *testing.T) {
+	s := New()
+	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
+	s.MarkDraining("a", 1)
+	s.MarkDraining("b", 7) // another incarnation
+	s.MarkDraining("gone", 1)
+	must.Eq(t, []string{"b"}, usableIDs(s))
+	must.Len(t, 1, s.Leaving())
+	must.Eq(t, "a", s.Leaving()[0].ID)
+	s.Upsert(draining(entry("a", 6)))
+	must.SliceEmpty(t, s.Leaving())
+}
+
 func TestRemovalWhileTheStoreIsReachableTakesEffectAtOnce(t *testing.T) {
 	s := New()
 	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
