Keep the pause that an upstream asks for

The users' rule: an upstream that answers 503 with a time wants no more than two requests from that instance from half a second later until the time has passed. Until now it counted as full for 60 ms, whatever it asked for; requests, probes of suspects, repeats and resumptions reached it.

Change: the pause is a time of the upstream in the scheduler, asked at placement and again when a request is sent. A request that only paused upstreams could serve is refused at once with the rest of the pause. Reports and orders of the placement's holder keep it too; what the control API answers counts as well. Only an answer of the upstream's own, not a rejection or a response of the control API, can say that there is no limit.

--- a/cmd/eelgrass-gateway/main.go
+++ b/cmd/eelgrass-gateway/main.go
@@ -86,8 +86,9 @@
 		defer cancel()
 		ring.Close(ctx)
 	}()
+	engines := platform.NewUpstreamClient(upstreamDialTimeout)
 	g, err := gateway.New(gateway.Options{
-		Settings: s, Format: platform.HTTPCodec{}, Engines: platform.NewUpstreamClient(upstreamDialTimeout),
+		Settings: s, Format: platform.HTTPCodec{}, Engines: engines,
 		Store: platform.NewStore(platform.StoreOptions{
 			Address: s.Store.Address, DialTimeout: storeDialTimeout, WatchWait: s.Store.WatchWait.Std(),
 		}),
@@ -98,5 +99,6 @@
 	if err != nil {
 		return err
 	}
+	engines.OnNotice = g.RecordNotice
 	return g.Run(file)
 }
--- a/internal/assign/available.go
+++ b/internal/assign/available.go
@@ -18,10 +18,25 @@
 // RecordNotice records what an incarnation of an upstream says about itself.
 func (s *Scheduler) RecordNotice(now time.Duration, id string, startedAtMS int64, n fleet.Notice) {
 	u := s.byID[id]
-	if u == nil || u.entry.StartedAtMS != startedAtMS || n.LimitUnknown {
+	if u == nil || u.entry.StartedAtMS != startedAtMS {
 		return
 	}
-	s.limits.Observe(now, u.limitKey(), n.Limited, n.RatePerS)
+	u.pausedUntil = max(u.pausedUntil, now+n.Pause)
+	if !n.LimitUnknown {
+		s.limits.Observe(now, u.limitKey(), n.Limited, n.RatePerS)
+	}
+}
+
+// Pauses returns the times until which upstreams want no request from this instance, by
+// upstream ID.
+func (s *Scheduler) Pauses(now time.Duration) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for id, u := range s.byID {
+		if u.pausedUntil > now {
+			out[id] = u.pausedUntil
+		}
+	}
+	return out
 }
 
 // MergeLimits records the limits that a peer has told, of upstreams that this instance
@@ -52,7 +67,7 @@
 // availableAt returns the earliest time at which this instance may send a request to the
 // upstream by what the upstream says of itself.
 func (s *Scheduler) availableAt(now time.Duration, u *upstream) time.Duration {
-	return s.limits.AvailableAt(now, u.limitKey())
+	return max(s.limits.AvailableAt(now, u.limitKey()), u.pausedUntil)
 }
 
 // isWithinPatience reports whether a time is early enough for the job to wait for it.
@@ -68,16 +83,19 @@
 }
 
 // MaySend reports whether the request of a placement may still be sent. What binds is the
-// moment of sending: since the placement the upstream may have left, or named a limit.
+// moment of sending: since the placement the upstream may have left, named a limit or asked
+// for a pause.
 func (s *Scheduler) MaySend(now time.Duration, p *Placement) bool {
 	u := p.upstream
 	if s.byID[u.entry.ID] != u || now-p.sentAt > maxSendDelay {
 		return false
 	}
-	if p.limited {
+	switch {
+	case now < u.pausedUntil:
+		return false
+	case p.limited:
 		return true
-	}
-	if s.availableAt(now, u) > now {
+	case s.availableAt(now, u) > now:
 		return false
 	}
 	p.limited = s.takeLimit(now, u)
@@ -92,10 +110,10 @@
 	}
 }
 
-// limitedOut reports whether all upstreams that could serve the job have a limit that
-// leaves nothing to this instance while the caller waits. at is the earliest time at which
-// one of them is available, upstreamlimit.Never if that is not known.
-func (s *Scheduler) limitedOut(now time.Duration, j *Job) (at time.Duration, limitedOut bool) {
+// heldOff reports whether all upstreams that could serve the job take nothing from this
+// instance while the caller waits, by their limits and pauses. at is the earliest time at
+// which one of them is available, upstreamlimit.Never if that is not known.
+func (s *Scheduler) heldOff(now time.Duration, j *Job) (at time.Duration, heldOff bool) {
 	at = upstreamlimit.Never
 	for _, u := range s.services[j.Service] {
 		if !u.serves(now, j.Model, j.Adapter) || slices.Contains(j.TriedUpstreams, u.entry.ID) {
@@ -105,7 +123,7 @@
 		if j.isWithinPatience(available) {
 			return 0, false
 		}
-		at, limitedOut = min(at, available), true
+		at, heldOff = min(at, available), true
 	}
-	return at, limitedOut
+	return at, heldOff
 }
--- a/internal/assign/available_test.go
+++ b/internal/assign/available_test.go
@@ -114,3 +114,32 @@
 	}
 	must.Between(t, 5, probes, 11)
 }
+
+// A pause holds for all kinds of requests, and a shorter one does not end it.
+func TestPauseHolds(t *testing.T) {
+	s := newTestScheduler(2, "m")
+	s.RecordNotice(start, "e0", 1, fleet.Notice{Pause: 2 * time.Second})
+	s.RecordNotice(start, "e0", 1, fleet.Notice{Pause: time.Second})
+	s.RecordNotice(start, "e1", 9, fleet.Notice{Pause: time.Hour}) // another incarnation
+	for now := start; now < start+2*time.Second; now += 20 * time.Millisecond {
+		p, d := s.Submit(now, newChatJob(int(now), now))
+		must.Eq(t, "e1", d.Upstream.ID)
+		s.Release(now, p, ResultOK)
+	}
+	must.MapLen(t, 1, s.Pauses(start+time.Second))
+	must.MapEmpty(t, s.Pauses(start+2*time.Second))
+}
+
+// A request that only paused upstreams could serve is refused at once with the rest of
+// the pause, as far as its caller can wait for it.
+func TestPausedOutIsRefusedAtOnce(t *testing.T) {
+	s := newTestScheduler(0)
+	for _, id := range []string{"a0", "a1"} {
+		s.RecordNotice(start, id, 1, fleet.Notice{Pause: 3 * time.Second})
+	}
+	j := newAppJob(start)
+	j.Deadline = start + time.Minute
+	_, d := s.Submit(start, j)
+	must.NotNil(t, d)
+	must.Between(t, 3*time.Second, d.Refusal.RetryAfter, 4500*time.Millisecond)
+}
--- a/internal/assign/refuse.go
+++ b/internal/assign/refuse.go
@@ -45,8 +45,8 @@
 	}
 	readyAt := s.expectedReady(now, j)
 	if _, loading := s.readyTimes[modelKey{model: j.Model}]; !loading && !j.InProgress {
-		if at, limitedOut := s.limitedOut(now, j); limitedOut {
-			return fleet.Refusal{Reason: fleet.ReasonOverloaded, RetryAfter: s.retryAfter(now, j, min(at-now, defaultModelLoadTime))}, true
+		if at, heldOff := s.heldOff(now, j); heldOff {
+			return fleet.Refusal{Reason: fleet.ReasonOverloaded, RetryAfter: s.retryAfter(now, j, s.heldOffWait(j, at-now))}, true
 		}
 	}
 	if readyAt < j.FirstEventDeadline-giveUpMargin {
@@ -59,6 +59,18 @@
 	return fleet.Refusal{Reason: reason, RetryAfter: s.retryAfter(now, j, readyAt-now)}, true
 }
 
+// heldOffWait returns the expected time until a job can be served whose upstreams are not
+// available for wait. A model may be loaded on another engine before.
+func (s *Scheduler) heldOffWait(j *Job, wait time.Duration) time.Duration {
+	if j.NeedsEngine || wait >= maxKnownWait {
+		return min(wait, defaultModelLoadTime)
+	}
+	return wait
+}
+
+// maxKnownWait is the wait from which on it is not an estimate.
+const maxKnownWait = time.Hour
+
 // triedQueueTime is how long a job that was sent to all its upstreams stays queued for
 // another one to appear.
 const triedQueueTime = 300 * time.Millisecond
--- a/internal/assign/upstream.go
+++ b/internal/assign/upstream.go
@@ -59,6 +59,9 @@
 	// fullUntil is the time until which the upstream counts as full, because
 	// it refused a request although this instance's view showed free slots.
 	fullUntil time.Duration
+	// pausedUntil is the time until which the upstream wants no request from this
+	// instance.
+	pausedUntil time.Duration
 }
 
 type modelKey struct{ model, adapter string }
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -222,6 +222,13 @@
 	return d.sched.LimitedRates(d.now())
 }
 
+// pauses returns the times until which upstreams want no request from this instance.
+func (d *dispatcher) pauses() map[string]time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sched.Pauses(d.now())
+}
+
 // localLoads returns this instance's load at each upstream, to be sent to peers.
 func (d *dispatcher) localLoads() map[string]assign.Load {
 	d.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,7 +150,7 @@
 	})
 	g.placing = residencycontroller.New(residencycontroller.Options{
 		Name: s.Name, Lease: g.leader, Engines: g.opts.Engines, Config: g.catalog.Config, Upstreams: g.catalog.Usable,
-		Requests: g.dispatcher.requestsByUpstream, Limits: g.dispatcher.limits, Demand: g.totalDemand, OnStep: g.publishEngineStates, OnDraining: g.catalog.MarkDraining,
+		Requests: g.dispatcher.requestsByUpstream, Limits: g.dispatcher.limits, Pauses: g.dispatcher.pauses, Demand: g.totalDemand, OnStep: g.publishEngineStates, OnDraining: g.catalog.MarkDraining,
 		LoadWindow: s.Placement.LoadWindow.Std(), Now: g.now, Log: g.log,
 	})
 }
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -30,6 +30,10 @@
 	last map[incarnation]fleet.Notice
 }
 
+// maxNotices bounds the number of incarnations whose notices are kept. Beyond it, all
+// are forgotten, and logged again when they come.
+const maxNotices = 4096
+
 // record stores a notice and reports whether it differs from the last one in anything but
 // the pause.
 func (b *noticeBook) record(u incarnation, n fleet.Notice) bool {
@@ -39,7 +43,7 @@
 	if b.last[u] == n {
 		return false
 	}
-	if b.last == nil {
+	if len(b.last) == 0 || len(b.last) >= maxNotices {
 		b.last = map[incarnation]fleet.Notice{}
 	}
 	b.last[u] = n
@@ -47,12 +51,19 @@
 }
 
 // recordNotice records what an upstream says about itself in the answer to an attempt.
-func (g *Gateway) recordNotice(a *attempt) {
-	u := a.Decision.Upstream
+func (g *Gateway) recordNotice(a *attempt, kind fleet.AnswerKind) {
 	n, err := g.codec.DecodeNotice(a.response.Status, a.response.Header)
 	if err != nil {
-		g.log.Warn("malformed notice of an upstream skipped", "upstream", u.ID, "error", err)
+		g.log.Warn("malformed notice of an upstream skipped", "upstream", a.Decision.Upstream.ID, "error", err)
+	}
+	if kind != fleet.AnswerOwn && !n.Limited {
+		n.LimitUnknown = true // a rejection may not say all
 	}
+	g.RecordNotice(a.Decision.Upstream, n)
+}
+
+// RecordNotice records what an upstream says about itself. It may be called at any time.
+func (g *Gateway) RecordNotice(u *fleet.Upstream, n fleet.Notice) {
 	if n.Pause > 0 {
 		g.log.Info("upstream asks for a pause", "upstream", u.ID, "pause_ms", n.Pause.Milliseconds())
 	}
@@ -60,7 +71,7 @@
 		g.catalog.MarkDraining(u.ID, u.StartedAtMS)
 	}
 	g.dispatcher.recordNotice(u, n)
-	if g.notices.record(incarnation{u.ID, u.StartedAtMS}, n) {
+	if !n.LimitUnknown && g.notices.record(incarnation{u.ID, u.StartedAtMS}, n) {
 		g.log.Info("upstream says of itself", "upstream", u.ID, "limited", n.Limited, "rate_per_s", n.RatePerS, "leaving", n.Leaving)
 	}
 }
--- a/internal/residency/planner.go
+++ b/internal/residency/planner.go
@@ -92,6 +92,15 @@
 // minServingRate is the limit, in requests per second and slot, below which it is low.
 const minServingRate = 0.25
 
+// SetPauses sets the times until which engines want no call, by engine ID.
+func (p *Planner) SetPauses(pauses map[string]time.Duration) {
+	for id, until := range pauses {
+		if e := p.engines[id]; e != nil {
+			e.backoffUntil = max(e.backoffUntil, until)
+		}
+	}
+}
+
 // RequestAdapter records that an instance waits for an adapter.
 func (p *Planner) RequestAdapter(now time.Duration, adapter ModelKey) {
 	p.adapterRequests[adapter] = now
--- a/internal/residencycontroller/controller.go
+++ b/internal/residencycontroller/controller.go
@@ -57,6 +57,9 @@
 	Requests  func() map[string]int // requests at each upstream by ID, over all instances
 	// Limits returns the limits that upstreams name, in requests per second by ID.
 	Limits func() map[string]float64
+	// Pauses returns the times until which engines want no call from this instance, by
+	// ID.
+	Pauses func() map[string]time.Duration
 	// Demand returns the requested work, summed over all instances.
 	Demand func() map[residency.ModelKey]residency.Rates
 	// OnStep is called after each step with the models that the engines hold.
@@ -172,6 +175,7 @@
 	c.planner.SetEngines(now, config, c.opts.Upstreams())
 	c.planner.SetRequests(c.opts.Requests())
 	c.planner.SetLimits(c.opts.Limits())
+	c.planner.SetPauses(c.opts.Pauses())
 	c.planner.SetDemand(c.opts.Demand())
 	for _, a := range c.planner.Step(now) {
 		c.execute(ctx, a)
--- a/internal/residencycontroller/controller_test.go
+++ b/internal/residencycontroller/controller_test.go
@@ -99,7 +99,7 @@
 		d := New(Options{
 			Name: "n1", Lease: lease, Engines: engines, Config: func() *fleet.Config { return config },
 			Upstreams: func() []fleet.Upstream { return []fleet.Upstream{{ID: "e", Service: "chat", Zone: "z"}} },
-			Requests:  func() map[string]int { return nil }, Limits: func() map[string]float64 { return nil }, Demand: engines.demand,
+			Requests:  func() map[string]int { return nil }, Limits: func() map[string]float64 { return nil }, Pauses: func() map[string]time.Duration { return nil }, Demand: engines.demand,
 			OnStep: func(uint64, []residency.EngineState) {}, OnDraining: func(string, int64) {}, LoadWindow: 5 * time.Second,
 			Now: now, Log: slog.New(slog.NewJSONHandler(io.Discard, nil)),
 		})
