Bound what is read of an upstream's answer

The users' rule: bytes that are no answer may come without end, in a head or a body, until the caller closes. A body could take 64 MB, any number at a time.

Change: a head may have 64 KB, informational answers before it included and counted; a body 16 MB, and all bodies being read an eighth of the instance's memory; an event 256 KB; of a rejection 16 KB are read, else its connection is closed. The clients of the control API, the store and the engines bound heads to 64 KB, as that of the model API did.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -27,6 +27,8 @@
 	maxReportBytes      = 1 << 20
 	controlTimeout      = time.Second
 	maxIdleControlConns = 2
+	// maxResponseHeaderBytes is the size limit of the head of a response.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // Client reads engines' reports and cache events, sends them orders and cancels
@@ -43,6 +45,7 @@
 func NewClient(bytes *traffic.Counter) *Client {
 	transport := &http.Transport{
 		DialContext: bytes.Dial(), MaxIdleConnsPerHost: maxIdleControlConns, IdleConnTimeout: time.Minute,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	return &Client{http: &http.Client{Transport: transport, Timeout: controlTimeout}, bytes: bytes, callIDPrefix: rand.Text() + "-"}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -403,14 +403,12 @@
 	a.exchange.Watch(httpconn.Watch{})
 	switch kind {
 	case fleet.AnswerNotRun:
-		_, err := readAnswer(resp.Body)
-		resp.Finish(err == nil)
+		resp.Finish(discardRejection(resp.Body))
 		x.g.dispatcher.upstreamFull(a.Placement, id)
 		x.rejectedBy = append(x.rejectedBy, id)
 		return outcomeNotRun
 	case fleet.AnswerMisdirected:
-		_, err := readAnswer(resp.Body)
-		resp.Finish(err == nil)
+		resp.Finish(discardRejection(resp.Body))
 		x.g.dispatcher.modelAbsent(a.Placement, id, x.job.Model, x.job.Adapter)
 		if x.job.Model != "" { // a plain upstream that is not the one addressed stays so
 			x.rejectedBy = append(x.rejectedBy, id)
@@ -435,7 +433,8 @@
 // relayComplete reads the whole answer and then passes it to the caller.
 func (x *exchange) relayComplete(a *attempt) outcome {
 	resp := a.response
-	body, err := readAnswer(resp.Body)
+	body, release, err := x.g.answerMemory.read(resp.Body)
+	defer release()
 	resp.Finish(err == nil)
 	if err != nil {
 		return x.endBrokenAttempt(a, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,9 +14,7 @@
 
 const (
 	// maxEventBytes is the maximum size of one event of a stream.
-	maxEventBytes = 1 << 20
-	// maxAnswerBytes is the maximum size of the body of a non-stream answer.
-	maxAnswerBytes  = 64 << 20
+	maxEventBytes   = 256 << 10
 	readBufferBytes = 16 << 10
 )
 
@@ -141,13 +139,3 @@
 	this, errThis := strconv.ParseInt(string(id), 10, 64)
 	return errLast != nil || errThis != nil || this > last
 }
-
-func readAnswer(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLarge
-	}
-	return body, err
-}
-
-var errAnswerTooLarge = errors.New("gateway: answer too large")
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -28,10 +28,20 @@
 	// ErrExchangeFailed means that the exchange failed after the request may have
 	// been sent, at least in part.
 	ErrExchangeFailed = errors.New("httpconn: exchange broken")
+	// ErrHeadTooLarge means that the head of a response does not end within
+	// maxHeadBytes, or that too many informational responses came before it. It comes
+	// with ErrExchangeFailed.
+	ErrHeadTooLarge = errors.New("httpconn: head of the response too large")
 )
 
 const (
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of a response, with the informational responses
+	// before it. It equals the bound on the heads of callers' requests.
+	maxHeadBytes = 64 << 10
+	// maxInformational is the number of informational responses that may come before
+	// a response.
+	maxInformational = 16
 	// tcpUserTimeout is the TCP_USER_TIMEOUT of connections: the kernel closes a
 	// connection whose peer acknowledges no data for this long.
 	tcpUserTimeout = 2500 * time.Millisecond
@@ -78,6 +88,9 @@
 	watch   Watch
 	told    time.Time // last call of watch.OnSilence in the current silence, zero for none
 	readErr error     // ends all further reading
+	// inHead is whether a head is being read, of which headLeft more bytes may come.
+	inHead   bool
+	headLeft int
 }
 
 // Watch supervises the reading of a response. Its functions are called by the
@@ -161,7 +174,15 @@
 }
 
 func (c *conn) readOnce(p []byte) (int, error) {
+	if c.inHead {
+		if c.headLeft <= 0 {
+			c.readErr = ErrHeadTooLarge
+			return 0, c.readErr
+		}
+		p = p[:min(len(p), c.headLeft)]
+	}
 	n, err := c.Conn.Read(p)
+	c.headLeft -= n
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.readErr = err
 	}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -140,7 +139,7 @@
 func (p *Pool) readHead(c *conn, r *Request, written <-chan writeResult) (*Response, error) {
 	skipped := 0
 	for {
-		raw, err := readResponse(c.reader, r.Method)
+		raw, err := c.readResponse(r.Method)
 		if err != nil {
 			return nil, brokenError(err)
 		}
@@ -175,14 +174,20 @@
 }
 
 // readResponse reads the next response and skips informational ones (1xx), except
-// 101.
-func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(br, &http.Request{Method: method})
+// 101. It fails with ErrHeadTooLarge if the head does not end within its bounds.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	c.inHead, c.headLeft = true, maxHeadBytes
+	defer func() { c.inHead = false }()
+	for range maxInformational + 1 {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if errors.Is(c.readErr, ErrHeadTooLarge) { // err may tell of the line that was cut instead
+			return nil, c.readErr
+		}
 		if err != nil || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, err
 		}
 	}
+	return nil, ErrHeadTooLarge
 }
 
 // get returns a healthy idle connection that has not expired, or a new one.
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -26,7 +26,9 @@
 	defaultTimeout      = 2 * time.Second
 	defaultWatchTimeout = 30 * time.Second
 	maxResponseBytes    = 256 << 20
-	idleConnsPerHost    = 32
+	// maxResponseHeaderBytes is the size limit of the head of a response.
+	maxResponseHeaderBytes = 64 << 10
+	idleConnsPerHost       = 32
 )
 
 // ClientOptions are the settings of a Client. Zero durations mean defaults.
@@ -78,9 +80,10 @@
 	}
 	if c.http == nil {
 		c.http = &http.Client{Transport: &http.Transport{
-			DialContext:         opts.Bytes.Dial(),
-			MaxIdleConnsPerHost: idleConnsPerHost,
-			IdleConnTimeout:     time.Minute,
+			DialContext:            opts.Bytes.Dial(),
+			MaxIdleConnsPerHost:    idleConnsPerHost,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
+			IdleConnTimeout:        time.Minute,
 		}}
 	}
 	return c
