gateway: an upstream whose placement lapsed does not count as tried

A request that was placed and not sent, because its process was held up for long, could not be placed at the same upstream again and was refused where that is the only one. Found by reading; no test failed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -110,7 +110,6 @@
 	}
 	ctx, a.cancel = context.WithCancel(ctx)
 	u := placed.Decision.Upstream
-	x.job.TriedUpstreams = append(x.job.TriedUpstreams, u.ID)
 	if _, over := x.requestOver(); over { // a suspended process may find a placement after the deadline
 		a.err = fmt.Errorf("%w: %w", httpconn.ErrNotSent, context.DeadlineExceeded)
 		return a
@@ -119,6 +118,7 @@
 		a.err = fmt.Errorf("%w: %w", httpconn.ErrNotSent, errPlacementLapsed)
 		return a
 	}
+	x.job.TriedUpstreams = append(x.job.TriedUpstreams, u.ID)
 	a.exchange, a.err = x.g.pool.Send(ctx, x.upstreamRequest(u))
 	return a
 }
