gateway: silent instances keep their part of the retry budget

The fixed part of the retry budget was divided among the instances that answer, so that each side of a partition gave out the whole again: 1.25 times it for 20 instances in two halves, with the safety factor of 0.75 in it. Callers saw nothing yet; the platform's rule on repeats would have been broken by a partition in which repeats are asked for.

Change: members count for as long as they keep their place among the senders of limited upstreams, 10 minutes of silence. Price: after a loss of machines for good the rest uses a smaller part for so long.

TestRetryBudgetIsNotGivenOutTwiceInAPartition failed before (125 of 100).

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -222,6 +222,13 @@
 	return d.sched.LimitedRates(d.now())
 }
 
+// memberCount returns the number of instances among which limits are shared.
+func (d *dispatcher) memberCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sched.Limits().MemberCount()
+}
+
 // pauses returns the times until which upstreams want no request from this instance.
 func (d *dispatcher) pauses() map[string]time.Duration {
 	d.mu.Lock()
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -83,6 +83,7 @@
 	f       *testFleet
 	g       *Gateway
 	link    *testLink
+	side    int // instances on different sides of a partition do not reach each other
 	started time.Time
 	cancel  context.CancelFunc
 	ended   sync.WaitGroup
@@ -163,6 +164,10 @@
 		time.Sleep(linkDelay)
 		return errNoPeer
 	}
+	if to.side != c.from.side {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	raw, err := enc.Marshal(in)
 	if err != nil {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,8 +185,10 @@
 const instanceMargin = 2
 
 // budgetInstances returns the number of instances among which the fixed part of
-// a budget is divided.
-func (g *Gateway) budgetInstances() int { return g.mesh.InstanceCount() + instanceMargin }
+// a budget is divided. Silent instances count, as they may be cut off and use their part.
+func (g *Gateway) budgetInstances() int {
+	return max(g.mesh.InstanceCount(), g.dispatcher.memberCount()) + instanceMargin
+}
 
 const (
 	// storePollers is the number of instances that poll the store on behalf of
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
@@ -81,3 +83,39 @@
 	must.False(t, x.endOne(outcomeUnknown))
 	must.Eq(t, deniedAttempts, x.rec.retryDenied)
 }
+
+// The fixed part of the retry budget is one for all instances, also while they are
+// partitioned: the parts of both sides together stay within it (the class of incident
+// LIMIT).
+func TestRetryBudgetIsNotGivenOutTwiceInAPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, fixed = 20, 100.0
+		f := newTestFleet(t)
+		f.putConfig(1, 1)
+		nodes := make([]*testNode, size)
+		for i := range nodes {
+			nodes[i] = f.start(fmt.Sprintf("n%02d", i), "z", 200, 0, []string{"n00:1", "n01:1"})
+		}
+		time.Sleep(8 * time.Second)
+		f.mu.Lock()
+		for i, n := range nodes {
+			n.side = i % 2
+		}
+		f.mu.Unlock()
+		for range 60 {
+			time.Sleep(time.Second)
+			sum := 0.0
+			for _, n := range nodes {
+				sum += budgetSafetyFactor * fixed / float64(n.g.budgetInstances())
+			}
+			if sum > fixed {
+				t.Errorf("the parts add up to %.0f of %.0f", sum, fixed)
+				break
+			}
+		}
+		for _, n := range nodes {
+			n.stop()
+		}
+		time.Sleep(2 * peerCallTimeout)
+	})
+}
--- a/internal/upstreamlimit/limiter.go
+++ b/internal/upstreamlimit/limiter.go
@@ -125,6 +125,9 @@
 	}
 }
 
+// MemberCount returns the number of members, silent ones included.
+func (l *Limiter) MemberCount() int { return len(l.members) }
+
 // Keep forgets the upstreams for which keep returns false.
 func (l *Limiter) Keep(keep func(Upstream) bool) {
 	maps.DeleteFunc(l.limits, func(u Upstream, _ *limit) bool { return !keep(u) })
