A pause also counts from an answer that proves nothing else

An upstream that answers 503 with a time, but without the attempt's ID or a mark for "not run", was sent requests on: its answer counted as one that is not its own. The address asks for the pause in any case; nothing else is taken from such an answer.

The case "plain 503" of TestPauseThatAnUpstreamAsksForIsKept failed before (a later request reached the upstream and got 502).

--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -80,10 +80,10 @@
 	return expected <= time.Duration(maxObjectiveFraction*float64(j.Objective-now))
 }
 
-// choose returns the best candidate for a job and the number of eligible
-// upstreams, also of those that are available only later. The best candidate has the lowest expected time to the first
-// token, with a penalty for a full batch and for another zone. While the peers'
-// load reports are stale, it chooses at random among candidates with similar
+// choose returns the best candidate for a job and the number of eligible upstreams, also
+// of those that are available only later. The best candidate has the lowest expected time
+// to the first token, with a penalty for a full batch and for another zone. While the
+// peers' load reports are stale, it chooses at random among candidates with similar
 // scores.
 func (s *Scheduler) choose(now time.Duration, j *Job) (best candidate, eligible int) {
 	lowestRate := s.lowestFailureRate(j.Service)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -314,9 +314,7 @@
 // the upstream says there about itself.
 func (x *exchange) classify(a *attempt) fleet.AnswerKind {
 	kind := x.g.codec.ClassifyResponse(a.response.Status, a.response.Header, x.req.AttemptID)
-	if kind != fleet.AnswerMismatched {
-		x.g.recordNotice(a, kind)
-	}
+	x.g.recordNotice(a, kind)
 	return kind
 }
 
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -56,7 +56,10 @@
 	if err != nil {
 		g.log.Warn("malformed notice of an upstream skipped", "upstream", a.Decision.Upstream.ID, "error", err)
 	}
-	if kind != fleet.AnswerOwn && !n.Limited {
+	switch {
+	case kind == fleet.AnswerMismatched: // at least the address asks for the pause
+		n = fleet.Notice{Pause: n.Pause, LimitUnknown: true}
+	case kind != fleet.AnswerOwn && !n.Limited:
 		n.LimitUnknown = true // a rejection may not say all
 	}
 	g.RecordNotice(a.Decision.Upstream, n)
