An answer to a request from before a limit does not end it

Cause, from the instances' lines: the upstream was slow, and answers to requests that reached it before it named the limit came 1.5 s later without it; a second after the first of them the limit ended, until the next answer named it again.

Change: an answer without a limit tells the upstream's state as of when its request was sent, so that it is older than the answer that named the limit.

TestAnswerToAnEarlierRequestDoesNotEndALimit failed before.

--- a/internal/assign/available.go
+++ b/internal/assign/available.go
@@ -15,15 +15,16 @@
 // Limits returns the limits that upstreams name.
 func (s *Scheduler) Limits() *upstreamlimit.Limiter { return s.limits }
 
-// RecordNotice records what an incarnation of an upstream says about itself.
-func (s *Scheduler) RecordNotice(now time.Duration, id string, startedAtMS int64, n fleet.Notice) {
+// RecordNotice records what an incarnation of an upstream says about itself in the answer
+// to a request that was sent at sentAt.
+func (s *Scheduler) RecordNotice(now, sentAt time.Duration, id string, startedAtMS int64, n fleet.Notice) {
 	u := s.byID[id]
 	if u == nil || u.entry.StartedAtMS != startedAtMS {
 		return
 	}
 	u.pausedUntil = max(u.pausedUntil, now+n.Pause)
 	if !n.LimitUnknown {
-		s.limits.Observe(now, u.limitKey(), n.Limited, n.RatePerS)
+		s.limits.Observe(now, sentAt, u.limitKey(), n.Limited, n.RatePerS)
 	}
 }
 
--- a/internal/assign/available_test.go
+++ b/internal/assign/available_test.go
@@ -11,7 +11,7 @@
 
 // limit makes an upstream of newTestScheduler name a limit.
 func limit(s *Scheduler, now time.Duration, id string, ratePerS float64) {
-	s.RecordNotice(now, id, 1, fleet.Notice{Limited: true, RatePerS: ratePerS})
+	s.RecordNotice(now, now, id, 1, fleet.Notice{Limited: true, RatePerS: ratePerS})
 }
 
 // An upstream with a limit gets what the limit allows where nothing else serves. The other
@@ -118,9 +118,9 @@
 // A pause holds for all kinds of requests, and a shorter one does not end it.
 func TestPauseHolds(t *testing.T) {
 	s := newTestScheduler(2, "m")
-	s.RecordNotice(start, "e0", 1, fleet.Notice{Pause: 2 * time.Second})
-	s.RecordNotice(start, "e0", 1, fleet.Notice{Pause: time.Second})
-	s.RecordNotice(start, "e1", 9, fleet.Notice{Pause: time.Hour}) // another incarnation
+	s.RecordNotice(start, start, "e0", 1, fleet.Notice{Pause: 2 * time.Second})
+	s.RecordNotice(start, start, "e0", 1, fleet.Notice{Pause: time.Second})
+	s.RecordNotice(start, start, "e1", 9, fleet.Notice{Pause: time.Hour}) // another incarnation
 	for now := start; now < start+2*time.Second; now += 20 * time.Millisecond {
 		p, d := s.Submit(now, newChatJob(int(now), now))
 		must.Eq(t, "e1", d.Upstream.ID)
@@ -135,7 +135,7 @@
 func TestPausedOutIsRefusedAtOnce(t *testing.T) {
 	s := newTestScheduler(0)
 	for _, id := range []string{"a0", "a1"} {
-		s.RecordNotice(start, id, 1, fleet.Notice{Pause: 3 * time.Second})
+		s.RecordNotice(start, start, id, 1, fleet.Notice{Pause: 3 * time.Second})
 	}
 	j := newAppJob(start)
 	j.Deadline = start + time.Minute
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -201,11 +201,12 @@
 	d.sched.RecordNotSent(p)
 }
 
-// recordNotice records what an upstream says about itself.
-func (d *dispatcher) recordNotice(u *fleet.Upstream, n fleet.Notice) {
+// recordNotice records what an upstream says about itself in the answer to a request that
+// was sent at sentAt.
+func (d *dispatcher) recordNotice(sentAt time.Duration, u *fleet.Upstream, n fleet.Notice) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.sched.RecordNotice(d.now(), u.ID, u.StartedAtMS, n)
+	d.sched.RecordNotice(d.now(), sentAt, u.ID, u.StartedAtMS, n)
 }
 
 // limitObservations returns what is known of the limits of upstreams.
--- a/internal/gateway/limitfleet_test.go
+++ b/internal/gateway/limitfleet_test.go
@@ -54,9 +54,9 @@
 		return
 	}
 	u := placed.Decision.Upstream
-	notice := l.arrive(u.ID, n.g.self.Name)
+	sentAt, notice := n.g.now(), l.arrive(u.ID, n.g.self.Name)
 	time.Sleep(30 * time.Millisecond)
-	n.g.dispatcher.recordNotice(u, notice)
+	n.g.dispatcher.recordNotice(sentAt, u, notice)
 	n.g.dispatcher.done(placed.Placement, assign.ResultOK)
 	if notice.Limited {
 		l.mu.Lock()
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -62,18 +62,22 @@
 	case kind != fleet.AnswerOwn && !n.Limited:
 		n.LimitUnknown = true // a rejection may not say all
 	}
-	g.RecordNotice(a.Decision.Upstream, n)
+	g.applyNotice(a.begunAt, a.Decision.Upstream, n)
 }
 
-// RecordNotice records what an upstream says about itself. It may be called at any time.
-func (g *Gateway) RecordNotice(u *fleet.Upstream, n fleet.Notice) {
+// RecordNotice records what an upstream says about itself elsewhere than in the answer to a
+// caller's request. It may be called at any time.
+func (g *Gateway) RecordNotice(u *fleet.Upstream, n fleet.Notice) { g.applyNotice(g.now(), u, n) }
+
+// applyNotice puts a notice in force that is in the answer to a request sent at sentAt.
+func (g *Gateway) applyNotice(sentAt time.Duration, u *fleet.Upstream, n fleet.Notice) {
 	if n.Pause > 0 {
 		g.log.Info("upstream asks for a pause", "upstream", u.ID, "pause_ms", n.Pause.Milliseconds())
 	}
 	if n.Leaving {
 		g.catalog.MarkDraining(u.ID, u.StartedAtMS)
 	}
-	g.dispatcher.recordNotice(u, n)
+	g.dispatcher.recordNotice(sentAt, u, n)
 	if !n.LimitUnknown && g.notices.record(incarnation{u.ID, u.StartedAtMS}, n) {
 		g.log.Info("upstream says of itself", "upstream", u.ID, "limited", n.Limited, "rate_per_s", n.RatePerS, "leaving", n.Leaving)
 	}
--- a/internal/upstreamlimit/limiter.go
+++ b/internal/upstreamlimit/limiter.go
@@ -61,9 +61,12 @@
 	Upstream Upstream
 	Limited  bool
 	RatePerS float64
-	At       time.Duration // when the answer arrived, on the clock of the receiver
-	Origin   string        // incarnation of the instance that got the answer
-	Sequence uint64        // increases with each observation of an origin
+	// At is the time up to which the answer is known to tell the upstream's state, on the
+	// clock of the receiver: when it arrived or, if it named no limit, when its request
+	// was sent. The upstream may have named one since then.
+	At       time.Duration
+	Origin   string // incarnation of the instance that got the answer
+	Sequence uint64 // increases with each observation of an origin
 }
 
 // limit is the state of one upstream that named a limit.
@@ -71,7 +74,7 @@
 	last        Observation // newest observation
 	limited     bool
 	rate        float64           // requests per second
-	dropSince   time.Duration     // first observation without a limit since the last with one, 0 for none
+	dropSince   time.Duration     // when the first observation without a limit came since the last with one, 0 for none
 	endedAt     time.Duration     // when the limit ended
 	seen        map[string]uint64 // last sequence by origin
 	level       float64           // requests that this instance may send now
@@ -133,14 +136,18 @@
 	maps.DeleteFunc(l.limits, func(u Upstream, _ *limit) bool { return !keep(u) })
 }
 
-// Observe records what an upstream said in an answer to this instance. It reports whether
-// the upstream named a limit that was not in force.
-func (l *Limiter) Observe(now time.Duration, u Upstream, limited bool, ratePerS float64) bool {
+// Observe records what an upstream said in an answer to a request that this instance sent
+// at sentAt. It reports whether the upstream named a limit that was not in force.
+func (l *Limiter) Observe(now, sentAt time.Duration, u Upstream, limited bool, ratePerS float64) bool {
 	if !limited && l.limits[u] == nil {
 		return false
 	}
+	at := sentAt
+	if limited {
+		at = now
+	}
 	l.sequence++
-	return l.apply(now, Observation{Upstream: u, Limited: limited, RatePerS: ratePerS, At: now, Origin: l.incarnation, Sequence: l.sequence})
+	return l.apply(now, Observation{Upstream: u, Limited: limited, RatePerS: ratePerS, At: at, Origin: l.incarnation, Sequence: l.sequence})
 }
 
 // Merge records what a peer has told. It returns the upstreams whose new limit was not in
@@ -176,7 +183,7 @@
 		return changed
 	}
 	if c.limited && c.dropSince == 0 {
-		c.dropSince = o.At
+		c.dropSince = now
 	}
 	return false
 }
--- a/internal/upstreamlimit/limiter_test.go
+++ b/internal/upstreamlimit/limiter_test.go
@@ -184,7 +184,7 @@
 	}
 	s.served++
 	s.sent = append(s.sent, simSend{s.now, i.toldAt != 0 && s.now >= i.toldAt+noticeDelay})
-	limited, rate := s.limited, s.rate
+	limited, rate, sentAt := s.limited, s.rate, s.now
 	s.at(time.Duration(20+s.rng.IntN(400))*time.Millisecond, func() {
 		if i.down {
 			return
@@ -192,7 +192,7 @@
 		if limited && i.toldAt == 0 {
 			i.toldAt = s.now
 		}
-		i.l.Observe(s.now, testUpstream, limited, rate)
+		i.l.Observe(s.now, sentAt, testUpstream, limited, rate)
 	})
 }
 
@@ -290,7 +290,7 @@
 		if alone[i] == nil {
 			alone[i] = New(testStart, i.name, i.name)
 		}
-		alone[i].Observe(s.now, testUpstream, s.limited, s.rate)
+		alone[i].Observe(s.now, s.now, testUpstream, s.limited, s.rate)
 		return alone[i].Take(s.now, testUpstream)
 	}
 	s.setLimit(true, 1)
@@ -339,7 +339,7 @@
 
 func TestNoLimitCostsNothing(t *testing.T) {
 	l := New(testStart, "a", "a1")
-	must.False(t, l.Observe(testStart, testUpstream, false, 0))
+	must.False(t, l.Observe(testStart, testStart, testUpstream, false, 0))
 	must.True(t, l.Take(testStart, testUpstream))
 	must.SliceEmpty(t, l.Observations(testStart))
 }
@@ -352,13 +352,26 @@
 		_, limited := l.Rate(now+d, testUpstream)
 		return limited
 	}
-	must.True(t, l.Observe(now, testUpstream, true, 1))
-	l.Observe(now+100*time.Millisecond, testUpstream, false, 0)
-	l.Observe(now+200*time.Millisecond, testUpstream, true, 1)
+	must.True(t, l.Observe(now, now, testUpstream, true, 1))
+	l.Observe(now+100*time.Millisecond, now+100*time.Millisecond, testUpstream, false, 0)
+	l.Observe(now+200*time.Millisecond, now+200*time.Millisecond, testUpstream, true, 1)
 	must.True(t, limitedAt(time.Hour))
-	l.Observe(now+2*time.Hour, testUpstream, false, 0)
+	l.Observe(now+2*time.Hour, now+2*time.Hour, testUpstream, false, 0)
 	must.True(t, limitedAt(2*time.Hour+dropDelay-1))
 	must.False(t, limitedAt(2*time.Hour+dropDelay))
-	must.True(t, l.Observe(now+3*time.Hour, testUpstream, true, 1))
+	must.True(t, l.Observe(now+3*time.Hour, now+3*time.Hour, testUpstream, true, 1))
 	must.True(t, limitedAt(3*time.Hour))
 }
+
+// An answer to a request that was sent before the limit was named does not end it, however
+// late it comes. Found by seed 7002 of the soak: answers held up for 1.5 s ended the limit.
+func TestAnswerToAnEarlierRequestDoesNotEndALimit(t *testing.T) {
+	l := New(0, "a", "a1")
+	must.True(t, l.Observe(testStart, testStart, testUpstream, true, 1))
+	l.Observe(testStart+2*time.Second, testStart-time.Second, testUpstream, false, 0)
+	_, limited := l.Rate(testStart+time.Minute, testUpstream)
+	must.True(t, limited)
+	l.Observe(testStart+time.Minute, testStart+59*time.Second, testUpstream, false, 0)
+	_, limited = l.Rate(testStart+time.Minute+dropDelay, testUpstream)
+	must.False(t, limited)
+}
