--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -240,6 +240,16 @@
 	return &meshpb.AdapterReply{Holder: holder}, nil
 }
 
+// AcquirePermit implements meshpb.DRPCMeshServer.
+func (s meshServer) AcquirePermit(context.Context, *meshpb.PermitRequest) (*meshpb.PermitReply, error) {
+	return &meshpb.PermitReply{NotArbiter: true}, nil
+}
+
+// ReleasePermits implements meshpb.DRPCMeshServer.
+func (s meshServer) ReleasePermits(context.Context, *meshpb.PermitRelease) (*meshpb.PermitReleaseReply, error) {
+	return &meshpb.PermitReleaseReply{}, nil
+}
+
 func versionFromWire(v *meshpb.BoardVersion) residency.Version {
 	return residency.Version{Fence: v.Fence, Count: v.Version}
 }
