Streams go on after all instances have ended: records in the store

Cause: the version at which a stream began is kept in memory by its instance and two keepers. When all instances end while a service has two versions, no record is left, and every resumed stream is rejected.

Change: instances pass the records of resumable streams of services with several versions on to the writer of the zone (of the fleet up to 16 instances), which stores them in one conditional write a second, in a ring of 8 objects of kind "software" for each zone. Instances read them with the list that they read at their start. That read now begins at once and not after 500 ms, and its timeout grows from 1 s to 8 s, as it may have 1.4 MB.

--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -41,6 +41,10 @@
 	// what was listed in the time of earlier processes is not known.
 	stored    map[string][]string
 	storeRead bool
+	// segments is what this instance stores of records as the writer, and mayHaveSegments
+	// whether the store may have segments that are of no use any more.
+	segments        *streamversion.Segments
+	mayHaveSegments bool
 }
 
 type serviceVersion struct{ service, version string }
@@ -48,7 +52,7 @@
 func newStreamVersions(g *Gateway) *streamVersions {
 	horizon := defaultTimeout + callerReturnTime
 	return &streamVersions{
-		g: g, wake: make(chan struct{}, 1), horizon: horizon, stored: map[string][]string{},
+		g: g, wake: make(chan struct{}, 1), horizon: horizon, stored: map[string][]string{}, segments: streamversion.NewSegments(),
 		tracker: streamversion.NewTracker(streamversion.Member{Name: g.self.Name, Zone: g.self.Zone}, horizon),
 	}
 }
@@ -126,22 +130,34 @@
 // Where the version of a stream is known from, for the log.
 const (
 	versionFromSelf = "self"
-	versionUnknown  = "unknown"
+	// versionFromStore: this instance has read it at its start.
+	versionFromStore = "store"
+	versionUnknown   = "unknown"
 )
 
-// find returns the version at which a stream began and who knew it: this instance or
-// another one. ok is false if nobody did.
-func (v *streamVersions) find(ctx context.Context, organisation, request, service string) (version, from string, ok bool) {
-	key := streamversion.KeyOf(organisation, request)
-	var asked []*meshpb.MemberInfo
+// lookUp returns the version at which a stream began if this instance knows it, and from where.
+func (v *streamVersions) lookUp(key streamversion.Key, service string) (version, from string, ok bool) {
 	v.withLock(func(now time.Duration, t *streamversion.Tracker) {
-		if version, ok = t.Version(now, key, service); !ok {
-			asked = v.infosOf(t.Asked(key, v.members()))
+		if version, ok = t.Version(now, key, service); ok {
+			from = versionFromSelf
+		} else if version, ok = t.RestoredVersion(now, key, service); ok {
+			from = versionFromStore
 		}
 	})
-	if ok {
-		return version, versionFromSelf, true
+	return version, from, ok
+}
+
+// find returns the version at which a stream began and who knew it: this instance, the store
+// or another instance. ok is false if nobody did.
+func (v *streamVersions) find(ctx context.Context, organisation, request, service string) (version, from string, ok bool) {
+	key := streamversion.KeyOf(organisation, request)
+	if version, from, ok = v.lookUp(key, service); ok {
+		return version, from, true
 	}
+	var names []string
+	members := v.members()
+	v.withLock(func(_ time.Duration, t *streamversion.Tracker) { names = t.Asked(key, members) })
+	asked := v.infosOf(names)
 	for range askRounds {
 		if version, from, asked = v.ask(ctx, asked, &meshpb.StreamQuery{Key: key[:], Service: service}); from != "" {
 			v.withLock(func(now time.Duration, t *streamversion.Tracker) {
@@ -153,6 +169,9 @@
 			break
 		}
 	}
+	if version, from, ok = v.lookUp(key, service); ok { // the store was read in the meantime
+		return version, from, true
+	}
 	return "", versionUnknown, false
 }
 
@@ -236,13 +255,7 @@
 
 // send sends records to another instance.
 func (v *streamVersions) send(ctx context.Context, b streamversion.Batch) {
-	request := &meshpb.StreamRecords{}
-	now := v.g.now()
-	for _, r := range b.Records {
-		request.Records = append(request.Records, &meshpb.StreamRecord{
-			Key: r.Key[:], Service: r.Service, Version: r.Version, KeepMs: uint32(max(r.Until-now, 0).Milliseconds()),
-		})
-	}
+	request := v.recordsToWire(b.Records)
 	err := v.g.peers.Call(ctx, v.g.mesh.Address(b.To), func(ctx context.Context, conn drpc.Conn) error {
 		_, err := meshpb.NewDRPCMeshClient(conn).RecordStreams(ctx, request)
 		return err
--- a/internal/gateway/versionstore.go
+++ b/internal/gateway/versionstore.go
@@ -16,6 +16,10 @@
 // it has them once, and looks whether they have changed.
 const versionStoreInterval = 500 * time.Millisecond
 
+// versionReadTimeout is the longest timeout of a read of what is stored. Its size is that of
+// the records of streams: 1.4 MB at the planned size, which takes 1.2 s over 10 Mbit/s.
+const versionReadTimeout = 8 * time.Second
+
 // versionStoreBackoff is the pause after a write that failed.
 const versionStoreBackoff = 5 * time.Second
 
@@ -32,13 +36,15 @@
 // keepVersions reads the stored versions once, and then lets the instances that poll the
 // store write those that change, until ctx ends.
 func (v *streamVersions) keepVersions(ctx context.Context) error {
-	for wait.Sleep(ctx, versionStoreInterval) {
-		if !v.isRead() {
-			if err := v.read(ctx); err != nil {
-				v.g.log.Debug("failed to read the stored versions", "error", err)
-			}
-			continue
+	for timeout := callTimeout; ctx.Err() == nil; timeout = min(2*timeout, versionReadTimeout) {
+		err := v.read(ctx, timeout)
+		if err == nil {
+			break
 		}
+		v.g.log.Debug("failed to read the stored versions", "error", err)
+		wait.Sleep(ctx, versionStoreInterval)
+	}
+	for wait.Sleep(ctx, versionStoreInterval) {
 		if !v.g.pollsStore() {
 			continue
 		}
@@ -52,22 +58,21 @@
 	return nil
 }
 
-func (v *streamVersions) isRead() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.storeRead
-}
-
-// read records the stored versions as listed now: how long ago they were is not known.
-func (v *streamVersions) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// read records the stored versions as listed now: how long ago they were is not known. The
+// same holds for the stored records of streams.
+func (v *streamVersions) read(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	list, err := v.g.opts.Store.List(ctx, objectstore.KindSoftware)
 	if err != nil {
 		return err
 	}
+	segments := segmentsOf(list.Objects)
 	v.withLock(func(now time.Duration, t *streamversion.Tracker) {
 		for _, obj := range list.Objects {
+			if _, _, ok := parseSegmentName(obj.Name); ok {
+				continue
+			}
 			stored, err := decodeVersions(obj)
 			if err != nil {
 				v.g.log.Warn("stored versions skipped", "service", obj.Name, "error", err)
@@ -78,6 +83,7 @@
 				t.History().Observe(now, obj.Name, version)
 			}
 		}
+		v.restore(now, t, segments)
 		v.storeRead = true
 	})
 	v.wakeUp()
--- a/internal/gateway/versionswire.go
+++ b/internal/gateway/versionswire.go
@@ -36,9 +36,22 @@
 	})
 }
 
+// recordsToWire returns the message that tells another instance of records.
+func (v *streamVersions) recordsToWire(records []streamversion.Record) *meshpb.StreamRecords {
+	out := &meshpb.StreamRecords{}
+	now := v.g.now()
+	for _, r := range records {
+		out.Records = append(out.Records, &meshpb.StreamRecord{
+			Key: r.Key[:], Service: r.Service, Version: r.Version, KeepMs: uint32(max(r.Until-now, 0).Milliseconds()),
+		})
+	}
+	return out
+}
+
 // RecordStreams implements meshpb.DRPCMeshServer.
 func (s meshServer) RecordStreams(_ context.Context, in *meshpb.StreamRecords) (*meshpb.StreamRecordsReply, error) {
 	v := s.g.streamVersions
+	isWriter := len(in.Records) > 0 && v.isWriter()
 	v.withLock(func(now time.Duration, t *streamversion.Tracker) {
 		records := make([]streamversion.Record, 0, len(in.Records))
 		for _, r := range in.Records {
@@ -48,6 +61,9 @@
 			}
 		}
 		t.Receive(now, records)
+		if isWriter {
+			v.segments.Add(records)
+		}
 	})
 	return &meshpb.StreamRecordsReply{}, nil
 }
@@ -57,7 +73,9 @@
 	out := &meshpb.StreamReply{}
 	if key, ok := keyFromWire(in.Key); ok {
 		s.g.streamVersions.withLock(func(now time.Duration, t *streamversion.Tracker) {
-			out.Version, out.Known = t.Version(now, key, in.Service)
+			if out.Version, out.Known = t.Version(now, key, in.Service); !out.Known {
+				out.Version, out.Known = t.RestoredVersion(now, key, in.Service)
+			}
 		})
 	}
 	return out, nil
--- a/internal/streamversion/tracker.go
+++ b/internal/streamversion/tracker.go
@@ -31,6 +31,8 @@
 	history  *History
 	untold   []Record // began here, and were not told to their keepers
 	again    []Batch  // of which a call failed
+	unstored []Record // began here, and were not passed on to be stored
+	restored *Restored
 	suspects map[string]time.Duration
 }
 
@@ -64,6 +66,45 @@
 	return t.book.Version(now, key, service)
 }
 
+// store adds records to those that are to be stored.
+func (t *Tracker) store(records ...Record) {
+	t.unstored = append(t.unstored, records...)
+	t.unstored = t.unstored[max(len(t.unstored)-maxRecords, 0):]
+}
+
+// TakeUnstored removes the records of services with several versions that began here and were
+// not passed on to be stored, and returns them.
+func (t *Tracker) TakeUnstored() []Record {
+	out := t.unstored
+	t.unstored = nil
+	return out
+}
+
+// ReturnUnstored takes records back that could not be passed on. Beyond maxRecords, the oldest
+// are dropped.
+func (t *Tracker) ReturnUnstored(records []Record) {
+	later := t.unstored
+	t.unstored = nil
+	t.store(records...)
+	t.store(later...)
+}
+
+// Restore records what was stored before this process began, nil for nothing.
+func (t *Tracker) Restore(r *Restored) { t.restored = r }
+
+// RestoredVersion returns the version at which a stream began, if it was stored before this
+// process began. What was read is dropped once none of the streams can be resumed.
+func (t *Tracker) RestoredVersion(now time.Duration, key Key, service string) (string, bool) {
+	if t.restored == nil {
+		return "", false
+	}
+	if now-t.restored.readAt >= t.history.horizon {
+		t.restored = nil
+		return "", false
+	}
+	return t.restored.version(key, service)
+}
+
 // Due returns the records to send now. Those of services with one version wait, as its
 // streams can go on anywhere, until there are several.
 func (t *Tracker) Due(now time.Duration, members []Member) []Batch {
@@ -77,6 +118,7 @@
 			return false
 		}
 		b.add(r, Keepers(r.Key, members, t.self.Zone), t.self.Name, 0)
+		t.store(r)
 		return true
 	})
 	for _, failed := range t.again {
