Callers' listener: an empty line before a request is ignored

Cause: net/http ignores empty lines only after a POST request on the same connection; others, also at the beginning of a connection, were answered 400 (RFC 9112, 2.2 asks to ignore at least one).

Change: package emptyline drops them from what net/http reads.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
+	"github.com/eelgrassbay/eelgrassbay/internal/emptyline"
 	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
 	"github.com/eelgrassbay/eelgrassbay/internal/settings"
@@ -118,6 +119,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("gateway: opening the caller listener: %w", err)
 	}
+	lis = emptyline.NewListener(lis)
 	out := &servers{callers: g.callerServer(lis)}
 	tasks.Go(func() error { return ignoreServerClosed(out.callers.Serve(lis)) })
 	mux := http.NewServeMux()
