Relays: each one gets the time that is left when it is asked

Cause: the request to an upstream, with its deadline header, was made once for an attempt and reused for each relay. A relay that refused after some time left the next one with the time of the first, so that the upstream could work beyond the caller's deadline.

Change: the request is made anew for each send of an attempt.

Measured: TestSecondRelayGetsTheTimeThatIsLeft, a first relay that refuses after 200 ms: the second one is told 4,999 ms of 5,000 before, at most 4,799 now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,10 +68,9 @@
 	sound    bool               // the answer got beyond its beginning
 	firstAt  time.Duration      // of the first event of a stream, 0 before
 
-	wait       *reach.Wait       // for an answer over the own link, nil for none
-	request    *httpconn.Request // that is sent through a peer
-	relays     []string          // peers that were asked to send it, in order
-	relayEnded bool              // the last of them no longer has it
+	wait       *reach.Wait // for an answer over the own link, nil for none
+	relays     []string    // peers that were asked to send it, in order
+	relayEnded bool        // the last of them no longer has it
 }
 
 // serve sends the request to one upstream after another until one answers or no
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -29,13 +29,13 @@
 var errNoRelay = errors.New("gateway: no peer to relay through")
 
 // send sends the request of an attempt to its upstream, over the own link or through a peer.
-func (x *exchange) send(a *attempt, r *httpconn.Request) {
+func (x *exchange) send(a *attempt) {
 	u := a.Decision.Upstream
 	if x.g.links.relayed(linkOf(u), x.route.Repeatable()) {
-		x.sendThroughPeer(a, r)
+		x.sendThroughPeer(a)
 		return
 	}
-	a.exchange, a.err = x.g.pool.Send(a.ctx, r)
+	a.exchange, a.err = x.g.pool.Send(a.ctx, x.attemptRequest(a))
 	if a.err == nil {
 		a.wait = x.g.links.sent(u)
 		return
@@ -45,20 +45,21 @@
 	}
 	x.g.links.dialFailed(u, a.err)
 	if x.g.links.relayed(linkOf(u), false) {
-		x.sendThroughPeer(a, r)
+		x.sendThroughPeer(a)
 	}
 }
 
 // sendThroughPeer sends the request of an attempt through a peer that was not tried for it.
-// If there is none, the error of the last try stays.
-func (x *exchange) sendThroughPeer(a *attempt, r *httpconn.Request) {
+// If there is none, the error of the last try stays. The request is made anew for each peer,
+// since its headers have the time left, and earlier tries took some of it.
+func (x *exchange) sendThroughPeer(a *attempt) {
 	for len(a.relays) < maxRelays {
 		p := x.g.links.pick(a.relays)
 		if p == nil {
 			break
 		}
-		a.request, a.relays = r, append(a.relays, p.Name)
-		a.exchange, a.err = x.g.links.pool.Send(a.ctx, relay.Request(r, linkOf(a.Decision.Upstream), p.PeerAddress))
+		a.relays = append(a.relays, p.Name)
+		a.exchange, a.err = x.g.links.pool.Send(a.ctx, relay.Request(x.attemptRequest(a), linkOf(a.Decision.Upstream), p.PeerAddress))
 		if a.err == nil {
 			x.g.links.begin(p.Name)
 			a.relayEnded = false
@@ -103,7 +104,7 @@
 		if a.err = x.relayError(a); !errors.Is(a.err, relay.ErrRefused) {
 			break
 		}
-		x.sendThroughPeer(a, a.request)
+		x.sendThroughPeer(a)
 		if a.err == nil {
 			x.watch(a)
 		}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -34,12 +34,17 @@
 		return a
 	}
 	x.job.TriedUpstreams = append(x.job.TriedUpstreams, u.ID)
-	r := x.upstreamRequest(u)
-	r.MaySend = func() error { return x.mayStillSend(a) }
-	x.send(a, r)
+	x.send(a)
 	return a
 }
 
+// attemptRequest returns the request of an attempt as it is to be sent now.
+func (x *exchange) attemptRequest(a *attempt) *httpconn.Request {
+	r := x.upstreamRequest(a.Decision.Upstream)
+	r.MaySend = func() error { return x.mayStillSend(a) }
+	return r
+}
+
 // mayStillSend reports why the request may no longer be sent, nil if it may. Opening a
 // connection takes time in which the upstream may leave and the deadline pass.
 func (x *exchange) mayStillSend(a *attempt) error {
