Relays: the upstream of a request is looked up by its ID

Cause: for each request that an instance relays for a peer it copied and sorted the list of upstreams to find one entry.

Change: UsableByID of the list.

--- a/internal/gateway/linkwatch.go
+++ b/internal/gateway/linkwatch.go
@@ -50,12 +50,11 @@
 
 // listed returns the upstream of an incarnation if it may be used.
 func (l *links) listed(key reach.Upstream) (*fleet.Upstream, bool) {
-	for _, u := range l.g.catalog.Usable() {
-		if linkOf(&u) == key {
-			return &u, true
-		}
+	u, ok := l.g.catalog.UsableByID(key.ID)
+	if !ok || linkOf(&u) != key {
+		return nil, false
 	}
-	return nil, false
+	return &u, true
 }
 
 // ask puts questions to several peers and calls answer with what each says.
--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -125,6 +125,14 @@
 	return c.roster.Usable()
 }
 
+// UsableByID returns the upstream with an ID if it may get new requests. It copies only that
+// one.
+func (c *Controller) UsableByID(id string) (fleet.Upstream, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.roster.UsableByID(id)
+}
+
 // Revisions returns the store's revisions of the configuration and the list of
 // upstreams, 0 for one that was not received, and whether the store is
 // reachable.
--- a/internal/upstreamlist/upstreamlist.go
+++ b/internal/upstreamlist/upstreamlist.go
@@ -268,6 +268,15 @@
 	return out
 }
 
+// UsableByID returns the upstream with an ID if it may get new requests.
+func (s *View) UsableByID(id string) (fleet.Upstream, bool) {
+	m := s.members[id]
+	if m == nil || s.isDraining(m.upstream) {
+		return fleet.Upstream{}, false
+	}
+	return m.upstream, true
+}
+
 // All returns every known entry, including draining ones, sorted by ID. Peers
 // receive this list.
 func (s *View) All() []fleet.Upstream {
