--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
+	"github.com/eelgrassbay/eelgrassbay/internal/emptyline"
 	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
 	"github.com/eelgrassbay/eelgrassbay/internal/settings"
@@ -71,7 +72,7 @@
 		{"registration", taskCtx, g.registerInstance}, {"idle connections", taskCtx, g.sweepIdleConns},
 		{"members", taskCtx, g.updateMembers}, {"lag report", taskCtx, g.reportLag}, {"news", taskCtx, g.announceNews},
 		{"stream versions", taskCtx, g.streamVersions.tell}, {"links", taskCtx, g.watchLinks},
-		{"stored versions", taskCtx, g.streamVersions.keepVersions},
+		{"stored versions", taskCtx, g.streamVersions.keepVersions}, {"stored streams", taskCtx, g.streamVersions.storeStreams},
 		{"settings", taskCtx, func(ctx context.Context) error { return g.watchSettings(ctx, file, hup) }},
 	} {
 		tasks.Go(func() error {
@@ -118,6 +119,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("gateway: opening the caller listener: %w", err)
 	}
+	lis = emptyline.NewListener(lis)
 	out := &servers{callers: g.callerServer(lis)}
 	tasks.Go(func() error { return ignoreServerClosed(out.callers.Serve(lis)) })
 	mux := http.NewServeMux()
