evacuation: zones get no requests while the store has an entry for them

Cause: operators need a zone of upstreams to be emptied by an entry in the store; routes and organisations may limit the regions to which requests go. Neither was read. The scheduler, relays and the planner of models keep requests and orders from evacuated zones, and requests and bodies from regions that are not allowed. Nothing is read without the setting evacuation.within.

--- a/cmd/eelgrass-gateway/main.go
+++ b/cmd/eelgrass-gateway/main.go
@@ -92,9 +92,12 @@
 		Store: platform.NewStore(platform.StoreOptions{
 			Address: s.Store.Address, DialTimeout: storeDialTimeout, WatchWait: s.Store.WatchWait.Std(),
 		}),
-		Decoder: storesync.Decoder{ConfigName: platform.ConfigName, Config: platform.NewConfigDecoder().Decode, Upstream: platform.DecodeUpstream},
-		Now:     boottime.Now,
-		Log:     slog.New(slog.NewJSONHandler(ring, &slog.HandlerOptions{Level: level})),
+		Decoder: storesync.Decoder{
+			ConfigName: platform.ConfigName, Config: platform.NewConfigDecoder().Decode, Upstream: platform.DecodeUpstream,
+			Evacuation: platform.DecodeEvacuation,
+		},
+		Now: boottime.Now,
+		Log: slog.New(slog.NewJSONHandler(ring, &slog.HandlerOptions{Level: level})),
 	})
 	if err != nil {
 		return err
--- a/internal/assign/available.go
+++ b/internal/assign/available.go
@@ -108,10 +108,10 @@
 
 // MaySend reports whether the request of a placement may still be sent. What binds is the
 // moment of sending: since the placement the upstream may have left, named a limit or asked
-// for a pause.
+// for a pause, or its zone was evacuated.
 func (s *Scheduler) MaySend(now time.Duration, p *Placement) bool {
 	u := p.upstream
-	if !s.IsUsable(p) || now-p.sentAt > maxSendDelay {
+	if !s.IsUsable(p) || now-p.sentAt > maxSendDelay || !s.permits(u, p.job) {
 		return false
 	}
 	switch {
@@ -127,12 +127,16 @@
 }
 
 // MayRelay reports whether this instance may send the request of a peer to an incarnation of
-// an upstream now, and takes it from the upstream's limit.
-func (s *Scheduler) MayRelay(now time.Duration, id string, startedAtMS int64) bool {
+// an upstream now, and takes it from the upstream's limit. regions are the allowed regions of
+// the request, nil for any.
+func (s *Scheduler) MayRelay(now time.Duration, id string, startedAtMS int64, regions []string) bool {
 	u := s.byID[id]
 	if u == nil || u.entry.StartedAtMS != startedAtMS || s.availableAt(now, u) > now {
 		return false
 	}
+	if s.evacuated[u.entry.Zone] || !inRegions(s.opts.Regions, u.entry.Zone, regions) {
+		return false
+	}
 	s.takeLimit(now, u)
 	return true
 }
@@ -162,7 +166,7 @@
 func (s *Scheduler) heldOff(now time.Duration, j *Job) (at time.Duration, heldOff bool) {
 	at = upstreamlimit.Never
 	for _, u := range s.services[j.Service] {
-		if !u.takes(now, j) || slices.Contains(j.TriedUpstreams, u.entry.ID) {
+		if !s.permits(u, j) || !u.takes(now, j) || slices.Contains(j.TriedUpstreams, u.entry.ID) {
 			continue
 		}
 		available := s.availableAt(now, u)
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -90,7 +90,7 @@
 	s.candidates = s.candidates[:0]
 	var totals slotTotals
 	for _, u := range s.services[j.Service] {
-		if !u.isEligible(now, j, j.TriedUpstreams, lowestRate) {
+		if !s.permits(u, j) || !u.isEligible(now, j, j.TriedUpstreams, lowestRate) {
 			continue
 		}
 		available := s.availableAt(now, u)
--- a/internal/assign/job.go
+++ b/internal/assign/job.go
@@ -16,6 +16,8 @@
 	// Version is the software version at which the stream began that the job goes on with,
 	// nil if any version may serve the job.
 	Version *string
+	// Regions are the regions to whose upstreams the job may be sent, nil for any.
+	Regions []string
 	// Retryable is whether the request may be sent again although an earlier
 	// attempt may have run.
 	Retryable bool
--- a/internal/assign/refuse.go
+++ b/internal/assign/refuse.go
@@ -39,6 +39,9 @@
 	if s.versionGone(j) {
 		return fleet.Refusal{Reason: fleet.ReasonVersionGone}, true
 	}
+	if refusal, refused := s.refuseBarred(now, j); refused {
+		return refusal, true
+	}
 	if j.queued && now-j.queuedAt >= triedQueueTime && s.triedAll(now, j) {
 		reason := fleet.ReasonOverloaded
 		if !j.NeedsEngine {
@@ -92,7 +95,7 @@
 	}
 	tried := false
 	for _, u := range s.services[j.Service] {
-		if !u.takes(now, j) {
+		if !s.permits(u, j) || !u.takes(now, j) {
 			continue
 		}
 		if !slices.Contains(j.TriedUpstreams, u.entry.ID) {
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -19,6 +19,8 @@
 	// DisableSpread disables the random choice under stale load reports: the
 	// best upstream is always chosen. It serves as a baseline.
 	DisableSpread bool
+	// Regions is the region of each availability zone.
+	Regions map[string]string
 }
 
 // Scheduler holds an instance's view of its upstreams and the queue of waiting
@@ -37,6 +39,7 @@
 	readyTimes     map[modelKey]time.Duration // when a model is expected to be ready
 	lastSequence   uint64                     // of the last job queued
 	queueEnd       time.Duration              // no job stays queued beyond this time, 0 for no limit
+	evacuated      map[string]bool            // zones whose upstreams get no request
 }
 
 // LimitQueueTime sets the time after which no job stays queued, because the
@@ -212,10 +215,12 @@
 // lack of capacity.
 const fullBackoff = 60 * time.Millisecond
 
-// HasModel reports whether some upstream of the service holds the model and
-// adapter.
+// HasModel reports whether some upstream of the service, in a zone that is not evacuated,
+// holds the model and adapter.
 func (s *Scheduler) HasModel(now time.Duration, service, model, adapter string) bool {
-	return slices.ContainsFunc(s.services[service], func(u *upstream) bool { return u.serves(now, model, adapter) })
+	return slices.ContainsFunc(s.services[service], func(u *upstream) bool {
+		return !s.evacuated[u.entry.Zone] && u.serves(now, model, adapter)
+	})
 }
 
 // HasEligible reports whether some upstream that the job has not tried is eligible
@@ -223,7 +228,7 @@
 func (s *Scheduler) HasEligible(now time.Duration, j *Job) bool {
 	lowestRate := s.lowestFailureRate(j.Service)
 	return slices.ContainsFunc(s.services[j.Service], func(u *upstream) bool {
-		return u.isEligible(now, j, j.TriedUpstreams, lowestRate) && s.availableAt(now, u) <= now
+		return s.permits(u, j) && u.isEligible(now, j, j.TriedUpstreams, lowestRate) && s.availableAt(now, u) <= now
 	})
 }
 
--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -127,8 +127,11 @@
 }
 
 // competesWith reports whether a queued job may need each upstream that the other needs. One
-// that waits for a version does not hold up those that another version can serve.
+// that waits for a version or for some regions does not hold up those that others can serve.
 func (j *Job) competesWith(other *Job) bool {
+	if j.Regions != nil && !slices.Equal(j.Regions, other.Regions) {
+		return false
+	}
 	return j.Version == nil || other.Version != nil && *other.Version == *j.Version
 }
 
@@ -186,6 +189,7 @@
 	if j.Version != nil {
 		model += "@" + *j.Version
 	}
+	model += j.regionKey()
 	return modelKey{model, j.Adapter}
 }
 
@@ -199,6 +203,9 @@
 			Job: j, Refusal: s.overloadRefusal(now, j, len(s.queue)), Factors: Inputs{QueueLength: len(s.queue), PeerAge: s.peerAge(now)},
 		}
 	}
+	if refusal, refused := s.refuseBarred(now, j); refused {
+		return nil, &Decision{Job: j, Refusal: refusal, Factors: Inputs{PeerAge: s.peerAge(now)}}
+	}
 	if blocked[key] >= maxBlockedTries {
 		return nil, nil
 	}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -52,6 +52,8 @@
 	Public      bool          // no key is required
 	Resumable   bool          // a broken stream may be resumed at another upstream
 	MaxGap      time.Duration // longest pause between events that counts as on time
+	// AllowedRegions are the regions to whose upstreams requests may be sent, nil for any.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -99,6 +101,8 @@
 	Burst         float64
 	CountsTokens  bool    // a request costs its number of tokens rather than 1
 	DefaultTokens float64 // cost in tokens of a request that does not state its number of tokens
+	// AllowedRegions are the regions to whose upstreams requests may be sent, nil for any.
+	AllowedRegions []string
 }
 
 // Limited reports whether the organisation has a limit.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -111,7 +111,7 @@
 	x.req = req
 	x.config = x.g.catalog.Config()
 	switch {
-	case x.config == nil:
+	case x.config == nil, x.g.evacuations.pending():
 		return fleet.Refusal{Reason: fleet.ReasonNotReady, RetryAfter: notReadyRetryAfter}
 	case err != nil:
 		return fleet.Refusal{Reason: fleet.ReasonBadRequest}
@@ -204,7 +204,7 @@
 		NeedsEngine:  svc != nil && svc.Engine != nil,
 		PromptTokens: x.req.PromptTokens, OutputTokens: x.req.OutputTokens, PromptParts: x.req.Parts,
 		Urgency: x.urgency(objective), Arrived: x.arrived, Objective: x.arrived + objective,
-		FirstEventDeadline: x.arrived + patience, Deadline: x.arrived + timeout,
+		FirstEventDeadline: x.arrived + patience, Deadline: x.arrived + timeout, Regions: fleet.AllowedRegions(x.route, x.org),
 	}
 }
 
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -107,13 +107,13 @@
 
 // testFleet is a number of instances and their store.
 type testFleet struct {
-	t     *testing.T
-	began time.Time
-	store *objectstore.Memory
-	// decoder is that of all instances.
-	decoder storesync.Decoder
+	t       *testing.T
+	began   time.Time
+	store   *objectstore.Memory
+	decoder storesync.Decoder // of all instances
 	// wrapStore changes the store as instances reach it; nil for no change.
 	wrapStore func(objectstore.Store) objectstore.Store
+	edit      func(*Settings) // changes the settings of instances
 	// starved is whether decoding costs what decodingCost says, and each instance has a
 	// decoder of its own for the configuration.
 	starved bool
@@ -156,7 +156,7 @@
 }
 
 func newTestFleet(t *testing.T) *testFleet {
-	return &testFleet{t: t, began: time.Now().Add(-time.Hour), store: objectstore.NewMemory(time.Second), decoder: newDecoder(), nodes: map[string]*testNode{}}
+	return &testFleet{t: t, began: time.Now().Add(-time.Hour), store: objectstore.NewMemory(time.Second), decoder: newDecoder(), edit: func(*Settings) {}, nodes: map[string]*testNode{}}
 }
 
 // start starts an instance. capacity is that of its machine, see MachineSettings.
@@ -177,6 +177,7 @@
 	name, zone, capacity := m.name, m.zone, m.capacity
 	s := DefaultSettings()
 	s.Name, s.Zone, s.PeerListen, s.Peers = name, zone, name+":1", seeds
+	f.edit(s)
 	n := &testNode{f: f, link: &testLink{bytesPerS: m.bytesPerS}, cpu: &testProcessor{share: m.share}, started: time.Now()}
 	decoder := f.decoder
 	decoder.Config = func(o objectstore.Object) (*fleet.Config, []error, error) {
@@ -206,7 +207,7 @@
 	f.mu.Lock()
 	f.nodes[s.PeerListen] = n
 	f.mu.Unlock()
-	for _, run := range []func(context.Context) error{n.g.catalog.Run, n.g.mesh.Run, n.g.registerInstance, n.g.updateMembers, n.g.announceNews, n.g.streamVersions.tell, n.g.streamVersions.keepVersions, n.g.dispatcher.run} {
+	for _, run := range []func(context.Context) error{n.g.catalog.Run, n.g.mesh.Run, n.g.registerInstance, n.g.updateMembers, n.g.announceNews, n.g.streamVersions.tell, n.g.streamVersions.keepVersions, n.g.dispatcher.run, n.g.evacuations.announce} {
 		n.ended.Go(func() { _ = run(ctx) })
 	}
 	return n
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,7 @@
 	crashes         *crashwatch.Watch
 	streamVersions  *streamVersions
 	links           *links
+	evacuations     *evacuations
 	answerMemory    *answerMemory
 	metrics         *metrics.Metrics
 	successLogLimit *logRateLimiter
@@ -121,10 +122,11 @@
 	g.metrics = metrics.New()
 	g.newsWake = make(chan struct{}, 1)
 	g.dispatcher = newDispatcher(assign.Options{
-		Name: s.Name, Incarnation: g.self.Incarnation, Zone: s.Zone, Started: g.started, Seed: rand.Uint64(),
+		Name: s.Name, Incarnation: g.self.Incarnation, Zone: s.Zone, Started: g.started, Seed: rand.Uint64(), Regions: s.Zones,
 	}, g.now)
 	g.pool = httpconn.New(httpconn.Options{DialTimeout: dialTimeout, MaxIdlePerAddress: maxIdlePerUpstream, IsResponseTo: g.codec.MatchesRequest})
 	g.links = newLinks(g)
+	g.evacuations = newEvacuations(g)
 	g.crashes = g.newCrashWatch()
 	g.streamVersions = newStreamVersions(g)
 	g.limiter = &limiter{now: g.now, inner: sharedlimit.New(g.now(), g.expectedPeers(), s.Limits.Window.Std())}
@@ -153,7 +155,7 @@
 	g.catalog = storesync.New(storesync.Options{
 		Store: g.opts.Store, Decoder: g.opts.Decoder, WatchWait: s.Store.WatchWait.Std(),
 		Now: g.now, Log: g.log, Watches: g.watchesStore, Polls: g.pollsStore, ConfigArrives: g.configFetcher.arrives(g.now), OnChange: g.applyCatalog,
-		OnMalformed: func() { g.metrics.Count("malformed_entries") },
+		OnMalformed: func() { g.metrics.Count("malformed_entries") }, Evacuations: g.evacuations.storeOptions(),
 	})
 	g.mesh = mesh.New(mesh.Options{
 		Self: g.self, Peers: g.peers, Now: g.now, Log: g.log, Seed: rand.Uint64(),
@@ -166,7 +168,7 @@
 		ZonePeers: g.leaseCandidates, Eligible: g.isLeaseCandidate, Yields: g.links.cutOff, Now: g.now, Log: g.log, Seed: rand.Int64(),
 	})
 	g.placing = residencycontroller.New(residencycontroller.Options{
-		Name: s.Name, Lease: g.leader, Engines: g.opts.Engines, Config: g.catalog.Config, Upstreams: g.catalog.Usable,
+		Name: s.Name, Lease: g.leader, Engines: g.opts.Engines, Config: g.catalog.Config, Upstreams: g.evacuations.placeable,
 		Requests: g.dispatcher.requestsByUpstream, Limits: g.dispatcher.limits, Pauses: g.dispatcher.pauses, Demand: g.totalDemand, OnStep: g.publishEngineStates, OnDraining: g.catalog.MarkDraining,
 		LoadWindow: s.Placement.LoadWindow.Std(), Now: g.now, Log: g.log,
 	})
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -148,15 +148,18 @@
 // pick returns a peer that may relay: of the own zone if there is one, and not one of those
 // given or one that failed lately, unless there are no others. Of two drawn at random it is the
 // one with fewer requests of this instance for its capacity.
-func (l *links) pick(except []string) *meshpb.MemberInfo {
-	now := l.g.now()
+func (l *links) pick(except []string) *meshpb.MemberInfo { return l.pickFor(except, nil) }
+
+// pickFor is pick for a request with allowed regions, nil for any.
+func (l *links) pickFor(except, regions []string) *meshpb.MemberInfo {
+	now, regionOf := l.g.now(), l.g.settings.Load().Zones
 	var best []*meshpb.MemberInfo
 	bestRank := 0
 	members := l.g.mesh.Members()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range members {
-		if p.Name == l.g.self.Name || slices.Contains(except, p.Name) {
+		if p.Name == l.g.self.Name || slices.Contains(except, p.Name) || !assign.MayCarry(regionOf, regions, l.g.self.Zone, p.Zone) {
 			continue
 		}
 		rank := 0
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -63,5 +63,6 @@
 // Announce implements meshpb.DRPCMeshServer.
 func (s meshServer) Announce(_ context.Context, in *meshpb.News) (*meshpb.NewsReply, error) {
 	s.g.recordConfigSource(source{name: in.Name, address: in.PeerAddress, sameZone: in.Zone == s.g.self.Zone, revision: in.ConfigRevision})
+	s.g.evacuations.mergeWire(in.Evacuations, in.Name)
 	return &meshpb.NewsReply{}, nil
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -63,7 +63,7 @@
 	s.Board = g.residencyTable.version()
 	s.Limits, s.LeavingUpstreams, s.Brittle = g.limitsToWire(now), g.leavingToWire(), g.roomsToWire(now)
 	s.SuspicionsDigest, s.Suspicions = g.crashes.ToWire(to.Name)
-	s.Versions = g.streamVersions.toWire()
+	s.Versions, s.Evacuations = g.streamVersions.toWire(), g.evacuations.toWire()
 	own := g.localWork(now)
 	if to.SameZone {
 		s.Work = workSummaryToWire(now, own, to.IsLead)
@@ -80,6 +80,7 @@
 // upstreams and the residency table if the peer has newer ones.
 func (g *Gateway) handlePeerState(at time.Duration, s *meshpb.InstanceState) {
 	g.lastStateAt.Store(int64(at))
+	g.evacuations.mergeWire(s.Evacuations, s.Name)
 	g.peerWork.update(at, s)
 	g.mergeLimits(at, s.Limits)
 	g.mergeRooms(at, s.Brittle)
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -53,12 +53,14 @@
 // If there is none, the error of the last try stays.
 func (x *exchange) sendThroughPeer(a *attempt, r *httpconn.Request) {
 	for len(a.relays) < maxRelays {
-		p := x.g.links.pick(a.relays)
+		p := x.g.links.pickFor(a.relays, x.job.Regions)
 		if p == nil {
 			break
 		}
 		a.request, a.relays = r, append(a.relays, p.Name)
-		a.exchange, a.err = x.g.links.pool.Send(a.ctx, relay.Request(r, linkOf(a.Decision.Upstream), p.PeerAddress))
+		relayed := relay.Request(r, linkOf(a.Decision.Upstream), p.PeerAddress)
+		relay.SetRegions(relayed.Header, x.job.Regions)
+		a.exchange, a.err = x.g.links.pool.Send(a.ctx, relayed)
 		if a.err == nil {
 			x.g.links.begin(p.Name)
 			a.relayEnded = false
@@ -173,7 +175,7 @@
 func (l *links) relayOne(w http.ResponseWriter, r *http.Request, key reach.Upstream) error {
 	u, ok := l.listed(key)
 	defer l.relaying.Add(-1)
-	if l.relaying.Add(1) > maxRelayed || !ok || l.relayed(key, false) {
+	if l.relaying.Add(1) > maxRelayed || !ok || l.relayed(key, false) || l.g.evacuations.pending() {
 		return relay.ErrRefused
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelayBytes))
@@ -183,7 +185,7 @@
 	began := l.g.now()
 	exchange, err := l.g.pool.Send(r.Context(), &httpconn.Request{
 		Address: u.Address, Method: r.Method, RequestURI: r.RequestURI, Host: r.Host, Header: relay.Forwarded(r.Header), Body: body,
-		MaySend: func() error { return l.mayRelay(key) },
+		MaySend: func() error { return l.mayRelay(key, relay.Regions(r.Header)) },
 	})
 	switch {
 	case errors.Is(err, httpconn.ErrNoConnection):
@@ -227,10 +229,10 @@
 }
 
 // mayRelay reports why a request of a peer may not be sent to an upstream now, nil if it may.
-func (l *links) mayRelay(key reach.Upstream) error {
+func (l *links) mayRelay(key reach.Upstream, regions []string) error {
 	var err error
 	l.g.dispatcher.update(func(now time.Duration, s *assign.Scheduler) {
-		if !s.MayRelay(now, key.ID, key.StartedAtMS) {
+		if !s.MayRelay(now, key.ID, key.StartedAtMS, regions) {
 			err = errPlacementLapsed
 		}
 	})
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -71,7 +71,7 @@
 		{"registration", taskCtx, g.registerInstance}, {"idle connections", taskCtx, g.sweepIdleConns},
 		{"members", taskCtx, g.updateMembers}, {"lag report", taskCtx, g.reportLag}, {"news", taskCtx, g.announceNews},
 		{"stream versions", taskCtx, g.streamVersions.tell}, {"links", taskCtx, g.watchLinks},
-		{"stored versions", taskCtx, g.streamVersions.keepVersions},
+		{"stored versions", taskCtx, g.streamVersions.keepVersions}, {"evacuations", taskCtx, g.evacuations.announce},
 		{"settings", taskCtx, func(ctx context.Context) error { return g.watchSettings(ctx, file, hup) }},
 	} {
 		tasks.Go(func() error {
@@ -167,7 +167,7 @@
 // serveReady answers the load balancer's health check: 200 if the instance
 // accepts requests, 503 otherwise.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || !g.catalog.Ready() {
+	if g.stopping.Load() || !g.catalog.Ready() || g.evacuations.pending() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -39,6 +39,9 @@
 	Machine   MachineSettings   `json:"machine"`
 
 	Quarantine crashwatch.Settings `json:"quarantine"`
+	Evacuation EvacuationSettings  `json:"evacuation"`
+	// Zones is the region of each availability zone.
+	Zones map[string]string `json:"zones"`
 }
 
 // StoreSettings configure the connection to the platform's store.
@@ -146,6 +149,7 @@
 	c.Require(s.Memory.LimitMB >= 0, "memory.limit_mb", "must be 0 or more")
 	c.Require(s.Machine.LinkMbps >= 0, "machine.link_mbps", "must be 0 or more")
 	c.Require(s.Machine.Cores >= 0, "machine.cores", "must be 0 or more")
+	c.Require(s.Evacuation.Within.Std() >= 0, "evacuation.within", "must be 0 or more")
 	s.Quarantine.Check(c, "quarantine.exempt")
 	return c.Err()
 }
--- a/internal/logstory/logstory.go
+++ b/internal/logstory/logstory.go
@@ -181,6 +181,10 @@
 		return fmt.Sprintf("its caller resumes the stream of request %s, and no instance that was asked knew at which of the versions of service %s it began: those that keep its record ended or were cut off; see the lines of that request, and which instances ended", r.Resumes, r.Service)
 	case "version_gone":
 		return fmt.Sprintf("its caller resumes the stream of request %s, which began at version %s of service %s, as %s knew: no upstream of that version was listed and usable", r.Resumes, r.Version, r.Service, r.VersionFrom)
+	case "evacuated":
+		return fmt.Sprintf("all upstreams of service %s that it could be sent to are in evacuated zones; see the lines \"evacuation in force\"", r.Service)
+	case "region":
+		return fmt.Sprintf("no upstream of service %s is in the allowed regions of its route and organisation; see allowed_regions of both, and zones in the settings", r.Service)
 	case "overloaded":
 		if r.Attempts != "" {
 			return fmt.Sprintf("no upstream ran it: %s", r.Attempts)
--- a/internal/objectstore/api.go
+++ b/internal/objectstore/api.go
@@ -30,6 +30,9 @@
 	KindUpstream Kind = "upstream" // upstreams, one object each
 	KindInstance Kind = "instance" // entry instances, for peer discovery
 	KindSoftware Kind = "software" // software versions that each service had lately
+
+	// KindEvacuation: one object for each availability zone whose upstreams get no requests.
+	KindEvacuation Kind = "evacuations"
 )
 
 // Object is one stored value. Version is taken from a revision counter of the
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,6 +63,8 @@
 func Forwarded(h http.Header) http.Header {
 	out := h.Clone()
 	out.Del(headerTo)
+	out.Del(headerRegions)
+	out.Del(headerRegionsSet)
 	out.Del("Content-Length") // set anew from the body
 	return out
 }
--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -56,6 +56,9 @@
 	ConfigName string
 	Config     func(objectstore.Object) (*fleet.Config, []error, error)
 	Upstream   func(objectstore.Object) (fleet.Upstream, error)
+	// Evacuation returns the zone that an entry names. The zone counts if it is not empty,
+	// also with an error. Evacuations are not read if it is nil.
+	Evacuation func(objectstore.Object) (zone string, err error)
 }
 
 // Options configure a Controller.
@@ -81,6 +84,8 @@
 	// OnMalformed is called for each malformed entry of the list, once for each of its
 	// errors. It may be nil.
 	OnMalformed func()
+	// Evacuations are read if it is set.
+	Evacuations EvacuationOptions
 }
 
 // Controller keeps the copies of the configuration and the list of upstreams. Its
@@ -100,6 +105,8 @@
 	wholeRosterNext bool              // a peer's changes of the list did not fit
 	configTimeout   readTimeout
 	rosterTimeout   readTimeout
+
+	evacuationTimeout readTimeout
 }
 
 // New returns a controller without a configuration or a list of upstreams.
@@ -165,6 +172,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { c.follow(ctx, c.readConfig, objectstore.KindConfig, &c.configTimeout, c.applyConfigEvents) })
 	wg.Go(func() { c.follow(ctx, c.readRoster, objectstore.KindUpstream, &c.rosterTimeout, c.applyRosterEvents) })
+	wg.Go(func() { c.followEvacuations(ctx) })
 	wg.Go(func() { c.poll(ctx) })
 	wg.Go(func() { c.tick(ctx) })
 	wg.Wait()
@@ -215,7 +223,7 @@
 }
 
 func (c *Controller) recordFailure(ctx context.Context, kind objectstore.Kind, err error) {
-	if ctx.Err() != nil || errors.Is(err, objectstore.ErrHistoryGone) {
+	if ctx.Err() != nil || errors.Is(err, objectstore.ErrHistoryGone) || errors.Is(err, objectstore.ErrNotFound) {
 		return // the store answered
 	}
 	c.mu.Lock()
@@ -415,10 +423,12 @@
 // poll reads the store every pollInterval while Polls reports true, since a
 // watch may miss changes without an error.
 func (c *Controller) poll(ctx context.Context) {
-	for wait.Sleep(ctx, pollInterval) {
+	for round := 0; wait.Sleep(ctx, pollInterval); {
 		if !c.opts.Polls() {
 			continue
 		}
+		round++
+		c.pollEvacuations(ctx, round)
 		if _, err := c.readConfig(ctx); err != nil && !errors.Is(err, errConfigArrives) {
 			c.recordFailure(ctx, objectstore.KindConfig, err)
 			continue
--- a/internal/storesync/malformed.go
+++ b/internal/storesync/malformed.go
@@ -14,18 +14,10 @@
 // logMalformed logs and counts entries that cannot be decoded, once for each error.
 func (c *Controller) logMalformed(list []objectstore.Malformed) {
 	for _, m := range list {
-		text := fmt.Sprintf("%.200v", m.Err)
-		c.mu.Lock()
-		first := c.malformed[m.Name] != text
-		if len(c.malformed) >= maxMalformedLogged {
-			clear(c.malformed)
-		}
-		c.malformed[m.Name] = text
-		c.mu.Unlock()
-		if !first {
+		if !c.firstMalformed(m.Name, m.Err) {
 			continue
 		}
-		c.opts.Log.Warn("malformed upstream entry skipped", "upstream", m.Name, "error", text)
+		c.opts.Log.Warn("malformed upstream entry skipped", "upstream", m.Name, "error", malformedText(m.Err))
 		if c.opts.OnMalformed != nil {
 			c.opts.OnMalformed()
 		}
@@ -42,3 +34,20 @@
 	c.logMalformed([]objectstore.Malformed{{Name: obj.Name, Err: err}})
 	return fleet.Upstream{}, false
 }
+
+// malformedText returns the error of a malformed entry as it is logged.
+func malformedText(err error) string { return fmt.Sprintf("%.200v", err) }
+
+// firstMalformed records the error of a malformed entry, by a name that is unique over the
+// kinds, and reports whether it was not the last one recorded.
+func (c *Controller) firstMalformed(name string, err error) bool {
+	text := malformedText(err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := c.malformed[name] != text
+	if len(c.malformed) >= maxMalformedLogged {
+		clear(c.malformed)
+	}
+	c.malformed[name] = text
+	return first
+}
