upstreamlimit: limits of cold upstreams

Cause: an upstream that has just started bears few requests a second from all instances together, and crashes well above that. Nothing knew of it.

Change: cold.go adds cold upstreams to the limiter as one more source of a limit. They share its members and ranks. As many instances as the bound allows send, with one equal share left for an instance that the others do not know; what a sender may send in 1.1 s is a whole number of requests, so that the sum holds in any window of a second. What counts is the moment of sending: a request is reserved when it is placed and counted when it is sent.

--- a/internal/upstreamlimit/limiter.go
+++ b/internal/upstreamlimit/limiter.go
@@ -1,5 +1,5 @@
-// Package upstreamlimit keeps the limits that upstreams name: the requests a second that
-// an upstream takes from all instances together. There is no central counter. Every
+// Package upstreamlimit keeps the limits that upstreams name, and those of cold upstreams
+// (see cold.go): the requests a second that an upstream takes from all instances together. There is no central counter. Every
 // instance learns a limit from the upstream's answers or from its peers, and all choose
 // the same few instances that may send, the upstream's senders, each with an even part of
 // the rate. See senderCount for their number and Limiter for the bound that results.
@@ -99,6 +99,9 @@
 	members        map[string]time.Duration // by name, when last known to run
 	membersVersion uint64
 	limits         map[Upstream]*limit
+	cold           map[Upstream]*coldLimit
+	coldBounds     ColdBounds
+	expected       int // members that the settings name
 }
 
 // New returns a limiter without limits, for an instance that starts at now. Its name is
@@ -107,6 +110,7 @@
 	return &Limiter{
 		name: name, incarnation: incarnation, started: now,
 		members: map[string]time.Duration{name: now}, membersVersion: 1, limits: map[Upstream]*limit{},
+		cold: map[Upstream]*coldLimit{}, coldBounds: DefaultColdBounds,
 	}
 }
 
@@ -134,6 +138,7 @@
 // Keep forgets the upstreams for which keep returns false.
 func (l *Limiter) Keep(keep func(Upstream) bool) {
 	maps.DeleteFunc(l.limits, func(u Upstream, _ *limit) bool { return !keep(u) })
+	l.keepCold(keep)
 }
 
 // Observe records what an upstream said in an answer to a request that this instance sent
