--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -74,6 +74,7 @@
 		{"stream versions", taskCtx, g.streamVersions.tell}, {"links", taskCtx, g.watchLinks},
 		{"stored versions", taskCtx, g.streamVersions.keepVersions}, {"stored streams", taskCtx, g.streamVersions.storeStreams},
 		{"evacuations", taskCtx, g.evacuations.announce},
+		{"cold upstreams", taskCtx, g.reportCold},
 		{"settings", taskCtx, func(ctx context.Context) error { return g.watchSettings(ctx, file, hup) }},
 	} {
 		tasks.Go(func() error {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -15,6 +15,7 @@
 
 	"github.com/eelgrassbay/eelgrassbay/internal/crashwatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/settings"
+	"github.com/eelgrassbay/eelgrassbay/internal/upstreamlimit"
 )
 
 // Settings are the contents of an instance's settings file.
@@ -37,6 +38,7 @@
 	Log       LogSettings       `json:"log"`
 	Memory    MemorySettings    `json:"memory"`
 	Machine   MachineSettings   `json:"machine"`
+	Cold      ColdSettings      `json:"cold"`
 
 	Quarantine crashwatch.Settings `json:"quarantine"`
 	Evacuation EvacuationSettings  `json:"evacuation"`
@@ -121,6 +123,7 @@
 		Retry:     RetrySettings{Ratio: 0.2, FixedPerWindow: 20, Window: settings.Duration(10 * time.Second)},
 		Placement: PlacementSettings{LeaseDuration: settings.Duration(3 * time.Second), LoadWindow: settings.Duration(5 * time.Second)},
 		Log:       LogSettings{Level: "info", RequestsPerS: 50},
+		Cold:      ColdSettings{Overage: upstreamlimit.DefaultColdBounds.Overage, Slack: upstreamlimit.DefaultColdBounds.Slack},
 	}
 }
 
@@ -150,6 +153,8 @@
 	c.Require(s.Machine.LinkMbps >= 0, "machine.link_mbps", "must be 0 or more")
 	c.Require(s.Machine.Cores >= 0, "machine.cores", "must be 0 or more")
 	c.Require(s.Evacuation.Within.Std() >= 0, "evacuation.within", "must be 0 or more")
+	c.Require(s.Cold.Overage >= 0, "cold.overage", "must be 0 or more")
+	c.Require(s.Cold.Slack >= 0, "cold.slack", "must be 0 or more")
 	s.Quarantine.Check(c, "quarantine.exempt")
 	return c.Err()
 }
