assign: queue and engine priority by due time where kinds are inverted; shares follow what waits

Cause: engines process prompts by priority. Where the kind with the longer objective is the more urgent one, the short kind waits for prompts that have time left: p95 of its time to the first token is 874 ms at 0.9 of the capacity, 612 ms without long ones.

Change: for services of engines with such routes the queue and the priority at the engine follow the time by which a request is due, until one becomes late in the queue; then priority decides for twice the longest objective and longer. An instance's share of the slots is its part of what runs and waits; instances report what waits as loads under names of their own. A late request, and one while more urgent ones wait at peers, is not sent beyond an engine's slots. The priority that is sent is the one that was counted when the request was placed.

--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -47,7 +47,7 @@
 		return serviceTime + serviceTime*time.Duration(excess)/time.Duration(u.slots())
 	}
 	tokens := max(j.PromptTokens-u.cache.cachedTokens(j.modelHash, j.PromptParts), 1)
-	for urgency := 0; urgency <= j.UrgencyAt(now); urgency++ {
+	for urgency := 0; urgency <= s.urgencyAt(now, j); urgency++ {
 		tokens += u.ownLoad.PendingTokens[urgency] + u.peerLoad.PendingTokens[urgency]
 	}
 	prefill := time.Duration(float64(tokens) / defaultPrefillTokensPerMs * float64(time.Millisecond))
--- a/internal/assign/job.go
+++ b/internal/assign/job.go
@@ -45,6 +45,7 @@
 	queued    bool
 	queuedAt  time.Duration
 	sequence  uint64 // order of arrival in the queue
+	lateNoted bool   // became late while it was queued
 }
 
 // Decision is the outcome for a job: a placement or a refusal.
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -36,6 +36,8 @@
 	rooms          *upstreamlimit.Rooms
 	readyTimes     map[modelKey]time.Duration // when a model is expected to be ready
 	lastSequence   uint64                     // of the last job queued
+	peerWaiting    map[string]Load            // jobs that wait at peers, by reported name
+	kindOrders     map[string]*kindOrder      // by service; those that are not ordered by priority alone
 	queueEnd       time.Duration              // no job stays queued beyond this time, 0 for no limit
 }
 
@@ -89,6 +91,7 @@
 		services[entry.Service] = append(services[entry.Service], u)
 	}
 	s.byID, s.services = byID, services
+	s.kindOrders = kindOrders(config, s.kindOrders)
 	listed := func(l upstreamlimit.Upstream) bool {
 		return byID[l.ID] != nil && byID[l.ID].entry.StartedAtMS == l.StartedAtMS
 	}
@@ -164,6 +167,7 @@
 
 // sumPeers recomputes the peer load of each upstream.
 func (s *Scheduler) sumPeers() {
+	s.sumPeerWaiting()
 	for _, u := range s.byID {
 		u.peerLoad = Load{}
 	}
@@ -243,7 +247,7 @@
 // place assigns the job to the candidate's upstream, which is available, and adds it to
 // the upstream's load and limit.
 func (s *Scheduler) place(now time.Duration, j *Job, c candidate) *Placement {
-	p := &Placement{job: j, upstream: c.upstream, urgency: j.UrgencyAt(now), sentAt: now, expected: c.expected}
+	p := &Placement{job: j, upstream: c.upstream, urgency: s.urgencyAt(now, j), sentAt: now, expected: c.expected}
 	p.limited = s.takeLimit(now, c.upstream)
 	if c.upstream.engine != nil {
 		p.tokens = max(j.PromptTokens-c.upstream.cache.cachedTokens(j.modelHash, j.PromptParts), 1)
--- a/internal/assign/spread.go
+++ b/internal/assign/spread.go
@@ -17,7 +17,7 @@
 	// nearlyFullDivisor is the inverse of the fraction of free slots below
 	// which each instance is held to its share of them.
 	nearlyFullDivisor = 4
-	// freeShareFactor is the multiple of its even share of the free slots that
+	// freeShareFactor is the multiple of its share of the free slots that
 	// an instance may take within the age of the load reports, as few
 	// instances place requests at the same time.
 	freeShareFactor = 2
@@ -81,22 +81,22 @@
 	if nearlyFull {
 		for i := range s.candidates {
 			c := &s.candidates[i]
-			c.fits = c.upstream.requests() < c.upstream.slots()+c.upstream.slots()/staleOvercommitDivisor && s.meetsObjective(now, j, c.expected)
+			c.fits = c.upstream.requests() < c.upstream.slots()+s.overcommit(now, c.upstream, j) && s.meetsObjective(now, j, c.expected)
 		}
 	}
 	return s.chooseWeighted(best)
 }
 
 // withinShare reports whether this instance may place a job when the slots are
-// nearly full: its own requests use less than an even share of the slots, or
+// nearly full: its own requests use less than its share of the slots, or
 // its placements since the load reports are within its share of the free slots
 // that all instances see.
 func (s *Scheduler) withinShare(now time.Duration, j *Job, totals slotTotals) bool {
-	n := s.instanceCount()
-	if float64(totals.ownRequests) < float64(totals.slots)/n+s.rng.Float64()-0.5 {
+	share := s.shareOfSlots(j, totals)
+	if float64(totals.ownRequests) < float64(totals.slots)*share+s.rng.Float64()-0.5 {
 		return true
 	}
-	return s.unseenPlacements(now, j) < freeShareFactor*float64(totals.slots-totals.requests)/n
+	return s.unseenPlacements(now, j) < freeShareFactor*float64(totals.slots-totals.requests)*share
 }
 
 // chooseWeighted chooses at random among the candidates that fit and whose
--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -119,7 +119,7 @@
 func (s *Scheduler) jobsAhead(now time.Duration, j *Job) int {
 	n := 0
 	for _, w := range s.queue {
-		if w.Service == j.Service && w.Model == j.Model && w.competesWith(j) && compareJobs(now, w, j) <= 0 {
+		if w.Service == j.Service && w.Model == j.Model && w.competesWith(j) && s.compare(now, w, j) <= 0 {
 			n++
 		}
 	}
@@ -157,13 +157,14 @@
 	if len(s.queue) == 0 {
 		return nil
 	}
-	slices.SortFunc(s.queue, func(a, b *Job) int { return compareJobs(now, a, b) })
+	slices.SortFunc(s.queue, func(a, b *Job) int { return s.compare(now, a, b) })
 	var out []QueueResult
 	blocked := map[modelKey]int{}
 	remaining := s.queue[:0]
 	for _, j := range s.queue {
 		p, d := s.tryPlace(now, j, blocked)
 		if d == nil {
+			s.noteLate(now, j)
 			remaining = append(remaining, j)
 			continue
 		}
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -276,9 +277,20 @@
 	return d.sched.Pauses(d.now())
 }
 
-// localLoads returns this instance's load at each upstream, to be sent to peers.
+// localLoads returns this instance's load at each upstream and the requests that wait in its
+// queue, to be sent to peers.
 func (d *dispatcher) localLoads() map[string]assign.Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.sched.OwnLoads()
+	loads := d.sched.OwnLoads()
+	maps.Copy(loads, d.sched.QueueLoads(d.now()))
+	return loads
+}
+
+// orderStates returns the orders of services that are not ordered by priority alone, and the
+// number of queued requests.
+func (d *dispatcher) orderStates() ([]assign.OrderState, int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sched.OrderStates(d.now()), d.sched.QueueLength()
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -71,7 +71,7 @@
 		{"registration", taskCtx, g.registerInstance}, {"idle connections", taskCtx, g.sweepIdleConns},
 		{"members", taskCtx, g.updateMembers}, {"lag report", taskCtx, g.reportLag}, {"news", taskCtx, g.announceNews},
 		{"stream versions", taskCtx, g.streamVersions.tell}, {"links", taskCtx, g.watchLinks},
-		{"stored versions", taskCtx, g.streamVersions.keepVersions},
+		{"stored versions", taskCtx, g.streamVersions.keepVersions}, {"order of queues", taskCtx, g.reportOrder},
 		{"settings", taskCtx, func(ctx context.Context) error { return g.watchSettings(ctx, file, hup) }},
 	} {
 		tasks.Go(func() error {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -6,7 +6,6 @@
 	"fmt"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
-	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
 	"github.com/eelgrassbay/eelgrassbay/internal/httpconn"
 )
 
@@ -34,7 +33,7 @@
 		return a
 	}
 	x.job.TriedUpstreams = append(x.job.TriedUpstreams, u.ID)
-	r := x.upstreamRequest(u)
+	r := x.upstreamRequest(a)
 	r.MaySend = func() error { return x.mayStillSend(a) }
 	x.send(a, r)
 	return a
@@ -64,13 +63,14 @@
 	return x.org.Name
 }
 
-// upstreamRequest returns the request to send to an upstream.
-func (x *exchange) upstreamRequest(u *fleet.Upstream) *httpconn.Request {
+// upstreamRequest returns the request of an attempt to send to its upstream.
+func (x *exchange) upstreamRequest(a *attempt) *httpconn.Request {
+	u := a.Decision.Upstream
 	return &httpconn.Request{
 		Address: u.Address, Method: x.r.Method, RequestURI: x.r.RequestURI, Host: x.r.Host, Body: x.body,
 		Header: x.g.codec.ForwardedRequestHeader(x.r.Header, Forward{
 			Organisation: x.organisation(), UpstreamID: u.ID, Remaining: x.job.Deadline - x.g.now(),
-			Urgency: x.job.UrgencyAt(x.g.now()), LastEventID: x.rec.stream.lastID(),
+			Urgency: a.Placement.Urgency(), LastEventID: x.rec.stream.lastID(),
 		}),
 	}
 }
