--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -75,6 +75,7 @@
 		{"stored versions", taskCtx, g.streamVersions.keepVersions}, {"stored streams", taskCtx, g.streamVersions.storeStreams},
 		{"evacuations", taskCtx, g.evacuations.announce},
 		{"cold upstreams", taskCtx, g.reportCold},
+		{"order of queues", taskCtx, g.reportOrder},
 		{"settings", taskCtx, func(ctx context.Context) error { return g.watchSettings(ctx, file, hup) }},
 	} {
 		tasks.Go(func() error {
