assign: count the memory of engines when requests are placed

Cause: an engine of 66,372 tokens has 16 slots, and requests ask for 2,368 to 8,000 tokens. By slots alone an engine accepts more than it can hold and preempts streams.

The sum travels in UpstreamLoad.reserved_tokens. A request fits if memory remains; while load reports are stale a reserve stays free, engines are drawn by what remains, and waiting jobs claim memory at a rate. An engine without requests takes any request that it can hold.

--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -33,11 +33,16 @@
 	expected time.Duration // expected time to the first token
 	score    time.Duration // lower is better
 	fits     bool          // the job may be placed here now
+	// uncached is the number of prompt tokens that the engine does not hold, reservation the
+	// memory that the job reserves there, in tokens.
+	uncached, reservation int
+	reserve               int // memory to be left there for what peers may have placed
 }
 
 // estimateLatency returns the expected time to the first token, or to the
-// response of a plain service, if the job were sent now.
-func (s *Scheduler) estimateLatency(now time.Duration, u *upstream, j *Job) time.Duration {
+// response of a plain service, if the job were sent now. uncached is the number of prompt
+// tokens that the upstream does not hold.
+func (s *Scheduler) estimateLatency(now time.Duration, u *upstream, j *Job, uncached int) time.Duration {
 	if u.engine == nil {
 		excess := u.requests() + 1 - u.slots()
 		serviceTime := u.latency.serviceTime()
@@ -46,7 +51,7 @@
 		}
 		return serviceTime + serviceTime*time.Duration(excess)/time.Duration(u.slots())
 	}
-	tokens := max(j.PromptTokens-u.cache.cachedTokens(j.modelHash, j.PromptParts), 1)
+	tokens := uncached
 	for urgency := 0; urgency <= j.UrgencyAt(now); urgency++ {
 		tokens += u.ownLoad.PendingTokens[urgency] + u.peerLoad.PendingTokens[urgency]
 	}
@@ -61,13 +66,17 @@
 // slotReleaseInterval is the time that a full batch takes to free a slot.
 const slotReleaseInterval = 40 * time.Millisecond
 
-// fits reports whether the job may be placed now at an upstream with this
-// estimate.
-func (s *Scheduler) fits(now time.Duration, u *upstream, j *Job, expected time.Duration) bool {
+// fits reports whether the job may be placed now at a candidate with this
+// estimate and reservation.
+func (s *Scheduler) fits(now time.Duration, j *Job, c candidate) bool {
+	u := c.upstream
 	if u.engine == nil {
 		return u.requests() < plainSlotsFactor*u.slots()
 	}
-	return u.requests() < u.slots() && s.meetsObjective(now, j, expected)
+	if u.requests() >= u.slots() || !u.hasMemory(c.reservation, c.reserve) {
+		return false
+	}
+	return s.meetsObjective(now, j, c.expected) || s.fitsEmpty(now, u, j, c.expected)
 }
 
 // meetsObjective reports whether the estimate is within
@@ -89,6 +98,9 @@
 	lowestRate := s.lowestFailureRate(j.Service)
 	s.candidates = s.candidates[:0]
 	var totals slotTotals
+	if s.exceedsMemory(j) {
+		return best, 0
+	}
 	for _, u := range s.services[j.Service] {
 		if !u.isEligible(now, j, j.TriedUpstreams, lowestRate) {
 			continue
@@ -111,7 +123,7 @@
 			best = c
 		}
 	}
-	if best.upstream == nil || best.score == 0 || s.opts.DisableSpread || !s.peersStale(now, j) {
+	if best.upstream == nil || best.score == 0 || s.opts.DisableSpread || !s.peersStale(now, j) && !s.memoryStale(now, j, best.upstream, totals) {
 		return best, eligible
 	}
 	return s.chooseStale(now, j, best, totals), eligible
@@ -121,9 +133,15 @@
 // estimate and score. lowestRate is the lowest failure rate among the upstreams
 // of the service.
 func (s *Scheduler) newCandidate(now time.Duration, u *upstream, j *Job, lowestRate float64) candidate {
-	c := candidate{upstream: u, expected: s.estimateLatency(now, u, j)}
-	c.fits = s.fits(now, u, j, c.expected)
-	c.score = c.expected + time.Duration(float64(fullBatchPenalty)*float64(u.requests())/float64(u.slots()))
+	c := candidate{upstream: u}
+	if u.engine != nil {
+		c.uncached = max(j.PromptTokens-u.cache.cachedTokens(j.modelHash, j.PromptParts), 1)
+		c.reservation = s.reservation(u, j, c.uncached)
+		c.reserve = s.staleReserve(now, u, j, c.reservation)
+	}
+	c.expected = s.estimateLatency(now, u, j, c.uncached)
+	c.fits = s.fits(now, j, c)
+	c.score = c.expected + time.Duration(float64(fullBatchPenalty)*u.fullness())
 	if u.entry.Zone != s.opts.Zone {
 		c.score += crossZonePenalty
 	}
--- a/internal/assign/job.go
+++ b/internal/assign/job.go
@@ -21,7 +21,8 @@
 	Retryable bool
 
 	PromptTokens int
-	OutputTokens int
+	OutputTokens int // stated maximum
+	LengthHint   int // expected output tokens by the caller, 0 if not stated
 	PromptParts  []fleet.PromptSegment
 
 	Urgency int
--- a/internal/assign/refuse.go
+++ b/internal/assign/refuse.go
@@ -33,6 +33,9 @@
 // refuseUnavailable returns a refusal and true if no upstream is eligible for
 // the job and none is expected to be before its caller gives up.
 func (s *Scheduler) refuseUnavailable(now time.Duration, j *Job, eligible int) (fleet.Refusal, bool) {
+	if s.exceedsMemory(j) {
+		return memoryRefusal(), true
+	}
 	if eligible > 0 {
 		return fleet.Refusal{}, false
 	}
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -34,9 +34,11 @@
 	placementRates map[string]*placementRate
 	limits         *upstreamlimit.Limiter
 	rooms          *upstreamlimit.Rooms
-	readyTimes     map[modelKey]time.Duration // when a model is expected to be ready
-	lastSequence   uint64                     // of the last job queued
-	queueEnd       time.Duration              // no job stays queued beyond this time, 0 for no limit
+	outputs        map[modelKey]*outputLengths // by service and model
+	runTimes       map[modelKey]*runTimes      // by service and model
+	readyTimes     map[modelKey]time.Duration  // when a model is expected to be ready
+	lastSequence   uint64                      // of the last job queued
+	queueEnd       time.Duration               // no job stays queued beyond this time, 0 for no limit
 }
 
 // LimitQueueTime sets the time after which no job stays queued, because the
@@ -66,7 +68,7 @@
 	return &Scheduler{
 		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 0)), byID: map[string]*upstream{},
 		services: map[string][]*upstream{}, peers: map[string]PeerLoads{}, placementRates: map[string]*placementRate{},
-		limits: limits, rooms: upstreamlimit.NewRooms(limits), readyTimes: map[modelKey]time.Duration{},
+		limits: limits, rooms: upstreamlimit.NewRooms(limits), outputs: map[modelKey]*outputLengths{}, runTimes: map[modelKey]*runTimes{}, readyTimes: map[modelKey]time.Duration{},
 	}
 }
 
@@ -170,6 +172,9 @@
 	for _, p := range s.peers {
 		for id, l := range p.Loads {
 			if u := s.byID[id]; u != nil {
+				if u.engine != nil && u.engine.KVTokens > 0 {
+					l.ReservedTokens = min(l.ReservedTokens, l.Requests()*u.engine.KVTokens) // a request is no larger than its engine
+				}
 				u.peerLoad.Add(&l)
 			}
 		}
@@ -234,6 +239,7 @@
 	upstream *upstream
 	urgency  int
 	tokens   int  // prompt tokens counted as pending
+	reserved int  // tokens of memory counted until Release
 	started  bool // the first token was produced
 	limited  bool // taken from the upstream's limit
 	sentAt   time.Duration
@@ -246,9 +252,10 @@
 	p := &Placement{job: j, upstream: c.upstream, urgency: j.UrgencyAt(now), sentAt: now, expected: c.expected}
 	p.limited = s.takeLimit(now, c.upstream)
 	if c.upstream.engine != nil {
-		p.tokens = max(j.PromptTokens-c.upstream.cache.cachedTokens(j.modelHash, j.PromptParts), 1)
+		p.tokens, p.reserved = c.uncached, c.reservation
 		c.upstream.cache.record(j.modelHash, j.PromptParts)
 	}
+	c.upstream.ownLoad.ReservedTokens += p.reserved
 	c.upstream.ownLoad.Pending[p.urgency]++
 	c.upstream.ownLoad.PendingTokens[p.urgency] += p.tokens
 	if c.upstream.health.suspect(s.lowestFailureRate(j.Service)) {
@@ -290,6 +297,7 @@
 // Release ends a placement: it subtracts the job from the upstream's load and
 // records the result.
 func (s *Scheduler) Release(now time.Duration, p *Placement, result Result) {
+	p.upstream.ownLoad.ReservedTokens -= p.reserved
 	if p.started {
 		p.upstream.ownLoad.Running--
 	} else {
@@ -300,6 +308,8 @@
 		p.upstream.health.recordSuccess()
 		if p.upstream.engine == nil {
 			p.upstream.latency.observeServiceTime(now - p.sentAt)
+		} else {
+			s.recordRunTime(now, p)
 		}
 	case ResultFailed:
 		p.upstream.health.recordFailure(now)
--- a/internal/assign/spread.go
+++ b/internal/assign/spread.go
@@ -81,9 +81,12 @@
 	if nearlyFull {
 		for i := range s.candidates {
 			c := &s.candidates[i]
-			c.fits = c.upstream.requests() < c.upstream.slots()+c.upstream.slots()/staleOvercommitDivisor && s.meetsObjective(now, j, c.expected)
+			c.fits = c.upstream.requests() < c.upstream.slots()+c.upstream.slots()/staleOvercommitDivisor && c.upstream.hasMemory(c.reservation, c.reserve) && s.meetsObjective(now, j, c.expected)
 		}
 	}
+	if best.upstream.hasLimitedMemory() {
+		return s.chooseByMemory(now, j, best, totals)
+	}
 	return s.chooseWeighted(best)
 }
 
--- a/internal/assign/upstream.go
+++ b/internal/assign/upstream.go
@@ -18,6 +18,8 @@
 	// PendingTokens is the number of prompt tokens of the pending requests
 	// that the upstream does not have in its cache, by urgency level.
 	PendingTokens [UrgencyLevels]int
+	// ReservedTokens is the memory that the requests take when they are complete, in tokens.
+	ReservedTokens int
 }
 
 // Requests returns the number of requests.
@@ -35,6 +37,7 @@
 // Add adds o to l.
 func (l *Load) Add(o *Load) {
 	l.Running += o.Running
+	l.ReservedTokens += o.ReservedTokens
 	for i := range l.Pending {
 		l.Pending[i] += o.Pending[i]
 		l.PendingTokens[i] += o.PendingTokens[i]
@@ -59,6 +62,8 @@
 	// fullUntil is the time until which the upstream counts as full, because
 	// it refused a request although this instance's view showed free slots.
 	fullUntil time.Duration
+	// claimedAt is the time of the last claim of the engine's memory.
+	claimedAt time.Duration
 	// pausedUntil is the time until which the upstream wants no request from this
 	// instance.
 	pausedUntil time.Duration
--- a/internal/fleet/answer.go
+++ b/internal/fleet/answer.go
@@ -51,6 +51,8 @@
 	ReasonVersionUnknown
 	// ReasonVersionGone: no upstream has the software version at which the stream began.
 	ReasonVersionGone
+	// ReasonExceedsMemory: the request needs more memory than an engine has.
+	ReasonExceedsMemory
 	ReasonOverloaded
 	// ReasonOutcomeUnknown: the request may have run.
 	ReasonOutcomeUnknown
@@ -63,6 +65,6 @@
 
 // String returns the name of the reason for logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"none", "not_ready", "limit", "no_upstream", "model_absent", "quarantined", "version_unknown", "version_gone", "overloaded", "outcome_unknown",
+	return [...]string{"none", "not_ready", "limit", "no_upstream", "model_absent", "quarantined", "version_unknown", "version_gone", "exceeds_memory", "overloaded", "outcome_unknown",
 		"timeout", "no_route", "bad_key", "bad_request", "too_large"}[r]
 }
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -18,6 +18,7 @@
 	Adapter      string
 	PromptTokens int
 	OutputTokens int  // maximum number of output tokens
+	LengthHint   int  // expected number of output tokens, 0 if not stated
 	HasTokens    bool // the headers state PromptTokens and OutputTokens
 	Parts        []PromptSegment
 	LastEventID  string // ID of the event after which the caller resumes a stream
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -131,6 +131,13 @@
 	d.update(func(now time.Duration, s *assign.Scheduler) { s.Release(now, p, r) })
 }
 
+// recordOutput records that the response to a placement was complete after so many events.
+func (d *dispatcher) recordOutput(p *assign.Placement, events int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sched.RecordOutput(p, events)
+}
+
 // requestsByUpstream returns the number of requests at each upstream, summed
 // over all instances.
 func (d *dispatcher) requestsByUpstream() map[string]int {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -202,7 +202,7 @@
 		ID: x.req.AttemptID, Service: x.service, Model: x.req.Model, Adapter: x.req.Adapter,
 		Retryable:    x.route.Repeatable() && x.route.MaxAttempts > 1,
 		NeedsEngine:  svc != nil && svc.Engine != nil,
-		PromptTokens: x.req.PromptTokens, OutputTokens: x.req.OutputTokens, PromptParts: x.req.Parts,
+		PromptTokens: x.req.PromptTokens, OutputTokens: x.req.OutputTokens, LengthHint: x.req.LengthHint, PromptParts: x.req.Parts,
 		Urgency: x.urgency(objective), Arrived: x.arrived, Objective: x.arrived + objective,
 		FirstEventDeadline: x.arrived + patience, Deadline: x.arrived + timeout,
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,6 +47,9 @@
 	var disconnected *callerDisconnectedError
 	switch {
 	case err == nil:
+		if len(x.rec.attempts) == 0 && x.req.LastEventID == "" { // otherwise the events are those of a part
+			x.g.dispatcher.recordOutput(a.Placement, x.rec.stream.events)
+		}
 		x.release(a, assign.ResultOK)
 		x.recordSound(a)
 		x.rec.status = http.StatusOK
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -315,7 +316,7 @@
 }
 
 func loadToWire(id string, l *assign.Load) *meshpb.UpstreamLoad {
-	out := &meshpb.UpstreamLoad{Upstream: id, Running: uint32(l.Running)}
+	out := &meshpb.UpstreamLoad{Upstream: id, Running: uint32(l.Running), ReservedTokens: uint32(min(max(l.ReservedTokens, 0), math.MaxUint32))}
 	for urgency, n := range l.Pending {
 		if n > 0 {
 			out.Pending = append(out.Pending, &meshpb.PendingLoad{
@@ -327,7 +328,7 @@
 }
 
 func loadFromWire(in *meshpb.UpstreamLoad) assign.Load {
-	l := assign.Load{Running: int(in.Running)}
+	l := assign.Load{Running: int(in.Running), ReservedTokens: int(in.ReservedTokens)}
 	for _, p := range in.Pending {
 		if p.Urgency < assign.UrgencyLevels {
 			l.Pending[p.Urgency] += int(p.Requests)
--- a/internal/logstory/logstory.go
+++ b/internal/logstory/logstory.go
@@ -181,6 +181,8 @@
 		return fmt.Sprintf("its caller resumes the stream of request %s, and no instance that was asked knew at which of the versions of service %s it began: those that keep its record ended or were cut off; see the lines of that request, and which instances ended", r.Resumes, r.Service)
 	case "version_gone":
 		return fmt.Sprintf("its caller resumes the stream of request %s, which began at version %s of service %s, as %s knew: no upstream of that version was listed and usable", r.Resumes, r.Version, r.Service, r.VersionFrom)
+	case "exceeds_memory":
+		return fmt.Sprintf("its prompt and expected output need more memory than any engine of service %s has: compare the lengths that its caller states with kv_tokens of the configuration", r.Service)
 	case "overloaded":
 		if r.Attempts != "" {
 			return fmt.Sprintf("no upstream ran it: %s", r.Attempts)
