--- a/internal/assign/available.go
+++ b/internal/assign/available.go
@@ -123,10 +123,10 @@
 // for a pause, or its zone was evacuated.
 func (s *Scheduler) MaySend(now time.Duration, p *Placement) bool {
 	u := p.upstream
-	if !s.IsUsable(p) || now-p.sentAt > maxSendDelay || !s.permits(u, p.job) {
+	if !s.IsUsable(p) || now-p.sentAt > maxSendDelay || !s.allows(u, p.job) {
 		return false
 	}
-	if now < u.pausedUntil || !p.reserved && s.limits.ColdAvailableAt(now, u.limitKey()) > now {
+	if now < u.pausedUntil || !p.coldReserved && s.limits.ColdAvailableAt(now, u.limitKey()) > now {
 		return false
 	}
 	if !p.limited {
@@ -135,7 +135,7 @@
 		}
 		p.limited = s.takeLimit(now, u)
 	}
-	p.reserved = p.reserved || s.limits.ReserveCold(now, u.limitKey())
+	p.coldReserved = p.coldReserved || s.limits.ReserveCold(now, u.limitKey())
 	return true
 }
 
@@ -145,17 +145,17 @@
 	if !s.MaySend(now, p) {
 		return false
 	}
-	if !p.reserved {
+	if !p.coldReserved {
 		return true
 	}
-	p.reserved = false
+	p.coldReserved = false
 	return s.limits.SendCold(now, p.upstream.limitKey())
 }
 
 // releaseCold gives up the reservation of a request that is not sent.
 func (s *Scheduler) releaseCold(p *Placement) {
-	if p.reserved {
-		p.reserved = false
+	if p.coldReserved {
+		p.coldReserved = false
 		s.limits.ReleaseCold(p.upstream.limitKey())
 	}
 }
@@ -201,7 +201,7 @@
 func (s *Scheduler) heldOff(now time.Duration, j *Job) (at time.Duration, heldOff bool) {
 	at = upstreamlimit.Never
 	for _, u := range s.services[j.Service] {
-		if !s.permits(u, j) || !u.takes(now, j) || slices.Contains(j.TriedUpstreams, u.entry.ID) {
+		if !s.allows(u, j) || !u.takes(now, j) || slices.Contains(j.TriedUpstreams, u.entry.ID) {
 			continue
 		}
 		available := s.availableAt(now, u)
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -39,12 +39,14 @@
 	placementRates map[string]*placementRate
 	limits         *upstreamlimit.Limiter
 	rooms          *upstreamlimit.Rooms
-	readyTimes     map[modelKey]time.Duration // when a model is expected to be ready
-	lastSequence   uint64                     // of the last job queued
-	peerWaiting    map[string]Load            // jobs that wait at peers, by reported name
-	kindOrders     map[string]*kindOrder      // by service; those that are not ordered by priority alone
-	queueEnd       time.Duration              // no job stays queued beyond this time, 0 for no limit
-	evacuated      map[string]bool            // zones whose upstreams get no request
+	outputs        map[modelKey]*outputLengths // by service and model
+	runTimes       map[modelKey]*runTimes      // by service and model
+	readyTimes     map[modelKey]time.Duration  // when a model is expected to be ready
+	peerWaiting    map[string]Load             // jobs that wait at peers, by reported name
+	kindOrders     map[string]*kindOrder       // by service; those that are not ordered by priority alone
+	evacuated      map[string]bool             // zones whose upstreams get no request
+	lastSequence   uint64                      // of the last job queued
+	queueEnd       time.Duration               // no job stays queued beyond this time, 0 for no limit
 }
 
 // LimitQueueTime sets the time after which no job stays queued, because the
@@ -78,7 +80,7 @@
 	return &Scheduler{
 		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 0)), byID: map[string]*upstream{},
 		services: map[string][]*upstream{}, peers: map[string]PeerLoads{}, placementRates: map[string]*placementRate{},
-		limits: limits, rooms: upstreamlimit.NewRooms(limits), readyTimes: map[modelKey]time.Duration{},
+		limits: limits, rooms: upstreamlimit.NewRooms(limits), outputs: map[modelKey]*outputLengths{}, runTimes: map[modelKey]*runTimes{}, readyTimes: map[modelKey]time.Duration{},
 	}
 }
 
@@ -184,6 +186,9 @@
 	for _, p := range s.peers {
 		for id, l := range p.Loads {
 			if u := s.byID[id]; u != nil {
+				if u.engine != nil && u.engine.KVTokens > 0 {
+					l.ReservedTokens = min(l.ReservedTokens, l.Requests()*u.engine.KVTokens) // a request is no larger than its engine
+				}
 				u.peerLoad.Add(&l)
 			}
 		}
@@ -239,22 +244,23 @@
 func (s *Scheduler) HasEligible(now time.Duration, j *Job) bool {
 	lowestRate := s.lowestFailureRate(j.Service)
 	return slices.ContainsFunc(s.services[j.Service], func(u *upstream) bool {
-		return s.permits(u, j) && u.isEligible(now, j, j.TriedUpstreams, lowestRate) && s.availableAt(now, u) <= now
+		return s.allows(u, j) && u.isEligible(now, j, j.TriedUpstreams, lowestRate) && s.availableAt(now, u) <= now
 	})
 }
 
 // Placement is a job's assignment to an upstream, from when it is sent until
 // Release. It is not safe for concurrent use.
 type Placement struct {
-	job      *Job
-	upstream *upstream
-	urgency  int
-	tokens   int  // prompt tokens counted as pending
-	started  bool // the first token was produced
-	limited  bool // taken from the upstream's limit
-	reserved bool // from what the cold upstream takes, and not sent
-	sentAt   time.Duration
-	expected time.Duration
+	job          *Job
+	upstream     *upstream
+	urgency      int
+	tokens       int  // prompt tokens counted as pending
+	reserved     int  // tokens of memory counted until Release
+	started      bool // the first token was produced
+	limited      bool // taken from the upstream's limit
+	coldReserved bool // from what the cold upstream takes, and not sent
+	sentAt       time.Duration
+	expected     time.Duration
 }
 
 // place assigns the job to the candidate's upstream, which is available, and adds it to
@@ -262,11 +268,12 @@
 func (s *Scheduler) place(now time.Duration, j *Job, c candidate) *Placement {
 	p := &Placement{job: j, upstream: c.upstream, urgency: s.urgencyAt(now, j), sentAt: now, expected: c.expected}
 	p.limited = s.takeLimit(now, c.upstream)
-	p.reserved = s.limits.ReserveCold(now, c.upstream.limitKey())
+	p.coldReserved = s.limits.ReserveCold(now, c.upstream.limitKey())
 	if c.upstream.engine != nil {
-		p.tokens = max(j.PromptTokens-c.upstream.cache.cachedTokens(j.modelHash, j.PromptParts), 1)
+		p.tokens, p.reserved = c.uncached, c.reservation
 		c.upstream.cache.record(j.modelHash, j.PromptParts)
 	}
+	c.upstream.ownLoad.ReservedTokens += p.reserved
 	c.upstream.ownLoad.Pending[p.urgency]++
 	c.upstream.ownLoad.PendingTokens[p.urgency] += p.tokens
 	if c.upstream.health.suspect(s.lowestFailureRate(j.Service)) {
@@ -308,7 +315,7 @@
 // Release ends a placement: it subtracts the job from the upstream's load and
 // records the result.
 func (s *Scheduler) Release(now time.Duration, p *Placement, result Result) {
-	s.releaseCold(p)
+	p.upstream.ownLoad.ReservedTokens -= p.reserved
 	if p.started {
 		p.upstream.ownLoad.Running--
 	} else {
@@ -319,6 +326,8 @@
 		p.upstream.health.recordSuccess()
 		if p.upstream.engine == nil {
 			p.upstream.latency.observeServiceTime(now - p.sentAt)
+		} else {
+			s.recordRunTime(now, p)
 		}
 	case ResultFailed:
 		p.upstream.health.recordFailure(now)
--- a/internal/assign/zones.go
+++ b/internal/assign/zones.go
@@ -11,9 +11,9 @@
 // SetEvacuated replaces the zones whose upstreams get no request.
 func (s *Scheduler) SetEvacuated(zones map[string]bool) { s.evacuated = zones }
 
-// permits reports whether the job may be sent to the upstream's zone at all: it is not
+// allows reports whether the job may be sent to the upstream's zone at all: it is not
 // evacuated, and its region is one of those of the job.
-func (s *Scheduler) permits(u *upstream, j *Job) bool {
+func (s *Scheduler) allows(u *upstream, j *Job) bool {
 	return !s.evacuated[u.entry.Zone] && inRegions(s.opts.Regions, u.entry.Zone, j.Regions)
 }
 
@@ -47,7 +47,7 @@
 		if !u.hasVersion(j) {
 			continue
 		}
-		if s.permits(u, j) {
+		if s.allows(u, j) {
 			return false, false
 		}
 		barred = true
--- a/internal/fleet/answer.go
+++ b/internal/fleet/answer.go
@@ -55,6 +55,8 @@
 	ReasonEvacuated
 	// ReasonRegion: no upstream is in a region to which the request may be sent.
 	ReasonRegion
+	// ReasonExceedsMemory: the request needs more memory than an engine has.
+	ReasonExceedsMemory
 	ReasonOverloaded
 	// ReasonOutcomeUnknown: the request may have run.
 	ReasonOutcomeUnknown
@@ -67,6 +69,6 @@
 
 // String returns the name of the reason for logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"none", "not_ready", "limit", "no_upstream", "model_absent", "quarantined", "version_unknown", "version_gone", "evacuated", "region", "overloaded", "outcome_unknown",
+	return [...]string{"none", "not_ready", "limit", "no_upstream", "model_absent", "quarantined", "version_unknown", "version_gone", "evacuated", "region", "exceeds_memory", "overloaded", "outcome_unknown",
 		"timeout", "no_route", "bad_key", "bad_request", "too_large"}[r]
 }
--- a/internal/logstory/logstory.go
+++ b/internal/logstory/logstory.go
@@ -185,6 +185,8 @@
 		return fmt.Sprintf("all upstreams of service %s that it could be sent to are in evacuated zones; see the lines \"evacuation in force\"", r.Service)
 	case "region":
 		return fmt.Sprintf("no upstream of service %s is in the allowed regions of its route and organisation; see allowed_regions of both, and zones in the settings", r.Service)
+	case "exceeds_memory":
+		return fmt.Sprintf("its prompt and expected output need more memory than any engine of service %s has: compare the lengths that its caller states with kv_tokens of the configuration", r.Service)
 	case "overloaded":
 		if r.Attempts != "" {
 			return fmt.Sprintf("no upstream ran it: %s", r.Attempts)
