assign: the end of a placement gives its cold reservation back

Cause: the line was lost in the merge of memory and cold upstreams; TestColdCountsWhatIsSent failed. Change: Release calls releaseCold.

--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -315,6 +315,7 @@
 // Release ends a placement: it subtracts the job from the upstream's load and
 // records the result.
 func (s *Scheduler) Release(now time.Duration, p *Placement, result Result) {
+	s.releaseCold(p)
 	p.upstream.ownLoad.ReservedTokens -= p.reserved
 	if p.started {
 		p.upstream.ownLoad.Running--
