--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -71,11 +71,7 @@
 // decision if the job is placed, only a decision if it is refused, and neither
 // if it is queued.
 func (s *Scheduler) Submit(now time.Duration, j *Job) (*Placement, *Decision) {
-	j.modelHash = modelHash(j.Model, j.Adapter)
-	j.Urgency = min(max(j.Urgency, 0), UrgencyLevels-1)
-	if s.queueEnd != 0 && !j.InProgress {
-		j.FirstEventDeadline = min(j.FirstEventDeadline, s.queueEnd)
-	}
+	s.prepare(j)
 	placement, decision := s.PlaceNow(now, j)
 	if placement != nil {
 		return placement, decision
@@ -91,6 +87,15 @@
 	return nil, nil
 }
 
+// prepare sets what is derived from a job's other fields and from the end of the queue.
+func (s *Scheduler) prepare(j *Job) {
+	j.modelHash = modelHash(j.Model, j.Adapter)
+	j.Urgency = min(max(j.Urgency, 0), UrgencyLevels-1)
+	if s.queueEnd != 0 && !j.InProgress {
+		j.FirstEventDeadline = min(j.FirstEventDeadline, s.queueEnd)
+	}
+}
+
 // PlaceNow places a job if an upstream that it has not tried can take it at once. It
 // never queues the job; it returns no placement if there is no such upstream or other
 // jobs go first. The job needs what Submit derives from it, as a job that was placed
