--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -207,7 +207,7 @@
 	f.mu.Lock()
 	f.nodes[s.PeerListen] = n
 	f.mu.Unlock()
-	for _, run := range []func(context.Context) error{n.g.catalog.Run, n.g.mesh.Run, n.g.registerInstance, n.g.updateMembers, n.g.announceNews, n.g.streamVersions.tell, n.g.streamVersions.keepVersions, n.g.streamVersions.storeStreams, n.g.dispatcher.run, n.g.evacuations.announce} {
+	for _, run := range []func(context.Context) error{n.g.catalog.Run, n.g.mesh.Run, n.g.registerInstance, n.g.updateMembers, n.g.announceNews, n.g.streamVersions.tell, n.g.streamVersions.keepVersions, n.g.streamVersions.storeStreams, n.g.dispatcher.run, n.g.permits.run, n.g.evacuations.announce} {
 		n.ended.Go(func() { _ = run(ctx) })
 	}
 	return n
@@ -320,6 +320,10 @@
 		return &meshpb.StreamQuery{}
 	case "Announce":
 		return &meshpb.News{}
+	case "AcquirePermit":
+		return &meshpb.PermitRequest{}
+	case "ReleasePermits":
+		return &meshpb.PermitRelease{}
 	case "Changes":
 		return &meshpb.BoardVersion{}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,7 @@
 	streamVersions  *streamVersions
 	links           *links
 	evacuations     *evacuations
+	permits         *permits
 	answerMemory    *answerMemory
 	metrics         *metrics.Metrics
 	successLogLimit *logRateLimiter
@@ -113,6 +114,7 @@
 	srv.HandleHTTP(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { g.links.ServeHTTP(w, r) }))
 	g.peers = peer.NewClient(peer.ClientOptions{CallTimeout: peerCallTimeout})
 	g.initComponents()
+	g.permits.peers = peer.NewClient(peer.ClientOptions{CallTimeout: peerCallTimeout, ConnsPerPeer: permitConnsPerPeer})
 	g.initBackgroundTasks()
 	return g, g.registerServices()
 }
@@ -128,6 +130,8 @@
 	g.pool = httpconn.New(httpconn.Options{DialTimeout: dialTimeout, MaxIdlePerAddress: maxIdlePerUpstream, IsResponseTo: g.codec.MatchesRequest})
 	g.links = newLinks(g)
 	g.evacuations = newEvacuations(g)
+	g.permits = newPermits(g)
+	g.dispatcher.ended = g.permits.ended
 	g.crashes = g.newCrashWatch()
 	g.streamVersions = newStreamVersions(g)
 	g.limiter = &limiter{now: g.now, inner: sharedlimit.New(g.now(), g.expectedPeers(), s.Limits.Window.Std())}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -76,6 +76,7 @@
 		{"evacuations", taskCtx, g.evacuations.announce},
 		{"cold upstreams", taskCtx, g.reportCold},
 		{"order of queues", taskCtx, g.reportOrder},
+		{"permits", taskCtx, g.permits.run},
 		{"settings", taskCtx, func(ctx context.Context) error { return g.watchSettings(ctx, file, hup) }},
 	} {
 		tasks.Go(func() error {
@@ -283,8 +284,8 @@
 }
 
 // watchSettings reloads the settings file on SIGHUP and when it changes. It
-// applies changes of the peers, of the log settings and of the quarantine at once; all
-// others need a restart.
+// applies changes of the peers, of the log settings, of the quarantine and of permits at once;
+// all others need a restart.
 func (g *Gateway) watchSettings(ctx context.Context, file string, hup <-chan os.Signal) error {
 	last, _ := os.ReadFile(file) // if this fails, the next read reports the error
 	ticker := time.NewTicker(settingsPollInterval)
@@ -318,7 +319,7 @@
 		return
 	}
 	current := *g.settings.Load()
-	current.Peers, current.Log, current.Quarantine = next.Peers, next.Log, next.Quarantine
+	current.Peers, current.Log, current.Quarantine, current.Permits = next.Peers, next.Log, next.Quarantine, next.Permits
 	g.settings.Store(&current)
 	g.crashes.SetExempt(next.Quarantine.Keys())
 	g.log.Info("settings reloaded", "file", file, "peers", len(next.Peers))
