clientguard: one memory budget for what clients send

Change: bodybudget decides (pure): memory is reserved in blocks as bytes come, a quarter of it is kept for small clients, those that hold much for long without progress give way first, and a request being processed never does. clientguard carries it out: listener wrappers bound connections, bytes and fields of heads and the time for which an answer may be unread; bodies have a time limit and a least rate. Bodies stay in blocks up to the upstream's connection, so they are not copied.

Existing tests: two literals of httpconn.Request have their body in parts now.

--- a/internal/crashwatch/request.go
+++ b/internal/crashwatch/request.go
@@ -17,16 +17,16 @@
 	keys   []quarantine.Key
 	hashed bool // keys has that of the request itself
 	head   func() quarantine.Head
-	body   []byte
+	body   [][]byte // in parts
 }
 
 // NewRequest returns a request with the keys of its parts.
-func (w *Watch) NewRequest(parts []quarantine.Key, head func() quarantine.Head, body []byte) *Request {
+func (w *Watch) NewRequest(parts []quarantine.Key, head func() quarantine.Head, body ...[]byte) *Request {
 	return &Request{watch: w, keys: parts, head: head, body: body}
 }
 
 // Fingerprint returns the fingerprint of the request.
-func (r *Request) Fingerprint() uint64 { return quarantine.Fingerprint(r.head(), r.body) }
+func (r *Request) Fingerprint() uint64 { return quarantine.Fingerprint(r.head(), r.body...) }
 
 // suspectKeys returns the keys by which the request may be held back.
 func (r *Request) suspectKeys() []quarantine.Key {
--- a/internal/fleet/answer.go
+++ b/internal/fleet/answer.go
@@ -51,6 +51,10 @@
 	ReasonVersionUnknown
 	// ReasonVersionGone: no upstream has the software version at which the stream began.
 	ReasonVersionGone
+	// ReasonNoMemory: clients take all the memory that they may.
+	ReasonNoMemory
+	// ReasonSlowBody: the body came too slowly.
+	ReasonSlowBody
 	ReasonOverloaded
 	// ReasonOutcomeUnknown: the request may have run.
 	ReasonOutcomeUnknown
@@ -63,6 +67,6 @@
 
 // String returns the name of the reason for logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"none", "not_ready", "limit", "no_upstream", "model_absent", "quarantined", "version_unknown", "version_gone", "overloaded", "outcome_unknown",
+	return [...]string{"none", "not_ready", "limit", "no_upstream", "model_absent", "quarantined", "version_unknown", "version_gone", "no_memory", "slow_body", "overloaded", "outcome_unknown",
 		"timeout", "no_route", "bad_key", "bad_request", "too_large"}[r]
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -113,12 +113,13 @@
 
 // Config is one version of the configuration. It must not change after Index.
 type Config struct {
-	Version       int64  // version number set by the operators
-	Revision      uint64 // revision of the object in the store
-	Routes        []*Route
-	Services      map[string]*Service
-	Organisations map[string]*Organisation
-	MaxBodyBytes  int64
+	Version        int64  // version number set by the operators
+	Revision       uint64 // revision of the object in the store
+	Routes         []*Route
+	Services       map[string]*Service
+	Organisations  map[string]*Organisation
+	MaxBodyBytes   int64
+	MaxHeaderBytes int64 // of a request, without its first line; 0 for the default
 	// DecodedItems is the number of routes, services and organisations that were decoded
 	// for this version rather than taken over from the version before.
 	DecodedItems int `json:"-"`
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
+	"github.com/eelgrassbay/eelgrassbay/internal/clientguard"
 	"github.com/eelgrassbay/eelgrassbay/internal/crashwatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
 )
@@ -69,8 +69,9 @@
 	route   *fleet.Route
 	org     *fleet.Organisation // nil on public routes
 	service string
-	body    []byte
-	cost    float64 // charged to the organisation's limit
+	body    [][]byte             // in parts
+	held    *clientguard.Holding // memory of the body, nil before it is read
+	cost    float64              // charged to the organisation's limit
 	job     *assign.Job
 	suspect *crashwatch.Request
 
@@ -95,6 +96,7 @@
 	}
 	defer x.finish()
 	if refusal := x.identify(); refusal.Reason != fleet.ReasonNone {
+		clientguard.SkipBody(w, r)
 		x.refuse(refusal)
 		return
 	}
@@ -150,17 +152,14 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return fleet.Refusal{Reason: fleet.ReasonTooLarge}
-	case err != nil:
-		return fleet.Refusal{Reason: fleet.ReasonBadRequest}
+	x.held = x.g.clients.Hold(x.ctx)
+	body, err := x.held.ReadBody(x.w, x.r, limit)
+	if err != nil {
+		return bodyRefusal(err)
 	}
 	x.body = body
 	x.makeJob()
-	x.suspect = x.g.crashes.NewRequest(promptKeys(x.service, x.req.Parts), x.head, body)
+	x.suspect = x.g.crashes.NewRequest(promptKeys(x.service, x.req.Parts), x.head, body...)
 	if refusal, held := x.heldBack(); held {
 		return refusal
 	}
@@ -179,6 +178,22 @@
 	return fleet.Refusal{}
 }
 
+// memoryRetryAfter is the retry-after time of requests for which there is no memory.
+const memoryRetryAfter = 500 * time.Millisecond
+
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func bodyRefusal(err error) fleet.Refusal {
+	switch {
+	case errors.Is(err, clientguard.ErrTooLarge):
+		return fleet.Refusal{Reason: fleet.ReasonTooLarge}
+	case errors.Is(err, clientguard.ErrMemory):
+		return fleet.Refusal{Reason: fleet.ReasonNoMemory, RetryAfter: memoryRetryAfter}
+	case errors.Is(err, clientguard.ErrSlow):
+		return fleet.Refusal{Reason: fleet.ReasonSlowBody}
+	}
+	return fleet.Refusal{Reason: fleet.ReasonBadRequest}
+}
+
 // makeJob creates the scheduler's job, with the times by which an answer is due.
 func (x *exchange) makeJob() {
 	timeout := x.route.Timeout
@@ -240,6 +255,9 @@
 
 // finish refunds the cost of a request that did not run and records the request.
 func (x *exchange) finish() {
+	if x.held != nil {
+		x.held.Release()
+	}
 	if x.cost > 0 && !x.mayHaveRun {
 		x.g.limiter.refund(x.org.Name, x.cost)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
+	"github.com/eelgrassbay/eelgrassbay/internal/clientguard"
 	"github.com/eelgrassbay/eelgrassbay/internal/crashwatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/httpconn"
 	"github.com/eelgrassbay/eelgrassbay/internal/leader"
@@ -71,8 +72,10 @@
 	streamVersions  *streamVersions
 	links           *links
 	answerMemory    *answerMemory
+	clients         *clientguard.Guard
 	metrics         *metrics.Metrics
 	successLogLimit *logRateLimiter
+	callerLogLimit  *logRateLimiter // lines of requests refused for what callers sent
 
 	peers   peer.Caller
 	peerSrv *peer.Server
@@ -129,12 +132,14 @@
 	g.streamVersions = newStreamVersions(g)
 	g.limiter = &limiter{now: g.now, inner: sharedlimit.New(g.now(), g.expectedPeers(), s.Limits.Window.Std())}
 	g.answerMemory = newAnswerMemory(s.Memory.LimitMB)
+	g.clients = clientguard.New(clientguard.Options{MemoryMB: s.Memory.LimitMB, Now: g.now, Log: g.log, Metrics: g.metrics})
 	g.demandMeter = &demandMeter{now: g.now, meter: residency.NewMeter()}
 	g.peerWork = newWorkView(g.self)
 	g.residencyTable = &residencyTable{inner: residency.NewTable()}
 	g.retryBudget = newRetryBudget(s.Retry, g.budgetInstances, g.now)
 	g.adapterRequests = &adapterRequester{now: g.now, hasModel: g.dispatcher.hasModel, send: g.requestAdapter, sentAt: map[residency.ModelKey]time.Duration{}}
 	g.successLogLimit = &logRateLimiter{linesPerS: s.Log.RequestsPerS}
+	g.callerLogLimit = &logRateLimiter{linesPerS: s.Log.RequestsPerS}
 }
 
 // expectedPeers returns the number of other instances that the settings list.
--- a/internal/gateway/heldback.go
+++ b/internal/gateway/heldback.go
@@ -41,7 +41,16 @@
 	if x.org != nil {
 		organisation = x.org.Name
 	}
-	return quarantine.HeadOf(organisation, x.r.Method, x.r.Host, x.r.RequestURI, len(x.body))
+	return quarantine.HeadOf(organisation, x.r.Method, x.r.Host, x.r.RequestURI, bodyBytes(x.body))
+}
+
+// bodyBytes returns the length of a body in parts.
+func bodyBytes(parts [][]byte) int {
+	n := 0
+	for _, p := range parts {
+		n += len(p)
+	}
+	return n
 }
 
 // heldBack returns the refusal of the request if upstreams crash under such requests.
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -53,8 +53,19 @@
 	return "ok"
 }
 
+// causedByCaller reports whether the request was refused for what its caller sent. Callers
+// can send any number of such requests.
+func (r *requestRecord) causedByCaller() bool {
+	switch r.refusal.Reason {
+	case fleet.ReasonNoMemory, fleet.ReasonSlowBody, fleet.ReasonTooLarge, fleet.ReasonNoRoute, fleet.ReasonBadKey, fleet.ReasonBadRequest:
+		return true
+	}
+	return false
+}
+
 // write records the request in the metrics and writes its log line. It may omit
-// the line of a request that succeeded at the first attempt.
+// the line of a request that succeeded at the first attempt, or was refused for what its
+// caller sent.
 func (r *requestRecord) write(x *exchange) {
 	now := x.g.now()
 	total := now - x.arrived
@@ -77,6 +88,9 @@
 	if r.result() == "ok" && len(r.attempts) == 1 && !x.g.successLogLimit.allow(now) {
 		return
 	}
+	if r.causedByCaller() && !x.g.callerLogLimit.allow(now) {
+		return
+	}
 	x.g.log.LogAttrs(x.r.Context(), slog.LevelInfo, "request", r.attrs(x, organisation, route, total)...)
 }
 
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -176,7 +175,9 @@
 	if l.relaying.Add(1) > maxRelayed || !ok || l.relayed(key, false) {
 		return relay.ErrRefused
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelayBytes))
+	held := l.g.clients.Hold(r.Context())
+	defer held.Release()
+	body, err := held.ReadBody(w, r, maxRelayBytes)
 	if err != nil {
 		return relay.ErrRefused
 	}
--- a/internal/gateway/relaying_test.go
+++ b/internal/gateway/relaying_test.go
@@ -69,7 +69,7 @@
 // send sends a request through the relay.
 func (r *testRelay) send(ctx context.Context) (*httpconn.Response, error) {
 	resp, err := r.pool.Do(ctx, relay.Request(&httpconn.Request{
-		Method: "POST", RequestURI: "/a%2Fb?q", Host: "h", Header: http.Header{"X-One": {"1"}}, Body: []byte("body"),
+		Method: "POST", RequestURI: "/a%2Fb?q", Host: "h", Header: http.Header{"X-One": {"1"}}, Body: [][]byte{[]byte("body")},
 	}, relayedUpstream, r.address))
 	must.NoError(r.t, err)
 	return resp, relay.Result(resp)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
+	"github.com/eelgrassbay/eelgrassbay/internal/clientguard"
 	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
 	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
 	"github.com/eelgrassbay/eelgrassbay/internal/settings"
@@ -46,6 +47,14 @@
 	// request headers on the ready and metrics listeners.
 	callTimeout    = time.Second
 	maxHeaderBytes = 64 << 10
+	// defaultMaxHeaderBytes is the maximum size of the header of a request if the
+	// configuration sets none; requestLineBytes is that of the line before it.
+	defaultMaxHeaderBytes = 16 << 10
+	requestLineBytes      = 8 << 10
+	// The ready and metrics listeners take small requests on few connections.
+	controlHeaderBytes = 16 << 10
+	controlConnections = 64
+	controlIdleTimeout = 30 * time.Second
 )
 
 // Run serves until SIGTERM or SIGINT, shuts down gracefully and returns. file is
@@ -72,6 +81,7 @@
 		{"members", taskCtx, g.updateMembers}, {"lag report", taskCtx, g.reportLag}, {"news", taskCtx, g.announceNews},
 		{"stream versions", taskCtx, g.streamVersions.tell}, {"links", taskCtx, g.watchLinks},
 		{"stored versions", taskCtx, g.streamVersions.keepVersions},
+		{"clients", taskCtx, g.clients.Run},
 		{"settings", taskCtx, func(ctx context.Context) error { return g.watchSettings(ctx, file, hup) }},
 	} {
 		tasks.Go(func() error {
@@ -119,14 +129,15 @@
 		return nil, fmt.Errorf("gateway: opening the caller listener: %w", err)
 	}
 	out := &servers{callers: g.callerServer(lis)}
-	tasks.Go(func() error { return ignoreServerClosed(out.callers.Serve(lis)) })
+	guarded := g.clients.Listen(lis, clientguard.ListenerOptions{HeadBytes: g.headBytes})
+	tasks.Go(func() error { return ignoreServerClosed(out.callers.Serve(guarded)) })
 	mux := http.NewServeMux()
 	mux.HandleFunc(s.ReadyPath, g.serveReady)
-	if out.ready, err = serveHTTP(tasks, s.ReadyListen, mux); err != nil {
+	if out.ready, err = g.serveHTTP(tasks, s.ReadyListen, mux); err != nil {
 		return nil, err
 	}
 	if s.MetricsListen != "" {
-		if out.metrics, err = serveHTTP(tasks, s.MetricsListen, g.metrics.Handler()); err != nil {
+		if out.metrics, err = g.serveHTTP(tasks, s.MetricsListen, g.metrics.Handler()); err != nil {
 			return nil, err
 		}
 	}
@@ -144,16 +155,31 @@
 	srv.Server.IdleTimeout = s.Limits.IdleTimeout.Std()
 	srv.Server.MaxHeaderBytes = maxHeaderBytes
 	srv.Server.DisableGeneralOptionsHandler = true
+	clientguard.Serve(srv.Server)
 	return srv
 }
 
-func serveHTTP(tasks *errgroup.Group, address string, h http.Handler) (*http.Server, error) {
+// headBytes returns the greatest size of the head of a request in bytes.
+func (g *Gateway) headBytes() int {
+	if config := g.catalog.Config(); config != nil && config.MaxHeaderBytes > 0 {
+		return requestLineBytes + int(min(config.MaxHeaderBytes, maxHeaderBytes-requestLineBytes))
+	}
+	return requestLineBytes + defaultMaxHeaderBytes
+}
+
+// serveHTTP starts a server for short requests without bodies.
+func (g *Gateway) serveHTTP(tasks *errgroup.Group, address string, h http.Handler) (*http.Server, error) {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("gateway: opening an HTTP listener: %w", err)
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: callTimeout}
-	tasks.Go(func() error { return ignoreServerClosed(srv.Serve(lis)) })
+	srv := &http.Server{
+		Handler: clientguard.WithoutBody(h), ReadHeaderTimeout: callTimeout, IdleTimeout: controlIdleTimeout,
+		MaxHeaderBytes: controlHeaderBytes, DisableGeneralOptionsHandler: true,
+	}
+	clientguard.Serve(srv)
+	guarded := g.clients.Listen(lis, clientguard.ListenerOptions{MaxConnections: controlConnections, HeadBytes: func() int { return controlHeaderBytes }})
+	tasks.Go(func() error { return ignoreServerClosed(srv.Serve(guarded)) })
 	return srv, nil
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -84,7 +84,8 @@
 type LogSettings struct {
 	Level string `json:"level"`
 	// RequestsPerS limits the log lines of successful requests, in lines per
-	// second. Lines of failed requests are always written.
+	// second, and apart from them those of requests refused for what their callers sent.
+	// Lines of other failed requests are always written.
 	RequestsPerS float64 `json:"requests_per_s"`
 }
 
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -65,12 +65,21 @@
 	RequestURI string // path and query, unchanged from the caller's request
 	Host       string
 	Header     http.Header
-	Body       []byte
+	Body       [][]byte // in parts, which are not changed
 	// MaySend is asked when the connection is there, right before the request is written. If
 	// it fails, nothing is sent. It may be nil.
 	MaySend func() error
 }
 
+// bodyBytes returns the length of the body.
+func (r *Request) bodyBytes() int {
+	n := 0
+	for _, part := range r.Body {
+		n += len(part)
+	}
+	return n
+}
+
 // Response is the status, the header and the unread body of a response. The
 // caller must call Finish when it no longer reads Body.
 type Response struct {
@@ -259,14 +268,12 @@
 	if err := r.Header.Write(&b); err != nil {
 		return false, err
 	}
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	length := r.bodyBytes()
+	if length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	buffers := net.Buffers{[]byte(b.String())}
-	if len(r.Body) > 0 {
-		buffers = append(buffers, r.Body)
-	}
+	buffers := append(net.Buffers{[]byte(b.String())}, r.Body...)
 	n, err := buffers.WriteTo(c.Conn)
 	return n > 0 || err == nil, err
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -122,7 +122,7 @@
 // start sends the request. The channel receives the result of a background send;
 // it is nil if the request has been sent.
 func (c *conn) start(r *Request) (<-chan writeResult, error) {
-	if len(r.Body) <= maxInlineBodyBytes {
+	if r.bodyBytes() <= maxInlineBodyBytes {
 		sent, err := c.send(r)
 		if err != nil && !sent {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -70,7 +70,7 @@
 
 func (u *rawServer) do(id string) (int, string, error) {
 	resp, err := u.pool.Do(context.Background(), &Request{
-		Address: u.address, Method: "POST", RequestURI: "/x?q=%2f", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Address: u.address, Method: "POST", RequestURI: "/x?q=%2f", Host: "h.example", Header: http.Header{"Id": {id}}, Body: [][]byte{[]byte("body")},
 	})
 	if err != nil {
 		return 0, "", err
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -90,7 +90,7 @@
 		return calls.Serve(ctx, l)
 	}
 	split := newSplitListener(l)
-	httpServer := &http.Server{Handler: s.http, ReadHeaderTimeout: sniffTimeout, ErrorLog: log.New(io.Discard, "", 0)}
+	httpServer := &http.Server{Handler: s.http, ReadHeaderTimeout: sniffTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0)}
 	go func() { _ = httpServer.Serve(split.http) }() // ends with the listener
 	defer httpServer.Close()
 	go split.run()
@@ -106,6 +106,9 @@
 	return supervise.Recover(func() error { return h.Handler.HandleRPC(stream, rpc) })
 }
 
+// maxHeaderBytes bounds the header of a peer's request, which has that of a caller's in it.
+const maxHeaderBytes = 64 << 10
+
 const keepAlivePeriod = 5 * time.Second
 
 // countingListener counts the bytes of the connections that it accepts.
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -27,7 +27,10 @@
 func headOfID(fingerprint uint64) Head { return Head(fingerprint >> 32) }
 
 // Fingerprint identifies a request by its head and its body.
-func Fingerprint(head Head, body []byte) uint64 {
-	sum := sha256.Sum256(body)
-	return uint64(head)<<32 | uint64(binary.BigEndian.Uint32(sum[:]))
+func Fingerprint(head Head, body ...[]byte) uint64 {
+	hash := sha256.New()
+	for _, part := range body {
+		hash.Write(part)
+	}
+	return uint64(head)<<32 | uint64(binary.BigEndian.Uint32(hash.Sum(nil)))
 }
