entry: the memory budget for callers; gateway: bytes in flight to an upstream are bounded

Cause: eelgrass-entry read bodies with io.ReadAll, up to 4,096 at a time of 1 MB each and copied three times. Large bodies of all callers could meet at one upstream, which ends if they exceed its memory.

Change: eelgrass-entry has the same guard as the gateway: memory.limit_mb, bounds on connections, heads, body time and rate, unread answers. Its budget counts the copies that a call makes of its body. Bodies without a route or key are not read.

Result: tests of internal/entry and internal/e2e pass, and those of internal/gateway for retries, handovers, relays, answers and limits. No hostile clients were run against eelgrass-entry.

--- a/cmd/eelgrass-entry/main.go
+++ b/cmd/eelgrass-entry/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/cli"
 	"github.com/eelgrassbay/eelgrassbay/internal/entry"
@@ -41,7 +42,14 @@
 	return serve(s)
 }
 
+// goMemoryLimitFraction is the fraction of the instance's memory limit that is set as the
+// memory limit of the Go runtime.
+const goMemoryLimitFraction = 0.7
+
 func serve(s *entry.Settings) int {
+	if s.Memory.LimitMB > 0 {
+		debug.SetMemoryLimit(int64(goMemoryLimitFraction * float64(s.Memory.LimitMB) * (1 << 20)))
+	}
 	log, err := entry.NewLogger(os.Stderr, s.Log)
 	if err != nil {
 		return cli.Fail(cli.ExitUsage, err)
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -1,26 +1,47 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/clientguard"
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
 )
 
-// readBody reads a request's body, at most Requests.MaxBodyBytes bytes.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opts.Requests.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
+// bodyCopies is the number of copies of a body that a call makes beside the blocks in which it
+// arrives: the body in one piece, its decoded fields, and the body for the upstream.
+const bodyCopies = 3
+
+// readBody reads a request's body, at most Requests.MaxBodyBytes bytes, and takes memory for
+// all that is made of it until the call ends.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *call) ([]byte, *Error) {
+	c.held = s.opts.Clients.Hold(r.Context())
+	blocks, err := c.held.ReadBody(w, r, s.opts.Requests.MaxBodyBytes)
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, clientguard.ErrTooLarge):
 		return nil, newError(http.StatusRequestEntityTooLarge, CodeTooLarge, "the body is too large")
+	case errors.Is(err, clientguard.ErrMemory):
+		return nil, errNoMemory()
+	case errors.Is(err, clientguard.ErrSlow):
+		return nil, newError(http.StatusRequestTimeout, CodeSlowBody, "the body came too slowly")
 	case err != nil:
 		return nil, newError(http.StatusBadRequest, CodeBadRequest, "the body ended early")
 	}
-	return body, nil
+	n := 0
+	for _, b := range blocks {
+		n += len(b)
+	}
+	if n > 0 && !c.held.Take(bodyCopies*n) {
+		return nil, errNoMemory()
+	}
+	return bytes.Join(blocks, nil), nil
+}
+
+func errNoMemory() *Error {
+	return newRetryableError(http.StatusServiceUnavailable, CodeOverloaded, "no memory left for bodies", busyRetryAfter)
 }
 
 // completion holds the fields of a request to a model that the instance reads,
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/clientguard"
 	"github.com/eelgrassbay/eelgrassbay/internal/config"
 	"github.com/eelgrassbay/eelgrassbay/internal/docsync"
 	"github.com/eelgrassbay/eelgrassbay/internal/fair"
@@ -31,7 +32,8 @@
 	deliveredTokens int           // answer tokens passed to the caller
 	// attempted is set once an attempt has been sent.
 	attempted     bool
-	receipt       limit.Receipt // for the tokens charged to the organisation
+	held          *clientguard.Holding // memory of the body, nil before it is read
+	receipt       limit.Receipt        // for the tokens charged to the organisation
 	flow          *metrics.Flow
 	truncatedCode Code // set if the answer ended early after part of it was sent
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -33,7 +33,7 @@
 			return err
 		}
 	}
-	body, err := s.readBody(w, r)
+	body, err := s.readBody(w, r, c)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -35,6 +35,7 @@
 const (
 	CodeBadRequest       Code = "bad_request"
 	CodeTooLarge         Code = "too_large"
+	CodeSlowBody         Code = "slow_body"
 	CodeUnauthorized     Code = "unauthorized"
 	CodeStaleKeyData     Code = "key_knowledge_stale"
 	CodeNotFound         Code = "not_found"
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -11,6 +11,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/boottime"
 	"github.com/eelgrassbay/eelgrassbay/internal/certs"
 	"github.com/eelgrassbay/eelgrassbay/internal/claims"
+	"github.com/eelgrassbay/eelgrassbay/internal/clientguard"
 	"github.com/eelgrassbay/eelgrassbay/internal/crashwatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/docsync"
@@ -44,6 +45,7 @@
 	platform     *objectstore.CallCounter
 	traffic      controlTraffic
 	metrics      *metrics.Metrics
+	clients      *clientguard.Guard
 	callerTLS    *tls.Config // nil for plain HTTP
 	peers        *peer.Client
 	peerServer   *peer.Server
@@ -101,6 +103,7 @@
 		Bytes: &n.traffic.platform,
 	}))
 	n.metrics = metrics.New()
+	n.clients = clientguard.New(clientguard.Options{MemoryMB: s.Memory.LimitMB, Now: n.now, Log: n.log, Metrics: n.metrics})
 	callers, err := loadCerts(s.TLS.Callers, n.log)
 	if err != nil {
 		return err
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -13,13 +13,17 @@
 // Run serves until SIGTERM or SIGINT, then stops gracefully and returns. A controller
 // that fails is started again.
 func (n *Node) Run() error {
+	srv, err := n.newHTTPServer()
+	if err != nil {
+		return err
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
 	for name, run := range map[string]func(context.Context) error{
 		"peer server": n.peerServer.Serve, "leader": n.leader.Run, "replica": n.replica.Run, "dispatch": n.dispatch.Run,
 		"inventory": n.inventory.Run, "quota": n.quota.Run, "claims": n.claims.Run, "recorder": n.recorder.Run, "placer": n.placer.Run,
-		"suspicions":    n.suspicions.Run,
+		"suspicions": n.suspicions.Run, "clients": n.clients.Run,
 		"routing table": n.syncRoutingTable, "registration": n.registerUntilListed, "control metrics": n.reportControlMetrics,
 	} {
 		g.Go(func() error {
@@ -29,12 +33,12 @@
 	}
 	app := kratos.New(
 		kratos.Name("eelgrass-entry"), kratos.ID(n.self.Incarnation), kratos.Logger(kratosLogger{n.log}), kratos.Context(ctx),
-		kratos.Server(n.newHTTPServer()),
+		kratos.Server(srv),
 		kratos.BeforeStop(n.beforeStop),
 		kratos.StopTimeout(n.settings.Stop.Drain.Std()),
 	)
 	n.log.Info("serving", "listen", n.settings.Listen, "peer_listen", n.peerServer.Address())
-	err := app.Run()
+	err = app.Run()
 	n.deregister()
 	stop()
 	if runErr := g.Wait(); err == nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/clientguard"
 	"github.com/eelgrassbay/eelgrassbay/internal/crashwatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/dispatch"
 	"github.com/eelgrassbay/eelgrassbay/internal/docsync"
@@ -41,6 +42,7 @@
 	Engines  *engine.Client
 	Budget   *once.Budget
 	Crashes  *crashwatch.Watch
+	Clients  *clientguard.Guard // nil for one of its own
 	Limiter  Limiter
 	Claimer  Claimer
 	Record   Recorder
@@ -68,6 +70,9 @@
 
 // NewServer returns a server that accepts requests.
 func NewServer(opts ServerOptions) *Server {
+	if opts.Clients == nil {
+		opts.Clients = clientguard.New(clientguard.Options{Now: opts.Now, Log: opts.Log, Metrics: opts.Metrics})
+	}
 	s := &Server{opts: opts}
 	opts.Crashes.OnHeld = s.waiting.withdrawHeld
 	return s
@@ -80,9 +85,9 @@
 	mux.Handle("POST /v1/completions", s.serve(s.handleCompletions))
 	mux.Handle("GET /v1/models", s.serve(s.handleModels))
 	mux.Handle("/services/{service}/", s.serve(s.handleService))
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", s.handleReady)
-	mux.Handle("GET /metrics", s.opts.Metrics.Handler())
+	mux.Handle("GET /healthz", clientguard.WithoutBody(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })))
+	mux.Handle("GET /readyz", clientguard.WithoutBody(http.HandlerFunc(s.handleReady)))
+	mux.Handle("GET /metrics", clientguard.WithoutBody(s.opts.Metrics.Handler()))
 	mux.Handle("/", s.serve(func(http.ResponseWriter, *http.Request, *call) *Error {
 		return newError(http.StatusNotFound, CodeNotFound, "no such path")
 	}))
@@ -106,6 +111,11 @@
 		if err == nil {
 			err = h(w, r, c)
 		}
+		if c.held == nil {
+			clientguard.SkipBody(w, r)
+		} else {
+			defer c.held.Release()
+		}
 		if err != nil {
 			s.logError(c, err)
 			err.write(w, c.id)
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := s.readBody(w, r)
+	body, err := s.readBody(w, r, c)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -34,6 +34,7 @@
 	Record   RecordSettings   `json:"record"`
 	Stop     StopSettings     `json:"stop"`
 	Log      LogSettings      `json:"log"`
+	Memory   MemorySettings   `json:"memory"`
 	TLS      TLSSettings      `json:"tls"`
 	// Quarantine changes what is held back because upstreams crash under it.
 	Quarantine crashwatch.Settings `json:"quarantine"`
@@ -48,6 +49,11 @@
 	WatchTimeout settings.Duration `json:"watch_timeout"`
 }
 
+// MemorySettings limit the memory of the process.
+type MemorySettings struct {
+	LimitMB int `json:"limit_mb"` // 0 for no limit
+}
+
 // RequestSettings limit and estimate the requests of callers.
 type RequestSettings struct {
 	MaxBodyBytes int64 `json:"max_body_bytes"`
@@ -163,6 +169,7 @@
 	c.Require(s.Requests.MaxBodyBytes > 0, "requests/max_body_bytes", "want more than 0 bytes")
 	c.Require(s.Requests.BytesPerToken > 0, "requests/bytes_per_token", "want more than 0 bytes")
 	c.Require(s.Requests.MaxConcurrent > 0, "requests/max_concurrent", "want more than 0")
+	c.Require(s.Memory.LimitMB >= 0, "memory/limit_mb", "want 0 or more")
 	s.Limits.check(c)
 	s.Record.check(c, s.Log)
 	c.Require(s.Stop.LameDuck >= 0, "stop/lame_duck", "want 0 or more")
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -72,6 +72,7 @@
 	request    *httpconn.Request // that is sent through a peer
 	relays     []string          // peers that were asked to send it, in order
 	relayEnded bool              // the last of them no longer has it
+	inFlight   int64             // bytes of its body that are counted at the upstream
 }
 
 // serve sends the request to one upstream after another until one answers or no
@@ -118,6 +119,7 @@
 // finishAttempt records an attempt with outcome o and returns o.
 func (x *exchange) finishAttempt(a *attempt, o outcome) outcome {
 	a.cancel()
+	x.releaseBytes(a)
 	x.endRelayed(a)
 	x.g.links.ended(a.wait)
 	if a.charged && (o == outcomeNotSent || o == outcomeNotRun || o == outcomeHeld) {
@@ -334,7 +336,7 @@
 			x.release(a, assign.ResultUnknown)
 			return outcomeHeld
 		}
-		if errors.Is(err, errPlacementLapsed) {
+		if errors.Is(err, errPlacementLapsed) || errors.Is(err, errUpstreamBytes) {
 			x.release(a, assign.ResultUnknown)
 			return outcomeNotSent
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 	links           *links
 	answerMemory    *answerMemory
 	clients         *clientguard.Guard
+	inFlight        *inFlight
 	metrics         *metrics.Metrics
 	successLogLimit *logRateLimiter
 	callerLogLimit  *logRateLimiter // lines of requests refused for what callers sent
@@ -132,6 +133,7 @@
 	g.streamVersions = newStreamVersions(g)
 	g.limiter = &limiter{now: g.now, inner: sharedlimit.New(g.now(), g.expectedPeers(), s.Limits.Window.Std())}
 	g.answerMemory = newAnswerMemory(s.Memory.LimitMB)
+	g.inFlight = newInFlight()
 	g.clients = clientguard.New(clientguard.Options{MemoryMB: s.Memory.LimitMB, Now: g.now, Log: g.log, Metrics: g.metrics})
 	g.demandMeter = &demandMeter{now: g.now, meter: residency.NewMeter()}
 	g.peerWork = newWorkView(g.self)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -34,6 +34,10 @@
 		return a
 	}
 	x.job.TriedUpstreams = append(x.job.TriedUpstreams, u.ID)
+	if !x.takeBytes(a) {
+		a.err = fmt.Errorf("%w: %w", httpconn.ErrNotSent, errUpstreamBytes)
+		return a
+	}
 	r := x.upstreamRequest(u)
 	r.MaySend = func() error { return x.mayStillSend(a) }
 	x.send(a, r)
