--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -193,6 +193,24 @@
 	return evicted, Reserved
 }
 
+// EvictUnread removes the client that has not read for longest what is kept for it, and
+// returns it; nil if all read. Memory outside the budget is freed by closing it.
+func (b *Budget) EvictUnread() *Client {
+	var longest *Client
+	for c := range b.clients {
+		if c.state != StateUnread {
+			continue
+		}
+		if longest == nil || c.since < longest.since || c.since == longest.since && c.id < longest.id {
+			longest = c
+		}
+	}
+	if longest != nil {
+		b.Disconnect(longest)
+	}
+	return longest
+}
+
 // evictable reports whether a client may be closed to free memory. A request that is being
 // processed may have run and is not ended.
 func evictable(c *Client) bool {
--- a/internal/clientguard/guard.go
+++ b/internal/clientguard/guard.go
@@ -158,6 +158,18 @@
 	return v
 }
 
+// EvictUnread closes the connection of the client that has not read for longest what is being
+// sent to it. It reports whether there was one.
+func (g *Guard) EvictUnread() bool {
+	g.mu.Lock()
+	victims := g.take([]*bodybudget.Client{g.budget.EvictUnread()})
+	g.mu.Unlock()
+	for _, e := range victims {
+		e.conn.evict(reasonUnread, e.state)
+	}
+	return len(victims) > 0
+}
+
 // victim is a connection that has to give way, with what its client was doing.
 type victim struct {
 	conn  *conn
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -33,6 +34,10 @@
 type answerMemory struct {
 	limit int64 // bytes
 	used  atomic.Int64
+	small atomic.Int64 // of smallAnswerMemory
+	// evictUnread gives up the answer that has been unread for longest and reports whether
+	// there was one. It may be nil.
+	evictUnread func() bool
 }
 
 // newAnswerMemory returns the bound for an instance with so much memory, in MB; 0 means no
@@ -44,19 +49,50 @@
 	return &answerMemory{limit: int64(limitMB) << 20 / answerMemoryDivisor}
 }
 
+const (
+	// smallAnswerMemory is what the first buffers of answers may take beside the limit, so
+	// that large answers do not keep out small ones.
+	smallAnswerMemory = 1 << 20
+	// freeTries is how often memory is asked for while answers are given up that callers do
+	// not read, freeInterval the time in between, in which their memory is released.
+	freeTries    = 20
+	freeInterval = 5 * time.Millisecond
+)
+
+// take counts n bytes and reports whether there was room. Answers that their callers do not
+// read give way.
+func (m *answerMemory) take(n int64) bool {
+	for range freeTries {
+		if m.used.Add(n) <= m.limit {
+			return true
+		}
+		m.used.Add(-n)
+		if m.evictUnread == nil || !m.evictUnread() {
+			return false
+		}
+		time.Sleep(freeInterval)
+	}
+	return false
+}
+
 // read reads a whole body. The memory of the body counts until release is called. It
 // fails with errAnswerTooLarge or errAnswerMemory, or the error of reading.
 func (m *answerMemory) read(r io.Reader) (body []byte, release func(), err error) {
-	counted := int64(0)
+	counted, small := int64(0), int64(0)
 	release = func() {
 		m.used.Add(-counted)
-		counted = 0
+		m.small.Add(-small)
+		counted, small = 0, 0
+	}
+	if m.small.Add(answerBlockBytes) <= smallAnswerMemory {
+		small, body = answerBlockBytes, make([]byte, 0, answerBlockBytes)
+	} else {
+		m.small.Add(-answerBlockBytes)
 	}
 	for {
 		if len(body) == cap(body) {
 			grown := max(answerBlockBytes, 2*cap(body)) // the old one is garbage until it is collected
-			if m.used.Add(int64(grown)) > m.limit {
-				m.used.Add(-int64(grown))
+			if !m.take(int64(grown)) {
 				return body, release, errAnswerMemory
 			}
 			counted += int64(grown)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -360,6 +360,10 @@
 		x.release(a, assign.ResultUnknown)
 		return o
 	}
+	if errors.Is(err, errAnswerMemory) { // says nothing about the upstream
+		x.release(a, assign.ResultUnknown)
+		return outcomeUnknown
+	}
 	x.release(a, assign.ResultFailed)
 	x.recordBroken(a)
 	return outcomeUnknown
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,6 +135,7 @@
 	g.answerMemory = newAnswerMemory(s.Memory.LimitMB)
 	g.inFlight = newInFlight()
 	g.clients = clientguard.New(clientguard.Options{MemoryMB: s.Memory.LimitMB, Now: g.now, Log: g.log, Metrics: g.metrics})
+	g.answerMemory.evictUnread = g.clients.EvictUnread
 	g.demandMeter = &demandMeter{now: g.now, meter: residency.NewMeter()}
 	g.peerWork = newWorkView(g.self)
 	g.residencyTable = &residencyTable{inner: residency.NewTable()}
