--- a/internal/fleet/answer.go
+++ b/internal/fleet/answer.go
@@ -57,6 +57,10 @@
 	ReasonRegion
 	// ReasonExceedsMemory: the request needs more memory than an engine has.
 	ReasonExceedsMemory
+	// ReasonNoMemory: clients take all the memory that they may.
+	ReasonNoMemory
+	// ReasonSlowBody: the body came too slowly.
+	ReasonSlowBody
 	ReasonOverloaded
 	// ReasonOutcomeUnknown: the request may have run.
 	ReasonOutcomeUnknown
@@ -69,6 +73,6 @@
 
 // String returns the name of the reason for logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"none", "not_ready", "limit", "no_upstream", "model_absent", "quarantined", "version_unknown", "version_gone", "evacuated", "region", "exceeds_memory", "overloaded", "outcome_unknown",
+	return [...]string{"none", "not_ready", "limit", "no_upstream", "model_absent", "quarantined", "version_unknown", "version_gone", "evacuated", "region", "exceeds_memory", "no_memory", "slow_body", "overloaded", "outcome_unknown",
 		"timeout", "no_route", "bad_key", "bad_request", "too_large"}[r]
 }
