--- a/internal/mesh/exchanger.go
+++ b/internal/mesh/exchanger.go
@@ -113,12 +113,19 @@
 	defer e.mu.Unlock()
 	now := e.opts.Now()
 	large := e.members.large(now)
+	leads := map[string][]string{} // by zone, computed once for all of its members
+	isLead := func(i *meshpb.MemberInfo) bool {
+		if _, ok := leads[i.Zone]; !ok {
+			leads[i.Zone] = e.members.leads(now, i.Zone)
+		}
+		return slices.Contains(leads[i.Zone], i.Name)
+	}
 	for _, p := range e.members.present(now) {
-		if !large || e.members.isLead(now, p.info.Name, p.info.Zone) {
+		if !large || isLead(p.info) {
 			peers = append(peers, p.info)
 		}
 	}
-	return peers, !large || e.members.isLead(now, e.opts.Self.Name, e.opts.Self.Zone)
+	return peers, !large || isLead(e.opts.Self)
 }
 
 // Sample returns n present peers at random, without those that skip returns true for. In
