upstreamlimit: tests notice each mechanism of cold upstreams

Change: every instance asks for a request at each step; several instances start together; one is unknown to all others; an upstream that all use becomes cold; requests are delayed by up to 0.49 s. Tests of their own for the parts, for the moment of sending and for an instance that knows only itself.

--- a/internal/upstreamlimit/cold_test.go
+++ b/internal/upstreamlimit/cold_test.go
@@ -29,7 +29,10 @@
 	pulse     bool          // requests come only in the last second of each three
 	spend     func(i *simInstance, u Upstream) (send func() bool, ok bool)
 	due       map[time.Duration][]func() // by step
-	late      time.Duration              // longest time until an instance has the entry of an upstream
+	cut       bool
+	unknown   *simInstance  // the others do not know it
+	strangers int           // instances that some others do not know when they may send
+	late      time.Duration // longest time until an instance has the entry of an upstream
 }
 
 // coldTestUpstream is the truth about one upstream.
@@ -97,6 +100,13 @@
 	}
 }
 
+// addWarm adds an upstream that all instances know and that is not cold.
+func (s *coldSimulation) addWarm() {
+	u := &coldTestUpstream{key: Upstream{ID: fmt.Sprint("u", len(s.upstreams))}, coldUntil: s.now}
+	s.upstreams = append(s.upstreams, u)
+	s.list(u, 0)
+}
+
 func (s *coldSimulation) list(u *coldTestUpstream, late time.Duration) {
 	for _, i := range s.instances {
 		if !i.down {
@@ -153,8 +163,11 @@
 		if s.pulse && s.now%(3*time.Second) < 2*time.Second {
 			continue
 		}
-		for range min(len(s.instances), 40) {
-			s.send(s.instances[s.rng.IntN(len(s.instances))])
+		if len(s.upstreams) > 0 {
+			u := s.upstreams[s.rng.IntN(len(s.upstreams))]
+			for _, i := range s.instances {
+				s.send(i, u)
+			}
 		}
 	}
 }
@@ -163,7 +176,7 @@
 func (s *coldSimulation) updateMembers() {
 	names := map[int][]string{}
 	for _, i := range s.instances {
-		if !i.down && s.now-i.startedAt >= memberListAge {
+		if !i.down && i != s.unknown && s.now-i.startedAt >= memberListAge {
 			names[i.side] = append(names[i.side], i.name)
 		}
 	}
@@ -188,14 +201,10 @@
 }
 
 // send lets an instance send a request to an upstream that it knows, if it may.
-func (s *coldSimulation) send(i *simInstance) {
-	if i.down || len(s.upstreams) == 0 {
+func (s *coldSimulation) send(i *simInstance, u *coldTestUpstream) {
+	if i.down || i.l.cold[u.key] == nil { // not listed
 		return
 	}
-	u := s.upstreams[s.rng.IntN(len(s.upstreams))]
-	if i.l.cold[u.key] == nil {
-		return // not listed
-	}
 	send, ok := s.spend(i, u.key)
 	if !ok {
 		return
@@ -227,42 +236,49 @@
 	size := rapid.SampledFrom([]int{6, 61, 295}).Draw(t, "instances")
 	rate := rapid.SampledFrom([]float64{0.5, 1, 3, 7, 7, 20, 45}).Draw(t, "rate")
 	s := newColdSimulation(rapid.Uint64().Draw(t, "seed"), size, rate)
-	s.delay = time.Duration(rapid.SampledFrom([]int{0, 20, 300}).Draw(t, "delay")) * time.Millisecond
+	s.delay = time.Duration(rapid.SampledFrom([]int{0, 20, 300, 490}).Draw(t, "delay")) * time.Millisecond
 	s.pulse = rapid.Bool().Draw(t, "pulse")
 	return s
 }
 
-// fault draws one event. As only one instance that the others do not know is allowed for, at
-// most one starts while the fleet is partitioned.
-func (s *coldSimulation) fault(t *rapid.T, cut, started *bool) {
-	switch rapid.SampledFrom([]string{"zone", "one", "chill", "join", "restart", "end", "cut", "heal", "false"}).Draw(t, "fault") {
+// fault draws one event. As one instance that the others do not know is allowed for, at most
+// one is unknown or starts while the fleet is partitioned.
+func (s *coldSimulation) fault(t *rapid.T) {
+	switch rapid.SampledFrom([]string{"zone", "one", "chill", "join", "joins", "restart", "unknown", "end", "cut", "heal", "false"}).Draw(t, "fault") {
 	case "zone":
 		s.returnZone(4)
 	case "one":
 		s.returnZone(1)
 	case "chill":
-		if len(s.upstreams) > 0 && !*cut {
-			s.chill(s.upstreams[0])
+		if !s.cut {
+			s.chill(s.upstreams[s.rng.IntN(len(s.upstreams))])
 		}
 	case "join":
-		if !*cut || !*started {
-			s.startCold(fmt.Sprintf("i%d", len(s.instances)), s.rng.IntN(2)*s.sides(*cut))
-			*started = true
+		s.start(s.join)
+	case "joins":
+		for range rapid.IntRange(2, 12).Draw(t, "joins") {
+			s.start(s.join)
 		}
 	case "restart":
-		if !*cut || !*started {
-			s.restart(s.rng.IntN(len(s.instances)))
-			*started = true
+		s.start(func() { s.restart(s.rng.IntN(len(s.instances))) })
+	case "unknown":
+		if s.strangers == 0 {
+			s.strangers++
+			s.join()
+			s.unknown = s.instances[len(s.instances)-1]
 		}
 	case "end":
 		s.instances[s.rng.IntN(len(s.instances))].down = true
 	case "cut":
-		*cut, *started = true, *cut && *started
+		if s.now-s.instances[len(s.instances)-1].startedAt < 2*memberListAge {
+			return // it would be a stranger to the others
+		}
+		s.cut = true
 		for _, i := range s.instances {
 			i.side = s.rng.IntN(2)
 		}
 	case "heal":
-		*cut = false
+		s.cut = false
 		for _, i := range s.instances {
 			i.side = 0
 		}
@@ -273,11 +289,15 @@
 	}
 }
 
-func (s *coldSimulation) sides(cut bool) int {
-	if cut {
-		return 1
+// start starts an instance, in a partition only if there is no stranger yet.
+func (s *coldSimulation) start(start func()) {
+	if s.cut {
+		if s.strangers > 0 {
+			return
+		}
+		s.strangers++
 	}
-	return 0
+	start()
 }
 
 // A cold upstream gets more than it bears in a second, while zones return, entries arrive
@@ -286,9 +306,10 @@
 	rapidtest.Check(t, func(t *rapid.T) {
 		s := drawColdSimulation(t)
 		s.returnZone(1)
-		cut, started := false, false
+		s.addWarm()
+		s.run(100 * time.Millisecond)
 		for range rapid.IntRange(1, 5).Draw(t, "faults") {
-			s.fault(t, &cut, &started)
+			s.fault(t)
 			s.run(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
 		}
 		if excess := s.worst(); excess > 0 {
@@ -371,6 +392,7 @@
 	must.False(t, l.IsCold(now, u))
 	must.False(t, l.ObserveCold(now, now-1, u, time.Second)) // sent before
 	must.True(t, l.ObserveCold(now, now, u, 5*time.Second))
+	must.Greater(t, now, l.ColdAvailableAt(now, u)) // what was sent before was not counted
 	must.SliceLen(t, 1, l.ColdToTell(now))
 	must.False(t, l.SetCold(now, u, rule, ColdEntry{Revision: 2, Known: true})) // read again
 	must.True(t, l.IsCold(now, u))
@@ -379,3 +401,56 @@
 	must.False(t, l.IsCold(now+9*time.Second, u))
 	must.Eq(t, now, l.ColdAvailableAt(now, Upstream{"other", 1}))
 }
+
+// A sender takes more than its part, or the parts together with that of an instance that the
+// others do not know are more than the bound.
+func TestPartsStayWithinTheBound(t *testing.T) {
+	for _, rate := range []float64{0.1, 0.5, 1, 3, 7, 7.5, 20, 45, 300} {
+		for _, members := range []int{1, 2, 6, 7, 9, 14, 15, 61, 295} {
+			for reserved := range 3 {
+				bound := float64(int(1.5*rate) + 5 - reserved)
+				senders, s := coldShares(rate, bound, members)
+				most := int(s.ratePerS*coldWindow + s.burst)
+				must.LessEq(t, int(bound), (senders+1)*most, must.Sprintf("%v a second, %d members", rate, members))
+				must.LessEq(t, rate+1e-9, s.ratePerS*float64(senders))
+			}
+		}
+	}
+	senders, _ := coldShares(7, 0, 6)
+	must.Eq(t, 0, senders)
+}
+
+// Requests that were placed apart and wait for their connections are sent together, beside
+// those that are placed later.
+func TestColdCountsTheMomentOfSending(t *testing.T) {
+	u, names := Upstream{"u", 1}, []string{"a", "b", "c", "d", "e", "f"}
+	l := New(0, "a", "a1")
+	l.SetMembers(testStart, names)
+	l.SetCold(testStart, u, ColdRule{RatePerS: 7, StartTime: time.Minute}, ColdEntry{Revision: 1})
+	begin := testStart + 5*time.Second
+	held, sent := 0, 0
+	for now := begin; now < begin+490*time.Millisecond+time.Second; now += step {
+		if l.ColdAvailableAt(now, u) <= now {
+			must.True(t, l.ReserveCold(now, u))
+			held++
+		}
+		for ; now >= begin+490*time.Millisecond && held > 0; held-- {
+			if l.SendCold(now, u) {
+				sent++
+			}
+		}
+	}
+	must.Between(t, 1, sent, 2)
+}
+
+// An instance that is partitioned from all others when it starts takes the whole of what a
+// cold upstream bears.
+func TestInstanceThatKnowsOnlyItselfSendsNothing(t *testing.T) {
+	u := Upstream{"u", 1}
+	l := New(0, "a", "a1")
+	l.SetExpectedMembers(3)
+	l.SetCold(testStart, u, ColdRule{RatePerS: 7, StartTime: time.Minute}, ColdEntry{Revision: 1})
+	must.Eq(t, Never, l.ColdAvailableAt(testStart, u))
+	l.SetMembers(testStart, []string{"b"})
+	must.Eq(t, testStart, l.ColdAvailableAt(testStart, u))
+}
