gateway: an arbiter that answers some calls only is avoided earlier

Change: two bypasses, less a fifth for each answer. Where the next member says that it is none, since it reaches the first one, that one is asked again after the bypass.

--- a/internal/gateway/permitbypass.go
+++ b/internal/gateway/permitbypass.go
@@ -17,13 +17,19 @@
 	// avoidAfter is the number of bypasses, less answerWeight for each answer, from which on
 	// another instance is taken for the arbiter for avoidTime. A member list may name an
 	// instance that no longer runs, or that answers only some calls.
-	avoidAfter   = 3
+	avoidAfter   = 2
 	answerWeight = 0.2
 	avoidTime    = 5 * time.Second
 	// silenceLogInterval is the interval between log lines on the silence of an arbiter.
 	silenceLogInterval = 5 * time.Second
 )
 
+// Reasons for which an arbiter is bypassed, in the log.
+const (
+	reasonSilent     = "no answer"
+	reasonNotArbiter = "not arbiter"
+)
+
 // arbiterLink is what this instance knows of an arbiter that it asked.
 type arbiterLink struct {
 	bypassedUntil time.Duration
@@ -80,6 +86,13 @@
 		l.avoidedUntil = now + avoidTime
 		clear(p.chosen)
 	}
+	if reason == reasonNotArbiter { // it reaches an arbiter that this instance avoids
+		for _, other := range p.arbiters {
+			if other != l {
+				other.avoidedUntil = min(other.avoidedUntil, l.bypassedUntil)
+			}
+		}
+	}
 	for cancel := range l.calls {
 		(*cancel)()
 	}
@@ -111,7 +124,7 @@
 		return err
 	})
 	if err != nil {
-		p.recordSilence(to, "no answer")
+		p.recordSilence(to, reasonSilent)
 	}
 }
 
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -142,10 +142,10 @@
 		return result, false, false
 	case err != nil:
 		p.withdraw(to, in)
-		p.recordSilence(to, "no answer")
+		p.recordSilence(to, reasonSilent)
 		return result, true, false
 	case reply.NotArbiter:
-		p.recordSilence(to, "not arbiter")
+		p.recordSilence(to, reasonNotArbiter)
 		return result, true, false
 	}
 	p.recordAnswer(to)
