clientguard: a client that gives way keeps the deadline that ends its reading

Cause: evict set the read deadline before it marked the client, so that the reader of the body could replace it in between and go on, without memory counted, for 20 s at most.

Change: both are done under a lock that SetReadDeadline takes, too.

Result: tests of internal/clientguard pass with the race detector. Found by reading; no test hits the window.

--- a/internal/clientguard/conn.go
+++ b/internal/clientguard/conn.go
@@ -47,6 +47,7 @@
 	listener *Listener
 	client   *bodybudget.Client
 	evicted  atomic.Bool
+	deadline sync.Mutex // keeps the reader from replacing the deadline that evict sets
 
 	mu        sync.Mutex
 	active    bool  // the head of a request has been read
@@ -167,8 +168,10 @@
 	g.reject(why, c.RemoteAddr())
 	switch state {
 	case bodybudget.StateBody:
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		c.deadline.Lock()
 		c.evicted.Store(true)
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		c.deadline.Unlock()
 	case bodybudget.StateUnread:
 		if tcp, ok := c.Conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0) // what was not read must not look complete
@@ -254,6 +257,8 @@
 // SetReadDeadline implements net.Conn. A connection that has to give way keeps the deadline
 // that ends its reading.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	c.deadline.Lock()
+	defer c.deadline.Unlock()
 	if c.evicted.Load() {
 		return nil
 	}
