--- a/internal/assign/order_test.go
+++ b/internal/assign/order_test.go
@@ -30,22 +30,22 @@
 
 // simRun is a run of several seeds, with the results summed.
 type simRun struct {
-	load   float64 // as a fraction of the capacity
-	kinds  func() []*simKind
-	edit   func(f *engineSim)
-	length time.Duration // 0 for a minute
+	load  float64 // as a fraction of the capacity
+	kinds func() []*simKind
+	edit  func(f *engineSim)
+	seeds uint64 // 0 for 3
 }
 
 func (r simRun) stats() []*simStats {
 	var sum []*simStats
-	for seed := range uint64(3) {
+	for seed := range max(r.seeds, 3) {
 		kinds := r.kinds()
 		scaleRates(r.load*simCapacity(simEngines, kinds...), kinds...)
 		f := newEngineSim(seed, simInstances, simEngines, kinds...)
 		if r.edit != nil {
 			r.edit(f)
 		}
-		f.run(max(r.length, time.Minute))
+		f.run(time.Minute)
 		for i, k := range kinds {
 			if seed == 0 {
 				sum = append(sum, &simStats{})
@@ -69,9 +69,9 @@
 // prompts of long ones although those are more urgent by their route, and long ones are in
 // time nearly as often as if they went first.
 func TestShortPromptsDoNotWaitForLongOnes(t *testing.T) {
-	alone := simRun{load: 0.9, kinds: func() []*simKind { return []*simKind{shortKind(1)} }}.stats()
-	before := simRun{load: 0.9, kinds: mixed, edit: orderByPriority}.stats()
-	after := simRun{load: 0.9, kinds: mixed}.stats()
+	alone := simRun{load: 0.9, seeds: 6, kinds: func() []*simKind { return []*simKind{shortKind(1)} }}.stats()
+	before := simRun{load: 0.9, seeds: 6, kinds: mixed, edit: orderByPriority}.stats()
+	after := simRun{load: 0.9, seeds: 6, kinds: mixed}.stats()
 	t.Logf("alone: %v\nby priority: %v; long %v\nnow: %v; long %v", alone[0], before[0], before[1], after[0], after[1])
 	must.LessEq(t, 1.3*alone[0].percentile(0.95).Seconds(), after[0].percentile(0.95).Seconds())
 	must.GreaterEq(t, share(before[1].onTime, before[1].arrived)-0.05, share(after[1].onTime, after[1].arrived))
@@ -187,3 +187,21 @@
 	l := loads[waitingKey(s.queue[len(s.queue)-1])]
 	must.Eq(t, 2, l.Requests())
 }
+
+// While a shortage lasts, the order by due time is tried less and less often, so that requests
+// of the urgent kind are not late again and again for it.
+func TestPriorityHoldsLongerWhileShortageLasts(t *testing.T) {
+	o := &kindOrder{shortest: 400 * time.Millisecond, longest: time.Second}
+	s := &Scheduler{kindOrders: map[string]*kindOrder{"chat": o}}
+	now := start
+	for _, hold := range []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second, 16 * time.Second} {
+		o.recordLate(now)
+		o.recordLate(now + time.Second) // as more become late
+		must.Eq(t, hold, o.hold)
+		must.True(t, s.OrderStates(now + hold - 1)[0].ByPriority)
+		now += hold
+		must.False(t, s.OrderStates(now)[0].ByPriority)
+	}
+	o.recordLate(now + time.Minute)
+	must.Eq(t, OrderState{Service: "chat", ByPriority: true, Hold: 2 * time.Second, Shortages: 6}, s.OrderStates(now + time.Minute)[0])
+}
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -32,6 +32,7 @@
 	peers          map[string]PeerLoads
 	queue          []*Job
 	placementRates map[string]*placementRate
+	roomRates      map[string]*room // by service and model
 	limits         *upstreamlimit.Limiter
 	rooms          *upstreamlimit.Rooms
 	readyTimes     map[modelKey]time.Duration // when a model is expected to be ready
@@ -67,7 +68,7 @@
 	limits := upstreamlimit.New(opts.Started, opts.Name, opts.Incarnation)
 	return &Scheduler{
 		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 0)), byID: map[string]*upstream{},
-		services: map[string][]*upstream{}, peers: map[string]PeerLoads{}, placementRates: map[string]*placementRate{},
+		services: map[string][]*upstream{}, peers: map[string]PeerLoads{}, placementRates: map[string]*placementRate{}, roomRates: map[string]*room{},
 		limits: limits, rooms: upstreamlimit.NewRooms(limits), readyTimes: map[modelKey]time.Duration{},
 	}
 }
@@ -301,6 +302,7 @@
 	}
 	switch result {
 	case ResultOK:
+		s.recordHold(now, p)
 		p.upstream.health.recordSuccess()
 		if p.upstream.engine == nil {
 			p.upstream.latency.observeServiceTime(now - p.sentAt)
--- a/internal/assign/spread.go
+++ b/internal/assign/spread.go
@@ -79,9 +79,12 @@
 		return best
 	}
 	if nearlyFull {
+		best.fits = false // unless one of the candidates still fits
+		share := s.shareOfSlots(j, totals)
 		for i := range s.candidates {
 			c := &s.candidates[i]
-			c.fits = c.upstream.requests() < c.upstream.slots()+s.overcommit(now, c.upstream, j) && s.meetsObjective(now, j, c.expected)
+			c.fits = c.upstream.requests() < c.upstream.slots()+s.overcommit(now, c.upstream, j) &&
+				s.withinPart(c.upstream, share) && s.meetsObjective(now, j, c.expected)
 		}
 	}
 	return s.chooseWeighted(best)
@@ -132,3 +135,11 @@
 	}
 	return weight
 }
+
+// withinPart reports whether this instance has less than its share of the requests that may be
+// at an upstream. Several instances see the same slots free in reports of half a second ago;
+// together they stay within the upstream's slots and what may wait there.
+func (s *Scheduler) withinPart(u *upstream, share float64) bool {
+	part := share * float64(u.slots()+u.slots()/staleOvercommitDivisor)
+	return float64(u.ownLoad.Requests()) < part+s.rng.Float64()-0.5
+}
--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -76,6 +76,8 @@
 	if s.queueEnd != 0 && !j.InProgress {
 		j.FirstEventDeadline = min(j.FirstEventDeadline, s.queueEnd)
 	}
+	s.lastSequence++
+	j.sequence = s.lastSequence
 	placement, decision := s.PlaceNow(now, j)
 	if placement != nil {
 		return placement, decision
@@ -85,8 +87,6 @@
 		return nil, decision
 	}
 	j.queued, j.queuedAt = true, now
-	s.lastSequence++
-	j.sequence = s.lastSequence
 	s.queue = append(s.queue, j)
 	return nil, nil
 }
