--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -37,6 +37,7 @@
 	peers          map[string]PeerLoads
 	queue          []*Job
 	placementRates map[string]*placementRate
+	roomRates      map[string]*room // by service and model
 	limits         *upstreamlimit.Limiter
 	rooms          *upstreamlimit.Rooms
 	outputs        map[modelKey]*outputLengths // by service and model
@@ -79,7 +80,7 @@
 	}
 	return &Scheduler{
 		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 0)), byID: map[string]*upstream{},
-		services: map[string][]*upstream{}, peers: map[string]PeerLoads{}, placementRates: map[string]*placementRate{},
+		services: map[string][]*upstream{}, peers: map[string]PeerLoads{}, placementRates: map[string]*placementRate{}, roomRates: map[string]*room{},
 		limits: limits, rooms: upstreamlimit.NewRooms(limits), outputs: map[modelKey]*outputLengths{}, runTimes: map[modelKey]*runTimes{}, readyTimes: map[modelKey]time.Duration{},
 	}
 }
@@ -324,6 +325,7 @@
 	}
 	switch result {
 	case ResultOK:
+		s.recordHold(now, p)
 		p.upstream.health.recordSuccess()
 		if p.upstream.engine == nil {
 			p.upstream.latency.observeServiceTime(now - p.sentAt)
--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -72,6 +72,8 @@
 // if it is queued.
 func (s *Scheduler) Submit(now time.Duration, j *Job) (*Placement, *Decision) {
 	s.prepare(j)
+	s.lastSequence++
+	j.sequence = s.lastSequence
 	placement, decision := s.PlaceNow(now, j)
 	if placement != nil {
 		return placement, decision
@@ -81,8 +83,6 @@
 		return nil, decision
 	}
 	j.queued, j.queuedAt = true, now
-	s.lastSequence++
-	j.sequence = s.lastSequence
 	s.queue = append(s.queue, j)
 	return nil, nil
 }
