Stored streams: no wave of writes after a restart; records show the versions

Cause: until an instance has met the others it takes itself for the writer, so that after a restart of all instances each one would list and write the store. And records that were read named versions that the history of the service might lack: an unknown stream could go on at the listed one.

--- a/internal/gateway/streamstore_test.go
+++ b/internal/gateway/streamstore_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
 	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
+	"github.com/eelgrassbay/eelgrassbay/internal/streamversion"
 	"github.com/shoenig/test/must"
 )
 
@@ -100,6 +101,20 @@
 	}
 }
 
+// After a restart of all instances each one takes itself for the writer until it has met the
+// others. They must not all call the store.
+func TestInstancesThatHaveJustStartedDoNotAllWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, nodes, c := newStreamFleet(t, 24, "v1", "v2")
+		nodes = f.restartAll(nodes, 24, time.Second)
+		beginStreams(nodes, 5*time.Second, 0, 60)
+		t.Logf("%d writes in the first 5 s", c.writes.Load())
+		must.LessEq(t, 6, c.writes.Load()) // of two zones' writers
+		must.Positive(t, c.writes.Load())
+		stopAll(nodes)
+	})
+}
+
 // With one version nothing is written, and after a time with two the records are removed, so
 // that instances that start do not read what is of no use.
 func TestNothingIsStoredOfStreamsWithOneVersion(t *testing.T) {
@@ -127,6 +142,32 @@
 	})
 }
 
+// Stored records show that a service had other versions, also if these were not stored by
+// themselves. Otherwise an unknown stream of one of them would go on at the version that is listed.
+func TestStoredRecordsShowThatThereWereSeveralVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		f.putConfig(1, 1)
+		f.putUpstream("u2", fleet.Upstream{Version: "v2", Slots: 4})
+		key := streamversion.KeyOf("", "known")
+		value, err := streamversion.EncodeSegment([]streamversion.Record{{Key: key, Service: "app", Version: "v1"}})
+		must.NoError(t, err)
+		_, err = f.store.Put(context.Background(), objectstore.Object{Kind: objectstore.KindSoftware, Name: segmentName("z0", 3), Value: value})
+		must.NoError(t, err)
+		nodes := f.startFleet(1)
+		time.Sleep(2 * time.Second)
+		must.Eq(t, fleet.ReasonVersionUnknown, decide(nodes[0]))
+		x := resumed(nodes[0], "known")
+		must.Eq(t, fleet.ReasonNone, x.resolveVersion(context.Background()).Reason)
+		must.Eq(t, "v1", *x.job.Version)
+		must.Eq(t, versionFromStore, x.rec.versionFrom)
+		time.Sleep(nodes[0].g.streamVersions.horizon + 10*time.Second)
+		must.Eq(t, fleet.ReasonNone, decide(nodes[0]))
+		must.Eq(t, 0, f.segments())
+		stopAll(nodes)
+	})
+}
+
 // segments returns the number of objects with records in the store.
 func (f *testFleet) segments() int {
 	list, err := f.store.List(context.Background(), objectstore.KindSoftware)
--- a/internal/streamversion/segments.go
+++ b/internal/streamversion/segments.go
@@ -232,6 +232,14 @@
 	}
 }
 
+// Observe records in a history that the versions of the records were listed, at now, since when
+// they were is not known.
+func (r *Restored) Observe(now time.Duration, h *History) {
+	for _, began := range r.began {
+		h.Observe(now, began[0], began[1])
+	}
+}
+
 // Len returns the number of records.
 func (r *Restored) Len() int { return len(r.byKey) }
 
