Stored streams: the pause after a start is gone, as it had no proof

Cause: the pause of 3 s before an instance stores records was to prevent that after a restart of all instances each one writes. Without it 24 instances in virtual time write 8 times in the first 5 s, which is what their two writers write: they meet before the first write is due.

Measured: TestInstancesThatHaveJustStartedDoNotAllWrite 8 writes.

--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -24,10 +24,6 @@
 	// ticksPerWrite is the number of these intervals between two writes to the store: a call to
 	// the store each second while streams begin at a service with several versions.
 	ticksPerWrite = 2
-	// writerSettleTime is how long an instance stores nothing after its start. Until it has met
-	// the others it takes itself for the writer, and after a restart of all instances each one
-	// would call the store.
-	writerSettleTime = 3 * time.Second
 	// maxRecordsPerCall is the number of records in a message to the writer.
 	maxRecordsPerCall = 512
 )
@@ -91,7 +87,6 @@
 // storeStreams passes the records of streams that begin here on to the writer, and writes them
 // if this instance is the writer, until ctx ends.
 func (v *streamVersions) storeStreams(ctx context.Context) error {
-	wait.Sleep(ctx, writerSettleTime-(v.g.now()-v.g.started))
 	for tick := 1; wait.Sleep(ctx, streamStoreInterval); tick++ {
 		v.passOn(ctx)
 		if tick%ticksPerWrite != 0 || !v.isRead() {
