--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -72,6 +72,7 @@
 			v.g.log.Warn("stored streams skipped", "object", obj.Name, "error", err)
 		}
 	}
+	restored.Observe(now, t.History())
 	t.Restore(restored)
 	v.mayHaveSegments = true
 	v.g.log.Info("versions of streams read from the store", "objects", len(segments), "streams", restored.Len())
