upstreamstats: estimates of upstreams from the observations of all instances

Cause: an instance learns how slow an upstream is from its own requests only and forgets in 5 s; with 69 instances and 90 engines it sends to an engine once in 13 s. The prefill rate was a constant of 25 tokens a ms, while models differ by up to nine times.

Change: internal/upstreamstats merges slowness, mean service time, failure share and the prefill time of models over the fleet. A series ages with each observation, not with time; reports carry the origin's observation count, so that what was observed between two of them is added once. They travel in InstanceState.estimates, through leads in a large fleet. assign estimates first tokens by them; health goes by its own failure rate from 8 responses. Log lines for slow and recovered upstreams and malformed estimates; metrics.

--- a/internal/assign/available.go
+++ b/internal/assign/available.go
@@ -140,7 +140,7 @@
 // ForgetFailures forgets the failures of an upstream that were those of its link.
 func (s *Scheduler) ForgetFailures(id string) {
 	if u := s.byID[id]; u != nil {
-		u.health = health{}
+		u.health = health{fleet: u.health.fleet}
 	}
 }
 
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -31,6 +31,7 @@
 type candidate struct {
 	upstream *upstream
 	expected time.Duration // expected time to the first token
+	nominal  time.Duration // the same without the upstream's slowdown
 	score    time.Duration // lower is better
 	fits     bool          // the job may be placed here now
 	// uncached is the number of prompt tokens that the engine does not hold, reservation the
@@ -41,26 +42,29 @@
 
 // estimateLatency returns the expected time to the first token, or to the
 // response of a plain service, if the job were sent now. uncached is the number of prompt
-// tokens that the upstream does not hold.
-func (s *Scheduler) estimateLatency(now time.Duration, u *upstream, j *Job, uncached int) time.Duration {
+// tokens that the upstream does not hold. nominal is the time without the slowdown of the
+// upstream.
+func (s *Scheduler) estimateLatency(now time.Duration, u *upstream, j *Job, uncached int) (expected, nominal time.Duration) {
 	if u.engine == nil {
 		excess := u.requests() + 1 - u.slots()
 		serviceTime := u.latency.serviceTime()
 		if excess <= 0 {
-			return serviceTime
+			return serviceTime, serviceTime
 		}
-		return serviceTime + serviceTime*time.Duration(excess)/time.Duration(u.slots())
+		expected = serviceTime + serviceTime*time.Duration(excess)/time.Duration(u.slots())
+		return expected, expected
 	}
-	tokens := uncached
+	tokens := s.referenceTokens(j, uncached)
 	for urgency := 0; urgency <= j.UrgencyAt(now); urgency++ {
 		tokens += u.ownLoad.PendingTokens[urgency] + u.peerLoad.PendingTokens[urgency]
 	}
-	prefill := time.Duration(float64(tokens) / defaultPrefillTokensPerMs * float64(time.Millisecond))
-	expected := time.Duration(u.latency.slowdown(now) * float64(prefill+baseFirstTokenTime))
+	nominal = time.Duration(float64(tokens)/referencePrefillTokensPerMs*float64(time.Millisecond)) + baseFirstTokenTime
+	expected = time.Duration(u.latency.slowdown() * float64(nominal))
 	if excess := u.requests() + 1 - u.slots(); excess > 0 {
 		expected += time.Duration(excess) * slotReleaseInterval
+		nominal += time.Duration(excess) * slotReleaseInterval
 	}
-	return expected
+	return expected, nominal
 }
 
 // slotReleaseInterval is the time that a full batch takes to free a slot.
@@ -101,6 +105,7 @@
 	if s.exceedsMemory(j) {
 		return best, 0
 	}
+	s.prepare(now, j)
 	for _, u := range s.services[j.Service] {
 		if !u.isEligible(now, j, j.TriedUpstreams, lowestRate) {
 			continue
@@ -123,7 +128,7 @@
 			best = c
 		}
 	}
-	if best.upstream == nil || best.score == 0 || s.opts.DisableSpread || !s.peersStale(now, j) && !s.memoryStale(now, j, best.upstream, totals) {
+	if best.upstream == nil || best.score == 0 || s.opts.DisableSpread || !s.peersStale(now, j) && !j.memoryStale(best.upstream, totals) {
 		return best, eligible
 	}
 	return s.chooseStale(now, j, best, totals), eligible
@@ -136,10 +141,10 @@
 	c := candidate{upstream: u}
 	if u.engine != nil {
 		c.uncached = max(j.PromptTokens-u.cache.cachedTokens(j.modelHash, j.PromptParts), 1)
-		c.reservation = s.reservation(u, j, c.uncached)
-		c.reserve = s.staleReserve(now, u, j, c.reservation)
+		c.reservation = u.reservation(j, c.uncached)
+		c.reserve = s.staleReserve(u, j, c.reservation)
 	}
-	c.expected = s.estimateLatency(now, u, j, c.uncached)
+	c.expected, c.nominal = s.estimateLatency(now, u, j, c.uncached)
 	c.fits = s.fits(now, j, c)
 	c.score = c.expected + time.Duration(float64(fullBatchPenalty)*u.fullness())
 	if u.entry.Zone != s.opts.Zone {
@@ -162,7 +167,7 @@
 func (s *Scheduler) lowestFailureRate(service string) float64 {
 	lowestRate := 1.0
 	for _, u := range s.services[service] {
-		lowestRate = min(lowestRate, u.health.failureRate)
+		lowestRate = min(lowestRate, u.health.rate())
 	}
 	return lowestRate
 }
--- a/internal/assign/health.go
+++ b/internal/assign/health.go
@@ -1,6 +1,10 @@
 package assign
 
-import "time"
+import (
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/upstreamstats"
+)
 
 const (
 	// failureRateWeight is the weight of one response in the failure rate.
@@ -27,19 +31,39 @@
 // that fails several times in a row is ejected for a while; one that fails more
 // often than the others of its service gets only occasional probe requests.
 type health struct {
-	failureRate         float64 // moving average of failures, 0 to 1
+	failureRate         float64               // moving average of failures seen by this instance, 0 to 1
+	responses           int                   // that went into failureRate, at most enoughResponses
+	fleet               *upstreamstats.Series // share of failures over all instances
 	consecutiveFailures int
 	ejections           int
 	ejectedUntil        time.Duration
 	probedAt            time.Duration // last request sent while suspect
 }
 
+// enoughResponses is the number of responses from which on an instance goes by its own failure
+// rate: its link to the upstream may differ from those of others.
+const enoughResponses = 8
+
+// rate returns the failure rate: that of the fleet as far as this instance has seen few
+// responses itself.
+func (h *health) rate() float64 {
+	_, weight := h.fleet.Value()
+	weight = min(weight, float64(enoughResponses-h.responses))
+	if weight <= 0 {
+		return h.failureRate
+	}
+	own := float64(h.responses)
+	return (own*h.failureRate + weight*h.fleet.Share()) / (own + weight)
+}
+
 func (h *health) recordSuccess() {
+	h.responses = min(h.responses+1, enoughResponses)
 	h.failureRate -= failureRateWeight * h.failureRate
 	h.consecutiveFailures, h.ejections = 0, 0
 }
 
 func (h *health) recordFailure(now time.Duration) {
+	h.responses = min(h.responses+1, enoughResponses)
 	h.failureRate += failureRateWeight * (1 - h.failureRate)
 	h.consecutiveFailures++
 	if h.consecutiveFailures < ejectAfterFailures {
@@ -64,7 +88,7 @@
 	if now < h.ejectedUntil {
 		return false
 	}
-	if h.ejections > 0 || h.failureRate > lowestRate+maxExcessFailureRate {
+	if h.ejections > 0 || h.rate() > lowestRate+maxExcessFailureRate {
 		return now-h.probedAt >= suspectProbeInterval
 	}
 	return true
@@ -73,5 +97,5 @@
 // suspect reports whether the upstream has been ejected since its last success
 // or fails part of its requests.
 func (h *health) suspect(lowestRate float64) bool {
-	return h.ejections > 0 || h.failureRate > lowestRate+maxExcessFailureRate
+	return h.ejections > 0 || h.rate() > lowestRate+maxExcessFailureRate
 }
--- a/internal/assign/job.go
+++ b/internal/assign/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/upstreamstats"
 )
 
 // Job is a request to be placed at an upstream. Times are on the caller's clock.
@@ -43,6 +44,9 @@
 	TriedUpstreams []string
 
 	modelHash uint64
+	prefill   *upstreamstats.Series // of the model
+	output    int                   // expected output tokens, as of the last choice
+	unseen    float64               // requests that ended since the load reports, for each that runs, as of the last choice
 	queued    bool
 	queuedAt  time.Duration
 	sequence  uint64 // order of arrival in the queue
--- a/internal/assign/memory.go
+++ b/internal/assign/memory.go
@@ -50,6 +50,16 @@
 	s.runTimes[key].observe(now - p.sentAt)
 }
 
+// prepare sets what choose needs of the job for each upstream. Requests last for the mean run
+// time of their model, so that the part of them that ended since the load reports follows.
+func (s *Scheduler) prepare(now time.Duration, j *Job) {
+	mean := defaultRunTime
+	if r := s.runTimes[modelKey{j.Service, j.Model}]; r != nil {
+		mean = max(r.mean, time.Millisecond)
+	}
+	j.output, j.unseen = s.expectedOutput(j), float64(s.reportAge(now))/float64(mean)
+}
+
 // reportAge returns the age of the load reports, at least minReportAge.
 func (s *Scheduler) reportAge(now time.Duration) time.Duration {
 	return max(s.peerAge(now), minReportAge)
@@ -59,32 +69,22 @@
 // shows what they did: the interval of exchanges in a small fleet.
 const minReportAge = 150 * time.Millisecond
 
-// unseenRequests returns the number of requests that peers have probably placed at an engine
-// since their load reports. It is as many as ended meanwhile: requests last for the mean run
-// time. The rate of this instance's own placements says too little where each places a request
-// in some seconds.
-func (s *Scheduler) unseenRequests(now time.Duration, j *Job, peerRequests int) float64 {
-	mean := defaultRunTime
-	if r := s.runTimes[modelKey{j.Service, j.Model}]; r != nil {
-		mean = max(r.mean, time.Millisecond)
-	}
-	return float64(peerRequests) * float64(s.reportAge(now)) / float64(mean)
-}
-
 // memoryStale reports whether peers have probably placed a request at the engines of a job since
 // their load reports.
-func (s *Scheduler) memoryStale(now time.Duration, j *Job, u *upstream, t slotTotals) bool {
-	return u.hasLimitedMemory() && s.unseenRequests(now, j, t.requests-t.ownRequests) >= 1
+func (j *Job) memoryStale(u *upstream, t slotTotals) bool {
+	return u.hasLimitedMemory() && float64(t.requests-t.ownRequests)*j.unseen >= 1
 }
 
 // staleReserve returns the memory to be left at an engine for what peers may have placed since
-// their load reports, in tokens. Those that ended free as much on average; the reserve is the
-// standard deviation of the difference, in requests of the same size.
-func (s *Scheduler) staleReserve(now time.Duration, u *upstream, j *Job, reservation int) int {
+// their load reports, in tokens. That is as many requests as ended meanwhile, which free as much
+// on average; the reserve is the standard deviation of the difference, in requests of the same
+// size. The rate of this instance's own placements says too little where each places a request
+// in some seconds.
+func (s *Scheduler) staleReserve(u *upstream, j *Job, reservation int) int {
 	if len(s.peers) == 0 || !u.hasLimitedMemory() {
 		return 0
 	}
-	return int(staleDeviations * math.Sqrt(2*s.unseenRequests(now, j, u.peerLoad.Requests())) * float64(reservation))
+	return int(staleDeviations * math.Sqrt(2*j.unseen*float64(u.peerLoad.Requests())) * float64(reservation))
 }
 
 // outputLengths learns, for one model, by how much the mean length of outputs exceeds the
@@ -147,11 +147,11 @@
 // reservation returns the tokens of memory that the job reserves at the upstream, 0 at a plain
 // service. uncached is the number of prompt tokens that the upstream does not hold. A request
 // that states no length reserves what an even part of a full batch has.
-func (s *Scheduler) reservation(u *upstream, j *Job, uncached int) int {
+func (u *upstream) reservation(j *Job, uncached int) int {
 	if u.engine == nil {
 		return 0
 	}
-	tokens := uncached + s.expectedOutput(j)
+	tokens := uncached + j.output
 	if j.PromptTokens == 0 && j.OutputTokens == 0 {
 		tokens = u.engine.KVTokens / max(u.slots(), 1)
 	}
@@ -266,3 +266,18 @@
 	}
 	return weight
 }
+
+// MemoryUse is the memory of all engines, and what is reserved there by all instances, in tokens.
+type MemoryUse struct{ Tokens, Reserved int }
+
+// MemoryUse returns the memory of the engines and what is reserved.
+func (s *Scheduler) MemoryUse() MemoryUse {
+	var out MemoryUse
+	for _, u := range s.byID {
+		if u.hasLimitedMemory() {
+			out.Tokens += u.engine.KVTokens
+			out.Reserved += u.reserved()
+		}
+	}
+	return out
+}
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
 	"github.com/eelgrassbay/eelgrassbay/internal/upstreamlimit"
+	"github.com/eelgrassbay/eelgrassbay/internal/upstreamstats"
 )
 
 // Options configure a Scheduler.
@@ -33,6 +34,7 @@
 	queue          []*Job
 	placementRates map[string]*placementRate
 	limits         *upstreamlimit.Limiter
+	stats          *upstreamstats.Stats
 	rooms          *upstreamlimit.Rooms
 	outputs        map[modelKey]*outputLengths // by service and model
 	runTimes       map[modelKey]*runTimes      // by service and model
@@ -68,7 +70,7 @@
 	return &Scheduler{
 		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 0)), byID: map[string]*upstream{},
 		services: map[string][]*upstream{}, peers: map[string]PeerLoads{}, placementRates: map[string]*placementRate{},
-		limits: limits, rooms: upstreamlimit.NewRooms(limits), outputs: map[modelKey]*outputLengths{}, runTimes: map[modelKey]*runTimes{}, readyTimes: map[modelKey]time.Duration{},
+		limits: limits, stats: upstreamstats.New(), rooms: upstreamlimit.NewRooms(limits), outputs: map[modelKey]*outputLengths{}, runTimes: map[modelKey]*runTimes{}, readyTimes: map[modelKey]time.Duration{},
 	}
 }
 
@@ -87,6 +89,7 @@
 		if svc := config.Services[entry.Service]; svc != nil {
 			u.engine = svc.Engine
 		}
+		s.addEstimates(u)
 		byID[entry.ID] = u
 		services[entry.Service] = append(services[entry.Service], u)
 	}
@@ -96,6 +99,7 @@
 	}
 	s.limits.Keep(listed)
 	s.rooms.Keep(listed)
+	s.keepEstimates()
 	s.sumPeers()
 }
 
@@ -113,6 +117,7 @@
 		}
 	}
 	u.models = models
+	s.addEstimates(u)
 	u.unloading = nil
 	for _, m := range unloading {
 		if u.unloading == nil {
@@ -238,21 +243,24 @@
 	job      *Job
 	upstream *upstream
 	urgency  int
-	tokens   int  // prompt tokens counted as pending
+	tokens   int  // prompt tokens counted as pending, in tokens of the reference
+	uncached int  // prompt tokens that the upstream does not hold
+	hadRoom  bool // the upstream had slots to spare
 	reserved int  // tokens of memory counted until Release
 	started  bool // the first token was produced
 	limited  bool // taken from the upstream's limit
 	sentAt   time.Duration
-	expected time.Duration
+	nominal  time.Duration // expected time to the first token without the upstream's slowdown
 }
 
 // place assigns the job to the candidate's upstream, which is available, and adds it to
 // the upstream's load and limit.
 func (s *Scheduler) place(now time.Duration, j *Job, c candidate) *Placement {
-	p := &Placement{job: j, upstream: c.upstream, urgency: j.UrgencyAt(now), sentAt: now, expected: c.expected}
+	p := &Placement{job: j, upstream: c.upstream, urgency: j.UrgencyAt(now), sentAt: now, nominal: c.nominal}
 	p.limited = s.takeLimit(now, c.upstream)
 	if c.upstream.engine != nil {
-		p.tokens, p.reserved = c.uncached, c.reservation
+		p.hadRoom = nearlyFullDivisor*c.upstream.freeSlots() >= c.upstream.slots()
+		p.tokens, p.uncached, p.reserved = s.referenceTokens(j, c.uncached), c.uncached, c.reservation
 		c.upstream.cache.record(j.modelHash, j.PromptParts)
 	}
 	c.upstream.ownLoad.ReservedTokens += p.reserved
@@ -274,7 +282,8 @@
 	p.removePending()
 	p.upstream.ownLoad.Running++
 	if p.upstream.engine != nil {
-		p.upstream.latency.observeFirstToken(now, now-p.sentAt, time.Duration(float64(p.expected)/p.upstream.latency.slowdown(p.sentAt)))
+		s.observeFirstToken(now, now-p.sentAt, p.nominal, p.upstream)
+		s.observePrefill(now, p)
 	}
 }
 
@@ -306,13 +315,15 @@
 	switch result {
 	case ResultOK:
 		p.upstream.health.recordSuccess()
+		s.observeFailure(now, p.upstream, false)
 		if p.upstream.engine == nil {
-			p.upstream.latency.observeServiceTime(now - p.sentAt)
+			s.stats.Observe(now, p.upstream.latency.series, float64(now-p.sentAt)/float64(time.Millisecond))
 		} else {
 			s.recordRunTime(now, p)
 		}
 	case ResultFailed:
 		p.upstream.health.recordFailure(now)
+		s.observeFailure(now, p.upstream, true)
 	}
 }
 
@@ -320,6 +331,7 @@
 // failure of the upstream.
 func (s *Scheduler) RecordSilence(now time.Duration, p *Placement) {
 	p.upstream.health.recordFailure(now)
+	s.observeFailure(now, p.upstream, true)
 }
 
 // RecordCrash records that an incarnation of an upstream has ended, so that it gets no
--- a/internal/assign/upstream.go
+++ b/internal/assign/upstream.go
@@ -16,7 +16,8 @@
 	Running int // requests that have produced output
 	Pending [UrgencyLevels]int
 	// PendingTokens is the number of prompt tokens of the pending requests
-	// that the upstream does not have in its cache, by urgency level.
+	// that the upstream does not have in its cache, by urgency level, in tokens of a
+	// model that needs the reference time for each.
 	PendingTokens [UrgencyLevels]int
 	// ReservedTokens is the memory that the requests take when they are complete, in tokens.
 	ReservedTokens int
@@ -58,6 +59,7 @@
 
 	health  health
 	latency latencyTracker
+	slow    bool // as reported by SlowChanges
 	cache   prefixCache
 	// fullUntil is the time until which the upstream counts as full, because
 	// it refused a request although this instance's view showed free slots.
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -131,6 +131,13 @@
 	d.update(func(now time.Duration, s *assign.Scheduler) { s.Release(now, p, r) })
 }
 
+// read calls f with the scheduler. f must not change what decides on queued jobs.
+func (d *dispatcher) read(f func(s *assign.Scheduler)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(d.sched)
+}
+
 // recordOutput records that the response to a placement was complete after so many events.
 func (d *dispatcher) recordOutput(p *assign.Placement, events int) {
 	d.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,8 +91,9 @@
 	rosterEncodings encodings
 
 	newsWake      chan struct{}
-	lastStateAt   atomic.Int64 // time of the last state of a peer, as a duration
-	fetchingTable atomic.Bool  // a fetch of a peer's residency table is running
+	lastStateAt   atomic.Int64             // time of the last state of a peer, as a duration
+	zoneLeads     atomic.Pointer[[]string] // names of the other leads of the zone
+	fetchingTable atomic.Bool              // a fetch of a peer's residency table is running
 	stopping      atomic.Bool
 }
 
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -83,6 +83,7 @@
 	for wait.Sleep(ctx, memberUpdateInterval) {
 		names := g.mesh.Names()
 		g.crashes.SetMembers(names)
+		g.reportEstimates(names)
 		g.dispatcher.update(func(now time.Duration, s *assign.Scheduler) { s.Limits().SetMembers(now, names) })
 	}
 	return nil
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,6 +64,7 @@
 	s.Limits, s.LeavingUpstreams, s.Brittle = g.limitsToWire(now), g.leavingToWire(), g.roomsToWire(now)
 	s.SuspicionsDigest, s.Suspicions = g.crashes.ToWire(to.Name)
 	s.Versions = g.streamVersions.toWire()
+	s.Estimates = g.estimatesToWire(now, to)
 	own := g.localWork(now)
 	if to.SameZone {
 		s.Work = workSummaryToWire(now, own, to.IsLead)
@@ -88,7 +89,9 @@
 	for _, u := range s.LeavingUpstreams {
 		g.catalog.MarkDraining(u.Upstream, u.Born)
 	}
-	_, lead := g.mesh.Candidates()
+	candidates, lead := g.mesh.Candidates()
+	g.recordZoneLeads(candidates)
+	g.mergeEstimates(at, s, lead)
 	var remote map[string]*workSummary
 	g.dispatcher.update(func(now time.Duration, sched *assign.Scheduler) {
 		remote = g.peerWork.remoteWork(now, lead) // under the dispatcher's lock, so that an older view never replaces a newer one
