--- a/internal/assign/order.go
+++ b/internal/assign/order.go
@@ -99,7 +99,7 @@
 
 // promptTime returns the time that an engine needs for a prompt.
 func promptTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / defaultPrefillTokensPerMs * float64(time.Millisecond))
+	return time.Duration(float64(tokens) / referencePrefillTokensPerMs * float64(time.Millisecond))
 }
 
 // dueAt returns the time by which the job should be placed.
--- a/internal/assign/permit.go
+++ b/internal/assign/permit.go
@@ -28,13 +28,12 @@
 	return out
 }
 
-// ServiceTime returns the mean duration of the requests of a plain service that this instance
-// has observed, 0 if it has observed none.
+// ServiceTime returns the mean duration of the requests of a plain service, 0 if none is known.
 func (s *Scheduler) ServiceTime(service string) time.Duration {
 	sum, n := time.Duration(0), 0
 	for _, u := range s.services[service] {
-		if u.latency.meanServiceTime > 0 {
-			sum, n = sum+u.latency.meanServiceTime, n+1
+		if mean, weight := u.latency.series.Value(); weight > 0 {
+			sum, n = sum+time.Duration(mean*float64(time.Millisecond)), n+1
 		}
 	}
 	if n == 0 {
@@ -73,7 +72,7 @@
 // replaces the count of requests there and nothing else.
 func (s *Scheduler) mayPlaceAt(now time.Duration, u *upstream, j *Job, lowestRate float64) bool {
 	hasRoom, _ := s.roomFor(now, u)
-	return hasRoom && u.isEligible(now, j, j.TriedUpstreams, lowestRate) && s.availableAt(now, u) <= now
+	return hasRoom && s.allows(u, j) && u.isEligible(now, j, j.TriedUpstreams, lowestRate) && s.availableAt(now, u) <= now
 }
 
 // PlaceAt places a job at an incarnation of an upstream for which it has a permit. It returns
