--- a/internal/assign/refuse.go
+++ b/internal/assign/refuse.go
@@ -149,6 +149,9 @@
 // overloadRefusal returns the refusal of a job that would wait too long behind
 // the jobs ahead of it.
 func (s *Scheduler) overloadRefusal(now time.Duration, j *Job, ahead int) fleet.Refusal {
+	if !j.NeedsEngine {
+		return fleet.Refusal{Reason: fleet.ReasonOverloaded, RetryAfter: s.retryAfter(now, j, s.expectedWait(now, j, ahead))}
+	}
 	after := s.retryAfter(now, j, s.promiseRetry(now, j, ahead))
 	s.recordPromise(now, j, after)
 	return fleet.Refusal{Reason: fleet.ReasonOverloaded, RetryAfter: after}
--- a/internal/assign/room.go
+++ b/internal/assign/room.go
@@ -46,12 +46,13 @@
 
 // roomRate returns the requests of the job's model per second that this instance can
 // place: its share of the rate at which the requests of all instances end, or the rate of its
-// placements if that is higher.
+// placements if that is higher. For plain services, whose requests may also wait at the
+// upstream, it is the rate of the placements.
 func (s *Scheduler) roomRate(now time.Duration, j *Job) float64 {
 	placed := s.placementRate(j)
 	placed.decay(now)
 	r := s.room(j)
-	if r.meanHold <= 0 {
+	if r.meanHold <= 0 || !j.NeedsEngine {
 		return placed.perSecond
 	}
 	var totals slotTotals
