--- a/internal/clientguard/conn.go
+++ b/internal/clientguard/conn.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	// MaxHeaderFields is the greatest number of header fields of a request. Package net/http
-	// needs some hundred bytes for each, however short it is.
-	MaxHeaderFields = 256
+	// MaxHeaderFields is the greatest number of header fields of a request. A head of 16 KiB,
+	// the usual limit, has no more, since the shortest field takes four bytes.
+	MaxHeaderFields = 4096
+	// fieldBytes is the memory of a header field besides its bytes, however short it is: its
+	// entry in the map of the request and in that of the forwarded one.
+	fieldBytes = 256
 	// headFactor is the memory of a head relative to its bytes: the bytes are copied, and
 	// the fields have a map.
 	headFactor = 4
@@ -80,14 +83,15 @@
 	if c.headBytes == 0 {
 		c.listener.guard.enter(c.client, bodybudget.StateHead)
 	}
-	charge := int64(headFactor * len(p))
+	charge, before := int64(headFactor*len(p)), c.fields
+	if !c.listener.opts.Encrypted {
+		p = c.countFields(p)
+	}
+	charge += int64(fieldBytes * (c.fields - before))
 	if !c.listener.guard.reserve(c.client, charge) {
 		return reasonMemory
 	}
 	c.charged += charge
-	if !c.listener.opts.Encrypted {
-		p = c.countFields(p)
-	}
 	c.headBytes += len(p)
 	if c.headBytes > c.listener.opts.HeadBytes() || c.fields > MaxHeaderFields+1 { // one is the request line
 		return reasonHead
