assign: shares of slots, refusals and retries as before

Change: shares by what waits (waiting.go), refusals and retry-after by the room that becomes free (room.go) and their tests are taken out; the order by due time stays. Result: go test ./internal/assign passes.

--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -87,9 +87,6 @@
 // maxObjectiveFraction of the time left until the objective, or within
 // lateFirstTokenLimit for a job that is late already.
 func (s *Scheduler) meetsObjective(now time.Duration, j *Job, expected time.Duration) bool {
-	if !j.canBeServed(now, expected) {
-		return false
-	}
 	if j.late(now) {
 		return expected <= lateFirstTokenLimit
 	}
--- a/internal/assign/order.go
+++ b/internal/assign/order.go
@@ -171,9 +171,6 @@
 	if o := s.kindOrders[j.Service]; o != nil && o.longPrompt(j) && s.urgencyAt(now, j) > j.UrgencyAt(now) {
 		return 0
 	}
-	if j.late(now) && !j.InProgress || s.moreUrgentWaits(j, j.UrgencyAt(now)) {
-		return 0
-	}
 	return u.slots() / staleOvercommitDivisor
 }
 
--- a/internal/assign/refuse.go
+++ b/internal/assign/refuse.go
@@ -24,7 +24,7 @@
 	if eligible == 0 {
 		return fleet.Refusal{}, false // the model is expected to be ready in time
 	}
-	if s.waitsInVain(now, j, ahead) {
+	if now+s.expectedWait(now, j, ahead) >= j.FirstEventDeadline-giveUpMargin {
 		return s.overloadRefusal(now, j, ahead), true
 	}
 	return fleet.Refusal{}, false
@@ -136,31 +136,21 @@
 // expectedWait returns the expected time in the queue of a job with so many
 // jobs ahead of it.
 func (s *Scheduler) expectedWait(now time.Duration, j *Job, ahead int) time.Duration {
+	r := s.placementRate(j)
+	r.decay(now)
 	if ahead == 0 {
 		return 0
 	}
-	return s.waitBehind(now, j, ahead)
-}
-
-// waitsInVain reports whether a job that cannot be placed now would be refused or left by its
-// caller before the jobs ahead of it are placed.
-func (s *Scheduler) waitsInVain(now time.Duration, j *Job, ahead int) bool {
-	limit := j.FirstEventDeadline - giveUpMargin
-	if j.NeedsEngine && !j.InProgress && ahead > 0 {
-		limit = j.waitLimit()
-	}
-	return now+s.expectedWait(now, j, ahead) >= limit
+	if r.perSecond < 1 {
+		return time.Duration(ahead) * time.Second
+	}
+	return time.Duration(float64(ahead) / r.perSecond * float64(time.Second))
 }
 
 // overloadRefusal returns the refusal of a job that would wait too long behind
 // the jobs ahead of it.
 func (s *Scheduler) overloadRefusal(now time.Duration, j *Job, ahead int) fleet.Refusal {
-	if !j.NeedsEngine {
-		return fleet.Refusal{Reason: fleet.ReasonOverloaded, RetryAfter: s.retryAfter(now, j, s.expectedWait(now, j, ahead))}
-	}
-	after := s.retryAfter(now, j, s.promiseRetry(now, j, ahead))
-	s.recordPromise(now, j, after)
-	return fleet.Refusal{Reason: fleet.ReasonOverloaded, RetryAfter: after}
+	return fleet.Refusal{Reason: fleet.ReasonOverloaded, RetryAfter: s.retryAfter(now, j, s.expectedWait(now, j, ahead))}
 }
 
 const (
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -38,14 +38,12 @@
 	peers          map[string]PeerLoads
 	queue          []*Job
 	placementRates map[string]*placementRate
-	roomRates      map[string]*room // by service and model
 	limits         *upstreamlimit.Limiter
 	stats          *upstreamstats.Stats
 	rooms          *upstreamlimit.Rooms
 	outputs        map[modelKey]*outputLengths // by service and model
 	runTimes       map[modelKey]*runTimes      // by service and model
 	readyTimes     map[modelKey]time.Duration  // when a model is expected to be ready
-	peerWaiting    map[string]Load             // jobs that wait at peers, by reported name
 	kindOrders     map[string]*kindOrder       // by service; those that are not ordered by priority alone
 	evacuated      map[string]bool             // zones whose upstreams get no request
 	lastSequence   uint64                      // of the last job queued
@@ -82,7 +80,7 @@
 	}
 	return &Scheduler{
 		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 0)), byID: map[string]*upstream{},
-		services: map[string][]*upstream{}, peers: map[string]PeerLoads{}, placementRates: map[string]*placementRate{}, roomRates: map[string]*room{},
+		services: map[string][]*upstream{}, peers: map[string]PeerLoads{}, placementRates: map[string]*placementRate{},
 		limits: limits, stats: upstreamstats.New(), rooms: upstreamlimit.NewRooms(limits), outputs: map[modelKey]*outputLengths{}, runTimes: map[modelKey]*runTimes{}, readyTimes: map[modelKey]time.Duration{},
 	}
 }
@@ -185,7 +183,6 @@
 
 // sumPeers recomputes the peer load of each upstream.
 func (s *Scheduler) sumPeers() {
-	s.sumPeerWaiting()
 	for _, u := range s.byID {
 		u.peerLoad = Load{}
 	}
@@ -334,7 +331,6 @@
 	}
 	switch result {
 	case ResultOK:
-		s.recordHold(now, p)
 		p.upstream.health.recordSuccess()
 		s.observeFailure(now, p.upstream, false)
 		if p.upstream.engine == nil {
--- a/internal/assign/spread.go
+++ b/internal/assign/spread.go
@@ -17,7 +17,7 @@
 	// nearlyFullDivisor is the inverse of the fraction of free slots below
 	// which each instance is held to its share of them.
 	nearlyFullDivisor = 4
-	// freeShareFactor is the multiple of its share of the free slots that
+	// freeShareFactor is the multiple of its even share of the free slots that
 	// an instance may take within the age of the load reports, as few
 	// instances place requests at the same time.
 	freeShareFactor = 2
@@ -79,12 +79,9 @@
 		return best
 	}
 	if nearlyFull {
-		best.fits = false // unless one of the candidates still fits
-		share := s.shareOfSlots(j, totals)
 		for i := range s.candidates {
 			c := &s.candidates[i]
-			c.fits = c.upstream.requests() < c.upstream.slots()+s.overcommit(now, c.upstream, j) &&
-				s.withinPart(c.upstream, share) && c.upstream.hasMemory(c.reservation, c.reserve) && s.meetsObjective(now, j, c.expected)
+			c.fits = c.upstream.requests() < c.upstream.slots()+s.overcommit(now, c.upstream, j) && c.upstream.hasMemory(c.reservation, c.reserve) && s.meetsObjective(now, j, c.expected)
 		}
 	}
 	if best.upstream.hasLimitedMemory() {
@@ -94,15 +91,15 @@
 }
 
 // withinShare reports whether this instance may place a job when the slots are
-// nearly full: its own requests use less than its share of the slots, or
+// nearly full: its own requests use less than an even share of the slots, or
 // its placements since the load reports are within its share of the free slots
 // that all instances see.
 func (s *Scheduler) withinShare(now time.Duration, j *Job, totals slotTotals) bool {
-	share := s.shareOfSlots(j, totals)
-	if float64(totals.ownRequests) < float64(totals.slots)*share+s.rng.Float64()-0.5 {
+	n := s.instanceCount()
+	if float64(totals.ownRequests) < float64(totals.slots)/n+s.rng.Float64()-0.5 {
 		return true
 	}
-	return s.unseenPlacements(now, j) < freeShareFactor*float64(totals.slots-totals.requests)*share
+	return s.unseenPlacements(now, j) < freeShareFactor*float64(totals.slots-totals.requests)/n
 }
 
 // chooseWeighted chooses at random among the candidates that fit and whose
@@ -138,11 +135,3 @@
 	}
 	return weight
 }
-
-// withinPart reports whether this instance has less than its share of the requests that may be
-// at an upstream. Several instances see the same slots free in reports of half a second ago;
-// together they stay within the upstream's slots and what may wait there.
-func (s *Scheduler) withinPart(u *upstream, share float64) bool {
-	part := share * float64(u.slots()+u.slots()/staleOvercommitDivisor)
-	return float64(u.ownLoad.Requests()) < part+s.rng.Float64()-0.5
-}
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -300,14 +299,11 @@
 	return d.sched.Pauses(d.now())
 }
 
-// localLoads returns this instance's load at each upstream and the requests that wait in its
-// queue, to be sent to peers.
+// localLoads returns this instance's load at each upstream, to be sent to peers.
 func (d *dispatcher) localLoads() map[string]assign.Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	loads := d.sched.OwnLoads()
-	maps.Copy(loads, d.sched.QueueLoads(d.now()))
-	return loads
+	return d.sched.OwnLoads()
 }
 
 // orderStates returns the orders of services that are not ordered by priority alone, and the
