gateway: the order by due time can be turned off

Cause: an operator may want the routes' priorities to decide always. Change: setting queue.order, due (the default) or priority.

--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -20,6 +20,9 @@
 	// DisableSpread disables the random choice under stale load reports: the
 	// best upstream is always chosen. It serves as a baseline.
 	DisableSpread bool
+	// PriorityOnly orders the jobs of all services by priority, also of those with an inverted
+	// pair of routes (see kindOrder).
+	PriorityOnly bool
 	// Regions is the region of each availability zone.
 	Regions map[string]string
 	// ExpectedInstances is the number of instances that the settings name.
@@ -105,7 +108,9 @@
 		services[entry.Service] = append(services[entry.Service], u)
 	}
 	s.byID, s.services = byID, services
-	s.kindOrders = kindOrders(config, s.kindOrders)
+	if !s.opts.PriorityOnly {
+		s.kindOrders = kindOrders(config, s.kindOrders)
+	}
 	listed := func(l upstreamlimit.Upstream) bool {
 		return byID[l.ID] != nil && byID[l.ID].entry.StartedAtMS == l.StartedAtMS
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -39,6 +39,7 @@
 	Memory    MemorySettings    `json:"memory"`
 	Machine   MachineSettings   `json:"machine"`
 	Cold      ColdSettings      `json:"cold"`
+	Queue     QueueSettings     `json:"queue"`
 
 	Quarantine crashwatch.Settings `json:"quarantine"`
 	Evacuation EvacuationSettings  `json:"evacuation"`
@@ -89,6 +90,20 @@
 	LoadWindow settings.Duration `json:"load_window"`
 }
 
+// QueueSettings configure the order of waiting requests.
+type QueueSettings struct {
+	// Order is "due" or "priority": whether requests to engines are ordered by the time by which
+	// they are due where a route with a longer objective has a more urgent priority than
+	// another one of its service, or always by priority.
+	Order string `json:"order"`
+}
+
+// The values of QueueSettings.Order.
+const (
+	orderDue      = "due"
+	orderPriority = "priority"
+)
+
 // LogSettings configure the level and volume of the log.
 type LogSettings struct {
 	Level string `json:"level"`
@@ -127,6 +142,7 @@
 		Stop:      StopSettings{Grace: settings.Duration(8 * time.Second)},
 		Retry:     RetrySettings{Ratio: 0.2, FixedPerWindow: 20, Window: settings.Duration(10 * time.Second)},
 		Placement: PlacementSettings{LeaseDuration: settings.Duration(3 * time.Second), LoadWindow: settings.Duration(5 * time.Second)},
+		Queue:     QueueSettings{Order: orderDue},
 		Log:       LogSettings{Level: "info", RequestsPerS: 50},
 		Cold:      ColdSettings{Overage: upstreamlimit.DefaultColdBounds.Overage, Slack: upstreamlimit.DefaultColdBounds.Slack},
 	}
@@ -158,6 +174,7 @@
 	c.Require(s.Machine.LinkMbps >= 0, "machine.link_mbps", "must be 0 or more")
 	c.Require(s.Machine.Cores >= 0, "machine.cores", "must be 0 or more")
 	c.Require(s.Evacuation.Within.Std() >= 0, "evacuation.within", "must be 0 or more")
+	c.Require(s.Queue.Order == orderDue || s.Queue.Order == orderPriority, "queue.order", "must be due or priority")
 	c.Require(s.Cold.Overage >= 0, "cold.overage", "must be 0 or more")
 	c.Require(s.Cold.Slack >= 0, "cold.slack", "must be 0 or more")
 	s.Quarantine.Check(c, "quarantine.exempt")
