--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -47,7 +47,7 @@
 func (s *Scheduler) estimateLatency(now time.Duration, u *upstream, j *Job, uncached int) (expected, nominal time.Duration) {
 	if u.engine == nil {
 		excess := u.requests() + 1 - u.slots()
-		serviceTime := u.latency.serviceTime()
+		serviceTime := s.serviceTime(u)
 		if excess <= 0 {
 			return serviceTime, serviceTime
 		}
@@ -59,7 +59,7 @@
 		tokens += u.ownLoad.PendingTokens[urgency] + u.peerLoad.PendingTokens[urgency]
 	}
 	nominal = time.Duration(float64(tokens)/referencePrefillTokensPerMs*float64(time.Millisecond)) + baseFirstTokenTime
-	expected = time.Duration(u.latency.slowdown() * float64(nominal))
+	expected = time.Duration(s.slowdown(now, u) * float64(nominal))
 	if excess := u.requests() + 1 - u.slots(); excess > 0 {
 		expected += time.Duration(excess) * slotReleaseInterval
 		nominal += time.Duration(excess) * slotReleaseInterval
--- a/internal/assign/estimates.go
+++ b/internal/assign/estimates.go
@@ -32,6 +32,9 @@
 
 // addEstimates adds the series of an upstream and of the models that it holds.
 func (s *Scheduler) addEstimates(u *upstream) {
+	if s.opts.OwnEstimates {
+		return
+	}
 	series := func(k upstreamstats.Kind) *upstreamstats.Series {
 		return s.stats.Series(upstreamstats.Key{Subject: u.entry.ID, StartedAtMS: u.entry.StartedAtMS, Kind: k}, u.entry.Service)
 	}
@@ -68,6 +71,9 @@
 
 // prefillFactor returns the prefill time of the job's model relative to the reference.
 func (s *Scheduler) prefillFactor(j *Job) float64 {
+	if s.opts.OwnEstimates {
+		return 1
+	}
 	if j.prefill == nil {
 		j.prefill = s.prefillSeries(j.Service, j.Model)
 	}
@@ -85,7 +91,7 @@
 // without slots to spare, first tokens wait for more than prompts.
 func (s *Scheduler) observePrefill(now time.Duration, p *Placement) {
 	reference := float64(p.uncached) / referencePrefillTokensPerMs * float64(time.Millisecond)
-	if reference < float64(minPrefillSample) || !p.hadRoom {
+	if s.opts.OwnEstimates || reference < float64(minPrefillSample) || !p.hadRoom {
 		return
 	}
 	factor := s.prefillFactor(p.job)
@@ -96,6 +102,9 @@
 
 // observeFailure records whether a request failed by the upstream's fault.
 func (s *Scheduler) observeFailure(now time.Duration, u *upstream, failed bool) {
+	if s.opts.OwnEstimates {
+		return
+	}
 	value := 0.0
 	if failed {
 		value = 1
@@ -121,7 +130,7 @@
 // the number of slow ones.
 func (s *Scheduler) SlowChanges() (changes []SlowChange, slow int) {
 	for id, u := range s.byID {
-		if u.engine == nil {
+		if u.engine == nil || s.opts.OwnEstimates {
 			continue
 		}
 		slowness := u.latency.slowdown()
--- a/internal/assign/health.go
+++ b/internal/assign/health.go
@@ -47,6 +47,9 @@
 // rate returns the failure rate: that of the fleet as far as this instance has seen few
 // responses itself.
 func (h *health) rate() float64 {
+	if h.fleet == nil { // Options.OwnEstimates
+		return h.failureRate
+	}
 	_, weight := h.fleet.Value()
 	weight = min(weight, float64(enoughResponses-h.responses))
 	if weight <= 0 {
--- a/internal/assign/latency.go
+++ b/internal/assign/latency.go
@@ -40,5 +40,8 @@
 // observeFirstToken records an observed time to the first token and the time
 // that was expected without the slowdown.
 func (s *Scheduler) observeFirstToken(now, observed, expected time.Duration, u *upstream) {
+	if s.opts.OwnEstimates {
+		return
+	}
 	s.stats.Observe(now, u.latency.series, float64(observed)/float64(max(expected, baseFirstTokenTime)))
 }
--- a/internal/assign/memory.go
+++ b/internal/assign/memory.go
@@ -162,7 +162,9 @@
 }
 
 // hasLimitedMemory reports whether the memory of the upstream is known.
-func (u *upstream) hasLimitedMemory() bool { return u.engine != nil && u.engine.KVTokens > 0 }
+func (u *upstream) hasLimitedMemory() bool {
+	return u.countsMemory && u.engine != nil && u.engine.KVTokens > 0
+}
 
 // hasMemory reports whether the upstream has memory left for a reservation. An engine without
 // requests takes every reservation, whatever estimates say, so that none stays idle.
@@ -213,7 +215,7 @@
 // without requests although its estimate exceeds the limit for such jobs: the engine would
 // be idle otherwise, and the caller still waits.
 func (s *Scheduler) fitsEmpty(now time.Duration, u *upstream, j *Job, expected time.Duration) bool {
-	return u.engine != nil && u.requests() == 0 && (j.InProgress || j.late(now)) && j.isWithinPatience(now+expected)
+	return u.countsMemory && u.engine != nil && u.requests() == 0 && (j.InProgress || j.late(now)) && j.isWithinPatience(now+expected)
 }
 
 // chooseByMemory chooses among the candidates of chooseStale by the memory that remains, while
--- a/internal/assign/permit.go
+++ b/internal/assign/permit.go
@@ -32,7 +32,11 @@
 func (s *Scheduler) ServiceTime(service string) time.Duration {
 	sum, n := time.Duration(0), 0
 	for _, u := range s.services[service] {
-		if mean, weight := u.latency.series.Value(); weight > 0 {
+		if s.opts.OwnEstimates {
+			if u.ownLatency.meanServiceTime > 0 {
+				sum, n = sum+u.ownLatency.meanServiceTime, n+1
+			}
+		} else if mean, weight := u.latency.series.Value(); weight > 0 {
 			sum, n = sum+time.Duration(mean*float64(time.Millisecond)), n+1
 		}
 	}
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -20,6 +20,11 @@
 	// DisableSpread disables the random choice under stale load reports: the
 	// best upstream is always chosen. It serves as a baseline.
 	DisableSpread bool
+	// OwnEstimates uses what this instance has measured of upstreams alone, not what its peers
+	// tell.
+	OwnEstimates bool
+	// SlotsOnly places requests by the slots of engines alone, not by their memory.
+	SlotsOnly bool
 	// PriorityOnly orders the jobs of all services by priority, also of those with an inverted
 	// pair of routes (see kindOrder).
 	PriorityOnly bool
@@ -99,7 +104,7 @@
 		if u == nil || u.entry.StartedAtMS != entry.StartedAtMS || u.entry.Address != entry.Address {
 			u = &upstream{models: entry.Models, absentUntil: map[modelKey]time.Duration{}}
 		}
-		u.entry = entry
+		u.entry, u.countsMemory = entry, !s.opts.SlotsOnly
 		if svc := config.Services[entry.Service]; svc != nil {
 			u.engine = svc.Engine
 		}
@@ -270,13 +275,14 @@
 	limited      bool // taken from the upstream's limit
 	coldReserved bool // from what the cold upstream takes, and not sent
 	sentAt       time.Duration
+	expected     time.Duration // expected time to the first token
 	nominal      time.Duration // expected time to the first token without the upstream's slowdown
 }
 
 // place assigns the job to the candidate's upstream, which is available, and adds it to
 // the upstream's load and limit.
 func (s *Scheduler) place(now time.Duration, j *Job, c candidate) *Placement {
-	p := &Placement{job: j, upstream: c.upstream, urgency: s.urgencyAt(now, j), sentAt: now, nominal: c.nominal}
+	p := &Placement{job: j, upstream: c.upstream, urgency: s.urgencyAt(now, j), sentAt: now, nominal: c.nominal, expected: c.expected}
 	p.limited = s.takeLimit(now, c.upstream)
 	p.coldReserved = s.limits.ReserveCold(now, c.upstream.limitKey())
 	if c.upstream.engine != nil {
@@ -303,6 +309,7 @@
 	p.removePending()
 	p.upstream.ownLoad.Running++
 	if p.upstream.engine != nil {
+		p.upstream.ownLatency.observeFirstToken(now, now-p.sentAt, time.Duration(float64(p.expected)/p.upstream.ownLatency.slowdown(p.sentAt)))
 		s.observeFirstToken(now, now-p.sentAt, p.nominal, p.upstream)
 		s.observePrefill(now, p)
 	}
@@ -339,7 +346,10 @@
 		p.upstream.health.recordSuccess()
 		s.observeFailure(now, p.upstream, false)
 		if p.upstream.engine == nil {
-			s.stats.Observe(now, p.upstream.latency.series, float64(now-p.sentAt)/float64(time.Millisecond))
+			p.upstream.ownLatency.observeServiceTime(now - p.sentAt)
+			if !s.opts.OwnEstimates {
+				s.stats.Observe(now, p.upstream.latency.series, float64(now-p.sentAt)/float64(time.Millisecond))
+			}
 		} else {
 			s.recordRunTime(now, p)
 		}
--- a/internal/assign/upstream.go
+++ b/internal/assign/upstream.go
@@ -57,10 +57,12 @@
 	ownLoad  Load
 	peerLoad Load // sum over the peers
 
-	health  health
-	latency latencyTracker
-	slow    bool // as reported by SlowChanges
-	cache   prefixCache
+	health       health
+	latency      latencyTracker
+	ownLatency   ownLatency
+	countsMemory bool // whether requests are placed by its memory
+	slow         bool // as reported by SlowChanges
+	cache        prefixCache
 	// fullUntil is the time until which the upstream counts as full, because
 	// it refused a request although this instance's view showed free slots.
 	fullUntil time.Duration
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,6 +131,7 @@
 	g.dispatcher = newDispatcher(assign.Options{
 		Name: s.Name, Incarnation: g.self.Incarnation, Zone: s.Zone, Started: g.started, Seed: rand.Uint64(), Regions: s.Zones,
 		ExpectedInstances: g.expectedPeers() + 1, ColdBounds: s.Cold.bounds(), PriorityOnly: s.Queue.Order == orderPriority,
+		OwnEstimates: !s.Engines.FleetEstimates, SlotsOnly: !s.Engines.CountMemory,
 	}, g.now)
 	g.pool = httpconn.New(httpconn.Options{DialTimeout: dialTimeout, MaxIdlePerAddress: maxIdlePerUpstream, IsResponseTo: g.codec.MatchesRequest})
 	g.links = newLinks(g)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -40,6 +40,7 @@
 	Machine   MachineSettings   `json:"machine"`
 	Cold      ColdSettings      `json:"cold"`
 	Queue     QueueSettings     `json:"queue"`
+	Engines   EngineSettings    `json:"engines"`
 
 	Quarantine crashwatch.Settings `json:"quarantine"`
 	Evacuation EvacuationSettings  `json:"evacuation"`
@@ -90,6 +91,14 @@
 	LoadWindow settings.Duration `json:"load_window"`
 }
 
+// EngineSettings configure by what requests are placed at upstreams. Both are off unless set.
+type EngineSettings struct {
+	// FleetEstimates uses what all instances measure of upstreams, not this instance alone.
+	FleetEstimates bool `json:"fleet_estimates"`
+	// CountMemory places requests by the memory of engines too, not by their slots alone.
+	CountMemory bool `json:"count_memory"`
+}
+
 // QueueSettings configure the order of waiting requests.
 type QueueSettings struct {
 	// Order is "due" or "priority": whether requests to engines are ordered by the time by which
@@ -142,7 +151,7 @@
 		Stop:      StopSettings{Grace: settings.Duration(8 * time.Second)},
 		Retry:     RetrySettings{Ratio: 0.2, FixedPerWindow: 20, Window: settings.Duration(10 * time.Second)},
 		Placement: PlacementSettings{LeaseDuration: settings.Duration(3 * time.Second), LoadWindow: settings.Duration(5 * time.Second)},
-		Queue:     QueueSettings{Order: orderDue},
+		Queue:     QueueSettings{Order: orderPriority},
 		Log:       LogSettings{Level: "info", RequestsPerS: 50},
 		Cold:      ColdSettings{Overage: upstreamlimit.DefaultColdBounds.Overage, Slack: upstreamlimit.DefaultColdBounds.Slack},
 	}
