gateway: tests of relays wait until the scheduler knows the upstream

The test waited until the catalog had the list of upstreams; the scheduler gets it a moment later and refuses until then. With 20 ms of delay between the two the failure shows in 3 of 3 runs. Change: the set-up waits for both; no assertion changed.

--- a/internal/gateway/relaying_test.go
+++ b/internal/gateway/relaying_test.go
@@ -55,7 +55,8 @@
 	f.putConfig(1, 1)
 	r.node = f.start("n", "z", 1, 0, []string{"n:1"})
 	t.Cleanup(r.node.stop)
-	for !r.node.g.catalog.Ready() {
+	// The scheduler gets the list a moment after the catalog has it, and refuses until then.
+	for !r.node.g.catalog.Ready() || !r.node.g.dispatcher.hasModel("app", "", "") {
 		time.Sleep(time.Millisecond)
 	}
 	r.node.g.codec = relayCodec{}
