--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -59,7 +59,7 @@
 	}
 	w.addServer(faulty)
 	w.addServer(&server{id: "i-2", service: "desk", work: 20 * time.Millisecond, slots: 6, full: full})
-	w.instances = startInstances(w.dir, w.storeAddr, 2)
+	w.instances = startInstances(w.dir, w.storeAddr, w.storeAddr)
 	var clients sync.WaitGroup
 	end := time.Now().Add(refusedRun)
 	for i := range 2 {
