review: case 3, a store that comes back from an older copy

Cause: no part knows the header Store-Era. Configurations and lists of servers whose revision is not above the last one are dropped, so after the store's revision has gone back nothing new is taken.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 for program in target/eelgrass-gateway target/review/standin; do
 	[ -x "$program" ] || { echo "$program is missing: run the build of deploy/system.toml and review/build.sh" >&2; exit 2; }
 done
-exec timeout -k 5 115 target/review/standin gone-server-after-freeze "review/3/record.txt"
+exec timeout -k 5 115 target/review/standin store-from-older-copy "review/3/record.txt"
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -21,6 +21,7 @@
 type sent struct {
 	at, answeredAt time.Time
 	attempt, order string
+	key            string
 	status         int // 0 if the connection ended without a complete answer
 	body           string
 	retryAfter     string
@@ -60,7 +61,7 @@
 type client struct {
 	address string
 	records *recorder
-	extra   string // more header fields, each with its line end
+	key     string // empty for apiKey
 	conn    net.Conn
 	reader  *bufio.Reader
 }
@@ -68,6 +69,11 @@
 // post sends one attempt of a request that is not idempotent and reads its answer.
 func (c *client) post(path, order string, deadline time.Duration) *sent {
 	s := &sent{at: time.Now(), attempt: newAttemptID(), order: order}
+	key := c.key
+	if key == "" {
+		key = apiKey
+	}
+	s.key = key
 	defer func() {
 		s.answeredAt = time.Now()
 		c.records.add(s)
@@ -80,8 +86,8 @@
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
 	body := "order=" + order
-	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Order: %s\r\nX-Deadline-Ms: %d\r\nX-Key: %s\r\n%sContent-Length: %d\r\n\r\n%s",
-		path, host, s.attempt, order, deadline.Milliseconds(), apiKey, c.extra, len(body), body)
+	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Order: %s\r\nX-Deadline-Ms: %d\r\nX-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
+		path, host, s.attempt, order, deadline.Milliseconds(), key, len(body), body)
 	_ = c.conn.SetDeadline(time.Now().Add(deadline))
 	if _, err := io.Copy(c.conn, strings.NewReader(text)); err != nil {
 		c.close()
