--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -6,10 +6,15 @@
 //   - Of two sets of the same revision, a zone that is in either is evacuated. A read in several
 //     pages may have seen a later change, and too few requests cost less than a broken rule.
 //   - Without a new set the last one stays.
+//   - The first set of an era of the store (see objectstore.EraOf) may be of an older copy. For
+//     RestoredGrace, zones that were evacuated before stay so.
 package evacuation
 
 import (
 	"slices"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
 )
 
 const (
@@ -17,6 +22,9 @@
 	MaxZones = 256
 	// MaxNameBytes bounds the name of a zone.
 	MaxNameBytes = 128
+	// RestoredGrace is how long evacuations that an older copy of the store lacks stay in
+	// force. The operator writes them again.
+	RestoredGrace = 30 * time.Second
 )
 
 // Snapshot is the set of evacuated zones as of a revision of the store.
@@ -65,6 +73,9 @@
 	known    bool
 	revision uint64
 	zones    []string // sorted
+
+	carried      []string // evacuated before the present era
+	carriedUntil time.Duration
 }
 
 // Known reports whether any set was ever received.
@@ -76,8 +87,14 @@
 }
 
 // Merge merges a set from the store or from a peer and returns what changed.
-func (s *Set) Merge(in Snapshot) Change {
+func (s *Set) Merge(now time.Duration, in Snapshot) Change {
 	zones := slices.Clone(in.Zones)
+	if s.known && objectstore.EraOf(in.Revision) > objectstore.EraOf(s.revision) {
+		s.carried, s.carriedUntil = s.zones, now+RestoredGrace
+	}
+	if now < s.carriedUntil {
+		zones = append(zones, s.carried...)
+	}
 	slices.Sort(zones)
 	zones = slices.Compact(zones)
 	switch {
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -5,7 +5,9 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
 	"github.com/eelgrassbay/eelgrassbay/internal/rapidtest"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -24,7 +26,7 @@
 		for range rapid.IntRange(1, 20).Draw(t, "messages") {
 			in := rapid.SampledFrom(history).Draw(t, "message")
 			before := s.Snapshot()
-			change := s.Merge(in)
+			change := s.Merge(0, in)
 			if in.Revision >= highest.Revision {
 				highest = in
 			}
@@ -44,8 +46,8 @@
 func TestSetsOfOneRevisionAreUnited(t *testing.T) {
 	var s Set
 	must.False(t, s.Known())
-	s.Merge(Snapshot{Revision: 4, Zones: []string{"b"}})
-	change := s.Merge(Snapshot{Revision: 4, Zones: []string{"a"}})
+	s.Merge(0, Snapshot{Revision: 4, Zones: []string{"b"}})
+	change := s.Merge(0, Snapshot{Revision: 4, Zones: []string{"a"}})
 	must.Eq(t, Change{Began: []string{"a"}, Ended: []string{}}, change)
 	must.Eq(t, Snapshot{Revision: 4, Zones: []string{"a", "b"}}, s.Snapshot())
 }
@@ -61,3 +63,21 @@
 	must.SliceLen(t, MaxZones, kept)
 	must.SliceLen(t, len(names)-MaxZones, skipped)
 }
+
+// An older copy of the store may lack an evacuation, which the operator writes again (review/3).
+func TestEvacuationOutlastsAnOlderCopy(t *testing.T) {
+	var s Set
+	s.Merge(0, Snapshot{Revision: 100, Zones: []string{"z"}})
+	era := func(revision uint64) uint64 {
+		version, err := objectstore.VersionOf(1, revision)
+		must.NoError(t, err)
+		return version
+	}
+	must.True(t, s.Known())
+	change := s.Merge(time.Second, Snapshot{Revision: era(5)})
+	must.True(t, change.IsEmpty())
+	change = s.Merge(2*time.Second, Snapshot{Revision: 200}) // of a peer in the earlier era
+	must.True(t, change.IsEmpty())
+	change = s.Merge(RestoredGrace+time.Second, Snapshot{Revision: era(6)})
+	must.Eq(t, []string{"z"}, change.Ended)
+}
--- a/internal/gateway/configblocks.go
+++ b/internal/gateway/configblocks.go
@@ -81,10 +81,9 @@
 		return &meshpb.KnowledgeReply{}, err
 	}
 	d := g.configBlocks.of(u.ConfigRevision, u.Config)
-	return &meshpb.KnowledgeReply{
-		ConfigRevision: u.ConfigRevision,
-		ConfigIndex:    &meshpb.DocumentIndex{Digest: d.Digest, Size: uint64(d.Size), Blocks: d.Blocks},
-	}, nil
+	out := &meshpb.KnowledgeReply{ConfigIndex: &meshpb.DocumentIndex{Digest: d.Digest, Size: uint64(d.Size), Blocks: d.Blocks}}
+	out.ConfigRevision, out.ConfigEra = versionToWire(u.ConfigRevision)
+	return out, nil
 }
 
 // Blocks implements meshpb.DRPCMeshServer.
--- a/internal/gateway/configfetch.go
+++ b/internal/gateway/configfetch.go
@@ -207,8 +207,8 @@
 		return false, err
 	}
 	switch {
-	case reply.ConfigIndex != nil && reply.ConfigRevision > own:
-		f.target = configTarget{reply.ConfigRevision, chunk.Index{
+	case reply.ConfigIndex != nil && versionFromWire(reply.ConfigRevision, reply.ConfigEra) > own:
+		f.target = configTarget{versionFromWire(reply.ConfigRevision, reply.ConfigEra), chunk.Index{
 			Digest: reply.ConfigIndex.Digest, Size: int(min(reply.ConfigIndex.Size, math.MaxInt32)), Blocks: reply.ConfigIndex.Blocks,
 		}}
 		return false, nil
--- a/internal/gateway/evacuations.go
+++ b/internal/gateway/evacuations.go
@@ -71,7 +71,7 @@
 	if !slices.Equal(in.Zones, e.set.Snapshot().Zones) { // most states repeat what is known
 		in.Zones = e.usableZones(in.Zones, source)
 	}
-	change := e.set.Merge(in)
+	change := e.set.Merge(e.g.now(), in)
 	if change.IsEmpty() {
 		return
 	}
@@ -181,13 +181,15 @@
 		return nil
 	}
 	s := e.set.Snapshot()
-	return &meshpb.Evacuations{Revision: s.Revision, Zones: s.Zones}
+	out := &meshpb.Evacuations{Zones: s.Zones}
+	out.Revision, out.Era = versionToWire(s.Revision)
+	return out
 }
 
 // mergeWire merges the set that a peer has told, if any.
 func (e *evacuations) mergeWire(in *meshpb.Evacuations, peer string) {
 	if in != nil {
-		e.merge(evacuation.Snapshot{Revision: in.Revision, Zones: in.Zones}, peer)
+		e.merge(evacuation.Snapshot{Revision: versionFromWire(in.Revision, in.Era), Zones: in.Zones}, peer)
 	}
 }
 
@@ -205,9 +207,7 @@
 		case <-e.wake:
 		}
 		config, _, _ := e.g.catalog.Revisions()
-		news := &meshpb.News{
-			Name: e.g.self.Name, Zone: e.g.self.Zone, PeerAddress: e.g.self.PeerAddress, ConfigRevision: config, Evacuations: e.toWire(),
-		}
+		news := e.g.newsToWire(config, e.toWire())
 		for _, p := range e.g.mesh.Sample(newsFanout, func(string) bool { return false }) {
 			go e.g.announceTo(ctx, p, news)
 		}
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -119,7 +119,9 @@
 
 func (d configDocument) request() *meshpb.KnowledgeRequest {
 	revision, _, _ := d.g.catalog.Revisions()
-	return &meshpb.KnowledgeRequest{ConfigRevision: revision, RosterRevision: noRevision}
+	out := &meshpb.KnowledgeRequest{RosterRevision: noRevision}
+	out.ConfigRevision, out.ConfigEra = versionToWire(revision)
+	return out
 }
 
 func (d configDocument) part(reply *meshpb.KnowledgeReply) *meshpb.DocumentPart {
@@ -130,7 +132,7 @@
 	if raw == nil {
 		raw = reply.Config
 	}
-	return d.g.catalog.Apply(storesync.Update{ConfigRevision: reply.ConfigRevision, Config: raw}, peer)
+	return d.g.catalog.Apply(storesync.Update{ConfigRevision: versionFromWire(reply.ConfigRevision, reply.ConfigEra), Config: raw}, peer)
 }
 
 // rosterDocument is the list of upstreams, as changes since the revision that this
@@ -142,7 +144,9 @@
 func (d rosterDocument) lag() *lag { return &d.g.rosterLag }
 
 func (d rosterDocument) request() *meshpb.KnowledgeRequest {
-	return &meshpb.KnowledgeRequest{ConfigRevision: noRevision, RosterRevision: d.g.catalog.RosterBase()}
+	out := &meshpb.KnowledgeRequest{ConfigRevision: noRevision}
+	out.RosterRevision, out.RosterEra = versionToWire(d.g.catalog.RosterBase())
+	return out
 }
 
 func (d rosterDocument) part(reply *meshpb.KnowledgeReply) *meshpb.DocumentPart {
@@ -150,10 +154,11 @@
 }
 
 func (d rosterDocument) apply(reply *meshpb.KnowledgeReply, raw []byte, peer string) error {
+	revision := versionFromWire(reply.RosterRevision, reply.RosterEra)
 	if raw != nil {
-		return d.g.catalog.ApplyRosterChanges(reply.RosterRevision, raw, peer)
+		return d.g.catalog.ApplyRosterChanges(revision, raw, peer)
 	}
-	return d.g.catalog.Apply(storesync.Update{RosterRevision: reply.RosterRevision, Roster: reply.Roster}, peer)
+	return d.g.catalog.Apply(storesync.Update{RosterRevision: revision, Roster: reply.Roster}, peer)
 }
 
 // keptEncodings is the number of encoded documents that an instance keeps, so that a
@@ -208,46 +213,47 @@
 }
 
 // knowledgeParts answers a request for parts of the documents that are newer than
-// the caller's.
-func (g *Gateway) knowledgeParts(in *meshpb.KnowledgeRequest) (*meshpb.KnowledgeReply, error) {
+// those of the caller.
+func (g *Gateway) knowledgeParts(in *meshpb.KnowledgeRequest, ownConfig, ownRoster uint64) (*meshpb.KnowledgeReply, error) {
 	out := &meshpb.KnowledgeReply{}
-	config, err := g.configEncoding(in)
+	config, err := g.configEncoding(in.Digest, ownConfig)
 	if err != nil {
 		return nil, err
 	}
 	if config.revision > 0 {
-		out.ConfigRevision, out.ConfigPart = config.revision, partToWire(config.Document, in)
+		out.ConfigPart = partToWire(config.Document, in)
+		out.ConfigRevision, out.ConfigEra = versionToWire(config.revision)
 	}
-	roster, err := g.rosterEncoding(in)
+	roster, err := g.rosterEncoding(in.Digest, ownRoster)
 	if err != nil {
 		return nil, err
 	}
 	if roster.revision > 0 {
-		out.RosterRevision, out.RosterPart = roster.revision, partToWire(roster.Document, in)
+		out.RosterPart = partToWire(roster.Document, in)
+		out.RosterRevision, out.RosterEra = versionToWire(roster.revision)
 	}
 	return out, nil
 }
 
-// configEncoding returns the encoded configuration for a request, with revision 0 if
-// there is no newer one.
-func (g *Gateway) configEncoding(in *meshpb.KnowledgeRequest) (revisionEncoding, error) {
-	if begun, ok := g.configEncodings.begun(in.Digest, in.ConfigRevision); ok {
+// configEncoding returns the encoded configuration for a peer that has the given revision and
+// a prefix of the document with the digest, with revision 0 if there is no newer one.
+func (g *Gateway) configEncoding(digest, own uint64) (revisionEncoding, error) {
+	if begun, ok := g.configEncodings.begun(digest, own); ok {
 		return begun, nil
 	}
-	u, err := g.catalog.UpdateSince(in.ConfigRevision, noRevision)
+	u, err := g.catalog.UpdateSince(own, noRevision)
 	if err != nil || u.ConfigRevision == 0 {
 		return revisionEncoding{}, err
 	}
 	return g.configEncodings.encode(u.ConfigRevision, u.Config, true)
 }
 
-// rosterEncoding returns the encoded changes of the list of upstreams for a request, with
-// revision 0 if there are none.
-func (g *Gateway) rosterEncoding(in *meshpb.KnowledgeRequest) (revisionEncoding, error) {
-	if begun, ok := g.rosterEncodings.begun(in.Digest, in.RosterRevision); ok {
+// rosterEncoding is the same as configEncoding for the changes of the list of upstreams.
+func (g *Gateway) rosterEncoding(digest, own uint64) (revisionEncoding, error) {
+	if begun, ok := g.rosterEncodings.begun(digest, own); ok {
 		return begun, nil
 	}
-	revision, changes, err := g.catalog.RosterChanges(in.RosterRevision)
+	revision, changes, err := g.catalog.RosterChanges(own)
 	if err != nil || revision == 0 {
 		return revisionEncoding{}, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,9 @@
 	zoneLeads     atomic.Pointer[[]string] // names of the other leads of the zone
 	fetchingTable atomic.Bool              // a fetch of a peer's residency table is running
 	stopping      atomic.Bool
+	// registeredEra is the era of the store in which this instance was last added to the list
+	// of instances, or notRegistered.
+	registeredEra atomic.Int64
 }
 
 // New returns a gateway built from validated settings. It opens the listener for
@@ -109,6 +112,7 @@
 	s := opts.Settings
 	g := &Gateway{opts: opts, codec: opts.Format, now: opts.Now, started: opts.Now()}
 	g.settings.Store(s)
+	g.registeredEra.Store(notRegistered)
 	g.self = &meshpb.MemberInfo{Name: s.Name, Incarnation: uuid.NewString(), PeerAddress: s.PeerListen, Zone: s.Zone, Capacity: s.Machine.capacity()}
 	g.log = opts.Log.With("instance", s.Name, "zone", s.Zone)
 	srv, err := peer.NewServer(s.PeerListen, nil)
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		announced = revision
-		news := &meshpb.News{Name: g.self.Name, Zone: g.self.Zone, PeerAddress: g.self.PeerAddress, ConfigRevision: revision}
+		news := g.newsToWire(revision, nil)
 		for _, p := range g.mesh.Sample(newsFanout, func(name string) bool { return g.configFetcher.sources.has(name, revision) }) {
 			go g.announceTo(ctx, p, news)
 		}
@@ -62,7 +62,7 @@
 
 // Announce implements meshpb.DRPCMeshServer.
 func (s meshServer) Announce(_ context.Context, in *meshpb.News) (*meshpb.NewsReply, error) {
-	s.g.recordConfigSource(source{name: in.Name, address: in.PeerAddress, sameZone: in.Zone == s.g.self.Zone, revision: in.ConfigRevision})
+	s.g.recordConfigSource(source{name: in.Name, address: in.PeerAddress, sameZone: in.Zone == s.g.self.Zone, revision: versionFromWire(in.ConfigRevision, in.ConfigEra)})
 	s.g.evacuations.mergeWire(in.Evacuations, in.Name)
 	return &meshpb.NewsReply{}, nil
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,6 +9,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
 	"github.com/eelgrassbay/eelgrassbay/internal/mesh"
 	"github.com/eelgrassbay/eelgrassbay/internal/mesh/meshpb"
+	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
 	"github.com/eelgrassbay/eelgrassbay/internal/residency"
 	"github.com/eelgrassbay/eelgrassbay/internal/sharedlimit"
 	"storj.io/drpc"
@@ -59,7 +60,10 @@
 // fillState fills in the parts of a state message that this instance sends to a
 // given receiver.
 func (g *Gateway) fillState(now time.Duration, s *meshpb.InstanceState, to mesh.Receiver) {
-	s.ConfigRevision, s.RosterRevision, s.StoreReachable = g.catalog.Revisions()
+	config, roster, reachable := g.catalog.Revisions()
+	s.ConfigRevision, s.ConfigEra = versionToWire(config)
+	s.RosterRevision, s.RosterEra = versionToWire(roster)
+	s.StoreReachable, s.StoreEra = reachable, objectstore.LatestEra(g.opts.Store)
 	s.Board = g.residencyTable.version()
 	s.Limits, s.LeavingUpstreams, s.Brittle = g.limitsToWire(now), g.leavingToWire(), g.roomsToWire(now)
 	s.Cold = g.coldToWire()
@@ -82,6 +86,7 @@
 // upstreams and the residency table if the peer has newer ones.
 func (g *Gateway) handlePeerState(at time.Duration, s *meshpb.InstanceState) {
 	g.lastStateAt.Store(int64(at))
+	objectstore.ObserveEra(g.opts.Store, s.StoreEra)
 	g.evacuations.mergeWire(s.Evacuations, s.Name)
 	g.peerWork.update(at, s)
 	g.mergeLimits(at, s.Limits)
@@ -117,10 +122,11 @@
 // fetchCatalogUpdate fetches the configuration and the list of upstreams from a peer
 // that has newer revisions than this instance, each on its own.
 func (g *Gateway) fetchCatalogUpdate(s *meshpb.InstanceState) {
-	g.recordConfigSource(source{name: s.Name, address: s.PeerAddress, sameZone: s.Zone == g.self.Zone, revision: s.ConfigRevision})
+	g.recordConfigSource(source{name: s.Name, address: s.PeerAddress, sameZone: s.Zone == g.self.Zone, revision: versionFromWire(s.ConfigRevision, s.ConfigEra)})
 	_, roster, _ := g.catalog.Revisions()
-	g.rosterLag.observe(g.now(), roster, s.RosterRevision)
-	if s.RosterRevision > roster {
+	told := versionFromWire(s.RosterRevision, s.RosterEra)
+	g.rosterLag.observe(g.now(), roster, told)
+	if told > roster {
 		go g.rosterFetcher.fetch(g, rosterDocument{g}, s.Name, s.PeerAddress)
 	}
 }
@@ -140,7 +146,7 @@
 // newer than that of this instance.
 func (g *Gateway) fetchResidencyTable(s *meshpb.InstanceState) {
 	own := g.residencyTable.version()
-	if s.Board == nil || !versionFromWire(s.Board).NewerThan(versionFromWire(own)) || !g.fetchingTable.CompareAndSwap(false, true) {
+	if s.Board == nil || !boardVersionFromWire(s.Board).NewerThan(boardVersionFromWire(own)) || !g.fetchingTable.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -152,7 +158,7 @@
 			}
 			changed := false
 			g.residencyTable.withLock(func(t *residency.Table) {
-				changed = t.Merge(versionFromWire(reply.Version), reply.Version.Holder, engineStatesFromWire(g.now(), reply.Upstreams))
+				changed = t.Merge(boardVersionFromWire(reply.Version), reply.Version.Holder, engineStatesFromWire(g.now(), reply.Upstreams))
 			})
 			if changed {
 				g.applyResidencyTable()
@@ -214,19 +220,21 @@
 
 // Knowledge implements meshpb.DRPCMeshServer.
 func (s meshServer) Knowledge(_ context.Context, in *meshpb.KnowledgeRequest) (*meshpb.KnowledgeReply, error) {
+	config, roster := versionFromWire(in.ConfigRevision, in.ConfigEra), versionFromWire(in.RosterRevision, in.RosterEra)
 	if in.WantIndex {
-		return s.g.configIndex(in.ConfigRevision)
+		return s.g.configIndex(config)
 	}
 	if in.MaxPartBytes > 0 {
-		return s.g.knowledgeParts(in)
+		return s.g.knowledgeParts(in, config, roster)
 	}
-	u, err := s.g.catalog.UpdateSince(in.ConfigRevision, in.RosterRevision)
+	u, err := s.g.catalog.UpdateSince(config, roster)
 	if err != nil {
 		return nil, err
 	}
-	return &meshpb.KnowledgeReply{
-		ConfigRevision: u.ConfigRevision, Config: u.Config, RosterRevision: u.RosterRevision, Roster: u.Roster,
-	}, nil
+	out := &meshpb.KnowledgeReply{Config: u.Config, Roster: u.Roster}
+	out.ConfigRevision, out.ConfigEra = versionToWire(u.ConfigRevision)
+	out.RosterRevision, out.RosterEra = versionToWire(u.RosterRevision)
+	return out, nil
 }
 
 // Changes implements meshpb.DRPCMeshServer.
@@ -235,7 +243,7 @@
 	s.g.residencyTable.withLock(func(t *residency.Table) {
 		v, holder := t.Version()
 		out.Version = &meshpb.BoardVersion{Fence: v.Fence, Version: v.Count, Holder: holder}
-		out.Upstreams = engineStatesToWire(s.g.now(), t.Since(versionFromWire(in)))
+		out.Upstreams = engineStatesToWire(s.g.now(), t.Since(boardVersionFromWire(in)))
 	})
 	return &out, nil
 }
@@ -257,7 +265,7 @@
 	return &meshpb.PermitReleaseReply{}, nil
 }
 
-func versionFromWire(v *meshpb.BoardVersion) residency.Version {
+func boardVersionFromWire(v *meshpb.BoardVersion) residency.Version {
 	return residency.Version{Fence: v.Fence, Count: v.Version}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -78,7 +78,7 @@
 	}{
 		{"peer server", taskCtx, g.peerSrv.Serve}, {"catalog", taskCtx, g.catalog.Run}, {"mesh", taskCtx, g.mesh.Run},
 		{"placing", taskCtx, g.placing.Run}, {"dispatcher", taskCtx, g.dispatcher.run}, {"lease", leaseCtx, g.leader.Run},
-		{"registration", taskCtx, g.registerInstance}, {"idle connections", taskCtx, g.sweepIdleConns},
+		{"registration", taskCtx, g.registerInstance}, {"eras of the store", taskCtx, g.followEra}, {"idle connections", taskCtx, g.sweepIdleConns},
 		{"members", taskCtx, g.updateMembers}, {"lag report", taskCtx, g.reportLag}, {"news", taskCtx, g.announceNews},
 		{"stream versions", taskCtx, g.streamVersions.tell}, {"links", taskCtx, g.watchLinks},
 		{"stored versions", taskCtx, g.streamVersions.keepVersions}, {"stored streams", taskCtx, g.streamVersions.storeStreams},
@@ -292,7 +292,11 @@
 		return err
 	}
 	_, err = g.opts.Store.Put(ctx, objectstore.Object{Kind: objectstore.KindInstance, Name: g.self.Name, Version: version, Value: value})
-	return err
+	if err != nil {
+		return err
+	}
+	g.registeredEra.Store(int64(objectstore.EraOf(list.Revision)))
+	return nil
 }
 
 // deregisterInstance removes this instance from the store's list of instances.
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand"
 	"sync"
@@ -84,9 +85,7 @@
 // Held reports whether this instance holds the lease now, and the fencing token
 // of its leadership. Call it at the point of use.
 func (e *Elector) Held() (fencingToken uint64, ok bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.lease.Held(e.opts.Now())
+	return e.HeldFor(0)
 }
 
 // HeldFor reports whether this instance holds the lease now and, unless the
@@ -95,6 +94,9 @@
 func (e *Elector) HeldFor(rest time.Duration) (fencingToken uint64, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if objectstore.LatestEra(e.opts.Store) > e.lease.Era() {
+		return 0, false // the lease of an earlier era, which step has yet to end
+	}
 	return e.lease.Held(e.opts.Now() + rest)
 }
 
@@ -165,7 +167,11 @@
 		return
 	}
 	e.mu.Lock()
-	actions := e.lease.Step(e.opts.Now(), m)
+	var actions []lease.Action
+	if era := objectstore.LatestEra(e.opts.Store); era > e.lease.Era() {
+		actions = e.lease.Step(e.opts.Now(), lease.EraSeen{Era: era})
+	}
+	actions = append(actions, e.lease.Step(e.opts.Now(), m)...)
 	fencingToken, held := e.lease.Held(e.opts.Now())
 	changed := held != e.loggedHeld
 	e.loggedHeld = held
@@ -220,7 +226,7 @@
 
 // relay sends the lease's object as just written to the other candidates.
 func (e *Elector) relay(ctx context.Context, obj objectstore.Object) {
-	msg := &peerpb.LeaseObject{Name: obj.Name, Version: obj.Version, Value: obj.Value}
+	msg := &peerpb.LeaseObject{Name: obj.Name, Version: objectstore.RevisionOf(obj.Version), Era: objectstore.EraOf(obj.Version), Value: obj.Value}
 	var wg sync.WaitGroup
 	for _, p := range e.opts.ZonePeers() {
 		wg.Go(func() {
@@ -240,10 +246,16 @@
 // holder of the lease has written on to the lease.Lease, and ignores the objects
 // of other leases.
 func (e *Elector) Relay(_ context.Context, msg *peerpb.LeaseObject) (*peerpb.LeaseReply, error) {
-	if msg.Name == e.opts.Lease {
-		e.send(lease.PeerObserved{Object: objectstore.Object{
-			Kind: objectstore.KindLease, Name: msg.Name, Version: msg.Version, Value: msg.Value,
-		}})
+	if msg.Name != e.opts.Lease {
+		return &peerpb.LeaseReply{}, nil
+	}
+	version, err := objectstore.VersionOf(msg.Era, msg.Version)
+	if err != nil {
+		return nil, fmt.Errorf("leader: object of lease %s: %w", msg.Name, err)
 	}
+	objectstore.ObserveEra(e.opts.Store, msg.Era)
+	e.send(lease.PeerObserved{Object: objectstore.Object{
+		Kind: objectstore.KindLease, Name: msg.Name, Version: version, Value: msg.Value,
+	}})
 	return &peerpb.LeaseReply{}, nil
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -2,7 +2,7 @@
 // uses conditional writes of one object and no coordination service. Inputs are
 // messages with the results of object store calls; outputs are the next calls.
 //
-// Safety rests on four rules:
+// Safety rests on five rules:
 //   - The holder measures the lease duration on its own monotonic clock, starting
 //     before it sent the write that took or renewed the lease.
 //   - A candidate waits the whole lease duration plus the drift margin on its own
@@ -11,10 +11,14 @@
 //     on one version cannot both take effect.
 //   - Held must be called at the point of use, so that a holder that was paused
 //     stops by itself.
+//   - A store that comes back from an older copy may have lost any write. At the
+//     first sight of a new era (see objectstore.EraOf) a holder stops, and nobody
+//     takes the lease until the longest lease of the earlier era has passed. Only
+//     writes that were sent in an era count as this candidate's in that era.
 //
 // The fencing token of a leadership is the object's version at its start.
 // Renewals keep it, so a changed token shows the holder that it did not hold the
-// lease continuously.
+// lease continuously. Versions rise over eras, and so do tokens.
 //
 // A write whose reply was lost is resolved by reading the object and comparing
 // its writer ID and attempt number, which no other writer uses. That read may be
@@ -126,6 +130,11 @@
 	heldUntil time.Duration // when the held lease expires; 0 if not held
 	fence     uint64
 
+	era         uint64        // latest seen
+	eraSeenAt   time.Duration // when era was first seen
+	eraTakeover time.Duration // how long after eraSeenAt the lease may be taken
+	eraAttempt  uint64        // number of the last attempt before era was seen
+
 	recentAttempts [recentAttemptsKept]writeAttempt
 	lastAttempt    uint64 // number of the last attempt
 	pendingRequest request
@@ -153,6 +162,9 @@
 	return l.latest, l.latestValue.Holder
 }
 
+// Era returns the latest era of the store that this candidate has seen.
+func (l *Lease) Era() uint64 { return l.era }
+
 // Held reports whether this candidate holds the lease at now, and the fencing
 // token of its leadership. Call it at the point of use.
 func (l *Lease) Held(now time.Duration) (fence uint64, ok bool) {
@@ -187,6 +199,8 @@
 		l.markUnresolved(m.Attempt)
 	case Unavailable:
 		l.failRequest()
+	case EraSeen:
+		l.enterEra(now, m.Era)
 	case Release:
 		l.heldUntil = 0
 		l.fire("release")
@@ -194,6 +208,26 @@
 	return l.nextActions(now)
 }
 
+// enterEra processes the sight of an era. Whatever was seen in an earlier one no longer counts,
+// and the outcome of a pending write is unknown.
+func (l *Lease) enterEra(now time.Duration, era uint64) {
+	if era <= l.era {
+		return
+	}
+	l.era, l.eraSeenAt, l.eraTakeover, l.eraAttempt = era, now, l.takeoverWait(), l.lastAttempt
+	l.takeoverDelay = l.jitter()
+	l.observed, l.latest, l.latestValue = false, objectstore.Object{}, Value{}
+	l.heldUntil, l.pendingRequest, l.mustReread = 0, requestNone, true
+	l.fire("unknown")
+	l.fire("expire")
+}
+
+// isOwn reports whether the latest object was written by an attempt of this candidate in the
+// present era.
+func (l *Lease) isOwn() bool {
+	return l.latestValue.Writer == l.opts.Writer && l.latestValue.Attempt > l.eraAttempt
+}
+
 func (l *Lease) fire(event string) {
 	if _, err := l.machine.Fire(event); err != nil {
 		panic(err) // statechart.Load has checked every pair of state and event
@@ -242,7 +276,9 @@
 
 // observe processes an object that was read or written, however old.
 func (l *Lease) observe(now time.Duration, obj objectstore.Object) {
-	if l.observed && obj.Version < l.latest.Version {
+	era := objectstore.EraOf(obj.Version)
+	l.enterEra(now, era)
+	if obj.Version != 0 && era < l.era || l.observed && obj.Version < l.latest.Version {
 		return
 	}
 	newer := !l.observed || obj.Version > l.latest.Version
@@ -253,7 +289,7 @@
 		l.takeoverDelay = l.jitter()
 		l.latestValue, _ = Decode(obj) // a malformed value counts as another candidate's, held for opts.Duration
 	}
-	if l.latestValue.Writer != l.opts.Writer {
+	if !l.isOwn() {
 		if obj.Version > l.fence {
 			l.heldUntil = 0
 		}
@@ -318,7 +354,7 @@
 	if l.mustReread || !l.observed {
 		return l.poll(now, l.opts.RequestTimeout)
 	}
-	if l.latestValue.Writer != l.opts.Writer {
+	if !l.isOwn() {
 		l.fire("released")
 		return nil
 	}
@@ -351,9 +387,11 @@
 // lapsed reports whether no other candidate can still hold the lease.
 func (l *Lease) lapsed(now time.Duration) bool {
 	switch {
+	case l.era > 0 && now-l.eraSeenAt < l.eraTakeover+l.takeoverDelay:
+		return false // the holder of an earlier era may not have seen this one
 	case l.latest.Version == 0 || l.latestValue.Released:
 		return true
-	case l.latestValue.Writer == l.opts.Writer:
+	case l.isOwn():
 		return true // no other candidate has written since this one did
 	}
 	return now-l.latestSeenAt >= l.takeoverWait()+l.takeoverDelay
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -22,7 +22,13 @@
 	ratePPM int64
 	paused  bool
 	inbox   []Message
-	outbox  []Action
+	outbox  []sentAction
+}
+
+// sentAction is a request and the latest era that its sender knew.
+type sentAction struct {
+	action Action
+	era    uint64
 }
 
 func (c *candidate) now(trueTime time.Duration) time.Duration {
@@ -34,6 +40,7 @@
 	trueTime      time.Duration
 	candidates    []*candidate
 	starts        int
+	copies        []objectstore.Copy // from which the store may come back
 	lastFence     uint64
 	lastHolder    *Lease
 	holderChanges int
@@ -59,10 +66,12 @@
 	s.candidates[i] = c
 }
 
-// apply executes one request and puts the reply into the candidate's inbox.
-func (s *simulation) apply(c *candidate, a Action) {
+// apply executes one request and puts the reply into the candidate's inbox. As on the
+// platform, the store compares revisions alone, and a write that takes effect in a later era
+// than that in which it was sent has an unknown outcome.
+func (s *simulation) apply(c *candidate, sent sentAction) {
 	ctx := context.Background()
-	switch a := a.(type) {
+	switch a := sent.action.(type) {
 	case Get:
 		obj, err := s.store.Get(ctx, objectstore.KindLease, "duty")
 		if errors.Is(err, objectstore.ErrUnavailable) {
@@ -72,8 +81,10 @@
 		c.inbox = append(c.inbox, Read{Object: obj})
 	case Put:
 		obj, err := s.store.Put(ctx, objectstore.Object{
-			Kind: objectstore.KindLease, Name: "duty", Version: a.ExpectedVersion, Value: a.Value})
+			Kind: objectstore.KindLease, Name: "duty", Version: s.expected(a), Value: a.Value})
 		switch {
+		case err == nil && objectstore.EraOf(obj.Version) != sent.era:
+			c.inbox = append(c.inbox, WriteUnknown{Attempt: a.Attempt})
 		case err == nil:
 			c.inbox = append(c.inbox, WriteOK{Attempt: a.Attempt, Object: obj})
 		case errors.Is(err, objectstore.ErrConflict):
@@ -86,8 +97,33 @@
 	}
 }
 
+// expected returns the version in the present era with the revision that a write expects.
+func (s *simulation) expected(p Put) uint64 {
+	if p.ExpectedVersion == 0 {
+		return 0
+	}
+	version, _ := objectstore.VersionOf(s.store.Era(), objectstore.RevisionOf(p.ExpectedVersion)) // both are in bounds
+	return version
+}
+
 func (s *simulation) step(c *candidate, m Message) {
-	c.outbox = append(c.outbox, c.lease.Step(c.now(s.trueTime), m)...)
+	for _, a := range c.lease.Step(c.now(s.trueTime), m) {
+		c.outbox = append(c.outbox, sentAction{a, c.lease.Era()})
+	}
+}
+
+// copyOrRestore takes a copy of the store, or lets the store come back from one.
+func (s *simulation) copyOrRestore(t *rapid.T) {
+	if len(s.copies) == 0 || rapid.Bool().Draw(t, "copy") {
+		s.copies = append(s.copies, s.store.Copy())
+		return
+	}
+	i := rapid.IntRange(0, len(s.copies)-1).Draw(t, "restored")
+	s.store.Restore(s.copies[i])
+	s.copies = s.copies[:i+1]
+	if rapid.Bool().Draw(t, "told") {
+		s.step(s.candidates[0], EraSeen{Era: s.store.Era()}) // by a peer
+	}
 }
 
 // takeRandom removes and returns a random entry, not necessarily the oldest.
@@ -150,7 +186,13 @@
 	}
 }
 
-func TestAtMostOneHolder(t *testing.T) {
+func TestAtMostOneHolder(t *testing.T) { testAtMostOneHolder(t, false) }
+
+// A store that comes back from older copies must not give the lease to two holders, nor a
+// holder a fencing token that upstreams refuse (review/3).
+func TestAtMostOneHolderOverEras(t *testing.T) { testAtMostOneHolder(t, true) }
+
+func testAtMostOneHolder(t *testing.T, restores bool) {
 	holderChanges := 0
 	rapidtest.Check(t, func(t *rapid.T) {
 		s := &simulation{store: objectstore.NewMemory(0), candidates: make([]*candidate, 3)}
@@ -182,6 +224,9 @@
 			}
 		}
 		for range stepsPerRun {
+			if restores && rapid.IntRange(0, 39).Draw(t, "restore") == 0 {
+				s.copyOrRestore(t)
+			}
 			switch rapid.IntRange(0, 19).Draw(t, "event") {
 			case 0, 1, 2, 3, 4:
 				send(t)
@@ -249,6 +294,31 @@
 	must.True(t, v.Released)
 }
 
+// A holder stops at the first sight of an era, from whatever source, and its next token is above
+// the one before, though revisions have gone back (review/3).
+func TestLeaseEndsAtTheFirstSightOfAnEra(t *testing.T) {
+	store := objectstore.NewMemory(0)
+	s := &simulation{store: store, candidates: []*candidate{{offset: 1}}}
+	c := s.candidates[0]
+	c.lease = New(Options{Holder: "i", Writer: "w", Duration: 3 * time.Second}, nil)
+	copied := store.Copy()
+	s.runDelivering(t, 20*time.Second)
+	before, ok := c.lease.Held(c.now(s.trueTime))
+	must.True(t, ok)
+	store.Restore(copied)
+	s.step(c, EraSeen{Era: 1})
+	_, ok = c.lease.Held(c.now(s.trueTime))
+	must.False(t, ok)
+	s.runDelivering(t, 3*time.Second)
+	_, ok = c.lease.Held(c.now(s.trueTime))
+	must.False(t, ok)
+	s.runDelivering(t, 2*time.Second)
+	after, ok := c.lease.Held(c.now(s.trueTime))
+	must.True(t, ok)
+	must.Greater(t, before, after)
+	must.Less(t, 1<<53, after) // exact in a JSON number
+}
+
 func TestChartIsReachable(t *testing.T) {
 	must.MapLen(t, len(leaseChart.States), leaseChart.Reachable())
 }
--- a/internal/lease/message.go
+++ b/internal/lease/message.go
@@ -49,6 +49,9 @@
 	WriteUnknown struct{ Attempt uint64 }
 	// Unavailable reports that the object store did not answer a Get or a Put.
 	Unavailable struct{}
+	// EraSeen reports an era of the store, from whatever source. Objects tell theirs
+	// by themselves.
+	EraSeen struct{ Era uint64 }
 	// Release releases the lease; the candidate does not acquire it again.
 	Release struct{}
 )
@@ -60,6 +63,7 @@
 func (WriteConflict) message() {}
 func (WriteUnknown) message()  {}
 func (Unavailable) message()   {}
+func (EraSeen) message()       {}
 func (Release) message()       {}
 
 // Action is an output of Lease.Step. The caller executes it and reports the
--- a/internal/objectstore/memory.go
+++ b/internal/objectstore/memory.go
@@ -1,6 +1,7 @@
 package objectstore
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -21,10 +22,11 @@
 }
 
 // Memory is an in-memory Store and InstanceList. Stand-ins serve it over HTTP
-// and tests use it as a fake. It is safe for concurrent use.
+// and tests use it as a fake. It can come back from an older copy, see Restore. It
+// is safe for concurrent use.
 type Memory struct {
 	mu        sync.Mutex
-	revision  uint64
+	revision  uint64 // with the era, see VersionOf
 	objects   map[Kind]map[string]Object
 	instances map[string]Instance
 	changed   chan struct{} // closed and replaced on every write
@@ -34,6 +36,8 @@
 	WatchWait time.Duration
 }
 
+var _ EraStore = (*Memory)(nil)
+
 // NewMemory returns an empty Memory whose Watch calls wait at most wait.
 func NewMemory(wait time.Duration) *Memory {
 	return &Memory{
@@ -52,6 +56,65 @@
 	m.faults = f
 }
 
+// Copy is the content of a Memory at some time.
+type Copy struct {
+	revision uint64
+	objects  map[Kind]map[string]Object
+}
+
+// Objects returns the objects of a kind that are not deleted, in order of version.
+func (c Copy) Objects(kind Kind) []Object {
+	var out []Object
+	for _, obj := range c.objects[kind] {
+		if !obj.Deleted {
+			out = append(out, obj)
+		}
+	}
+	slices.SortFunc(out, func(a, b Object) int { return cmp.Compare(a.Version, b.Version) })
+	return out
+}
+
+// Copy returns a copy of the objects, to which Restore goes back.
+func (m *Memory) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := Copy{revision: m.revision, objects: map[Kind]map[string]Object{}}
+	for kind, objects := range m.objects {
+		out.objects[kind] = maps.Clone(objects)
+	}
+	return out
+}
+
+// Restore goes back to a copy and begins an era: all that was written since is lost, and
+// revisions are given out again.
+func (m *Memory) Restore(c Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	era := EraOf(m.revision) + 1
+	inEra := func(version uint64) uint64 { return era<<revisionBits | RevisionOf(version) }
+	m.revision = inEra(c.revision)
+	m.objects = map[Kind]map[string]Object{}
+	for kind, objects := range c.objects {
+		m.objects[kind] = map[string]Object{}
+		for name, obj := range objects {
+			obj.Version = inEra(obj.Version)
+			m.objects[kind][name] = obj
+		}
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Era implements EraStore.
+func (m *Memory) Era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return EraOf(m.revision)
+}
+
+// ObserveEra implements EraStore. A Memory knows its era.
+func (m *Memory) ObserveEra(uint64) {}
+
 // Faults returns the injected faults.
 func (m *Memory) Faults() Faults {
 	m.mu.Lock()
@@ -180,7 +243,11 @@
 	for {
 		m.mu.Lock()
 		list, changed, outage := m.changedSince(kind, since), m.changed, m.faults.Outage
+		gone := since != 0 && (EraOf(since) != EraOf(m.revision) || since > m.revision)
 		m.mu.Unlock()
+		if gone {
+			return List{}, ErrHistoryGone
+		}
 		if outage {
 			return List{}, ErrUnavailable
 		}
--- a/internal/storesync/changes.go
+++ b/internal/storesync/changes.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
 )
 
 // rosterChanges are the changes of the list of upstreams since a revision, as
@@ -16,7 +17,43 @@
 	IDs []string `json:"ids,omitempty"`
 	// Entries are the upstreams that changed since the revision, or that are
 	// draining: that may have become known without a change of the store.
-	Entries []fleet.Upstream `json:"entries"`
+	Entries []wireEntry `json:"entries"`
+}
+
+// wireEntry is an entry as instances send it to each other. The embedded Revision is the
+// store's, so that builds without eras compare it as before.
+type wireEntry struct {
+	fleet.Upstream
+	Era uint64 `json:",omitempty"`
+}
+
+func toWireEntry(u fleet.Upstream) wireEntry {
+	era := objectstore.EraOf(u.Revision)
+	u.Revision = objectstore.RevisionOf(u.Revision)
+	return wireEntry{u, era}
+}
+
+func toWireEntries(list []fleet.Upstream) []wireEntry {
+	out := make([]wireEntry, 0, len(list))
+	for _, u := range list {
+		out = append(out, toWireEntry(u))
+	}
+	return out
+}
+
+// fromWireEntries returns the upstreams of entries. It fails with
+// objectstore.ErrVersionOutOfBounds.
+func fromWireEntries(list []wireEntry) ([]fleet.Upstream, error) {
+	out := make([]fleet.Upstream, 0, len(list))
+	for _, e := range list {
+		version, err := objectstore.VersionOf(e.Era, e.Revision)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", e.ID, err)
+		}
+		e.Upstream.Revision = version
+		out = append(out, e.Upstream)
+	}
+	return out, nil
 }
 
 // errChangesDoNotFit means that the changes leave out an upstream that this instance
@@ -37,7 +74,7 @@
 			changes.IDs = append(changes.IDs, u.ID)
 		}
 		if u.Revision > since || u.State == fleet.UpstreamDraining {
-			changes.Entries = append(changes.Entries, u)
+			changes.Entries = append(changes.Entries, toWireEntry(u))
 		}
 	}
 	if raw, err = json.Marshal(changes); err != nil {
@@ -64,10 +101,12 @@
 	if err := json.Unmarshal(raw, &changes); err != nil {
 		return fmt.Errorf("storesync: decoding the changes of the list of upstreams from %s: %w", peer, err)
 	}
-	entries := changes.Entries
+	entries, err := fromWireEntries(changes.Entries)
+	if err != nil {
+		return fmt.Errorf("storesync: decoding the changes of the list of upstreams from %s: %w", peer, err)
+	}
 	if changes.Since > 0 {
-		var err error
-		if entries, err = c.mergeRoster(&changes); err != nil {
+		if entries, err = c.mergeRoster(changes.IDs, entries); err != nil {
 			return fmt.Errorf("storesync: applying the changes of the list of upstreams from %s: %w", peer, err)
 		}
 	}
@@ -79,18 +118,18 @@
 }
 
 // mergeRoster returns the whole list that the changes lead to.
-func (c *Controller) mergeRoster(changes *rosterChanges) ([]fleet.Upstream, error) {
-	byID := make(map[string]fleet.Upstream, len(changes.IDs))
+func (c *Controller) mergeRoster(ids []string, changed []fleet.Upstream) ([]fleet.Upstream, error) {
+	byID := make(map[string]fleet.Upstream, len(ids))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, u := range c.roster.All() {
 		byID[u.ID] = u
 	}
-	for _, u := range changes.Entries {
+	for _, u := range changed {
 		byID[u.ID] = u
 	}
-	out := make([]fleet.Upstream, 0, len(changes.IDs))
-	for _, id := range changes.IDs {
+	out := make([]fleet.Upstream, 0, len(ids))
+	for _, id := range ids {
 		u, ok := byID[id]
 		if !ok {
 			c.wholeRosterNext = true
--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -94,7 +94,8 @@
 	opts   Options
 	config atomic.Pointer[fleet.Config]
 
-	applyMu sync.Mutex // held while a configuration is decoded, so that one is at a time
+	applyMu  sync.Mutex // held while a configuration is decoded, so that one is at a time
+	restored heldConfig // under applyMu
 
 	mu              sync.Mutex
 	configObject    objectstore.Object
@@ -331,7 +332,7 @@
 	asked := c.opts.Now()
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
-	if own, _, _ := c.Revisions(); obj.Version <= own {
+	if own, _, _ := c.Revisions(); obj.Version <= own || c.restored.holds(c.opts.Now(), obj) {
 		return
 	}
 	began := c.opts.Now()
@@ -341,10 +342,14 @@
 		c.opts.Log.Error("configuration refused", "revision", obj.Version, "error", err)
 		return
 	}
+	if c.holdBack(obj, config) {
+		return
+	}
 	c.mu.Lock()
 	c.configObject = obj
 	c.config.Store(config)
 	c.mu.Unlock()
+	c.restored = heldConfig{}
 	for _, e := range skipped {
 		c.opts.Log.Error("part of the configuration skipped", "revision", obj.Version, "error", e)
 	}
@@ -386,7 +391,7 @@
 	if source == sourceStore {
 		changed = c.roster.Replace(c.opts.Now(), revision, entries)
 	} else {
-		changed = c.roster.ReplaceFromPeer(revision, entries)
+		changed = c.roster.ReplaceFromPeer(c.opts.Now(), revision, entries)
 	}
 	c.mu.Unlock()
 	if changed {
@@ -452,6 +457,7 @@
 		c.mu.Lock()
 		dropped := c.roster.RemoveLapsed(c.opts.Now())
 		c.mu.Unlock()
+		c.releaseHeldConfig()
 		if dropped {
 			c.opts.Log.Info("upstreams gone", "reason", "lapsed in an outage of the store and did not reappear")
 			c.opts.OnChange()
@@ -477,7 +483,7 @@
 		k.ConfigRevision, k.Config = c.configObject.Version, c.configObject.Value
 	}
 	if c.roster.Known() && c.roster.Revision() > rosterRevision {
-		raw, err := json.Marshal(c.roster.All())
+		raw, err := json.Marshal(toWireEntries(c.roster.All()))
 		if err != nil {
 			return Update{}, fmt.Errorf("catalog: encoding the list of upstreams: %w", err)
 		}
@@ -497,10 +503,14 @@
 	if k.RosterRevision == 0 {
 		return nil
 	}
-	var entries []fleet.Upstream
+	var entries []wireEntry
 	if err := json.Unmarshal(k.Roster, &entries); err != nil {
 		return fmt.Errorf("storesync: decoding the list of upstreams from %s: %w", peer, err)
 	}
-	c.replaceRoster(k.RosterRevision, entries, peer)
+	list, err := fromWireEntries(entries)
+	if err != nil {
+		return fmt.Errorf("storesync: decoding the list of upstreams from %s: %w", peer, err)
+	}
+	c.replaceRoster(k.RosterRevision, list, peer)
 	return nil
 }
--- a/internal/storesync/evacuations_test.go
+++ b/internal/storesync/evacuations_test.go
@@ -92,7 +92,7 @@
 				OnSnapshot: func(s evacuation.Snapshot) {
 					f.mu.Lock()
 					defer f.mu.Unlock()
-					f.set.Merge(s)
+					f.set.Merge(0, s)
 				},
 				OnMalformed: func() { f.malformed++ },
 			}
--- /dev/null
+++ b/internal/storesync/restored_test.go
@@ -0,0 +1,145 @@
+package storesync
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
+	"github.com/shoenig/test/must"
+)
+
+// restoredFixture is a controller whose store comes back from older copies.
+type restoredFixture struct {
+	t      *testing.T
+	memory *objectstore.Memory
+	c      *Controller
+}
+
+func newRestoredFixture(t *testing.T, memory *objectstore.Memory, watches bool) (*restoredFixture, func()) {
+	began := time.Now()
+	c := New(Options{
+		Store: memory, WatchWait: time.Second, Decoder: Decoder{ConfigName: "main", Config: decodeConfig, Upstream: decodeUpstream},
+		Now: func() time.Duration { return time.Since(began) + time.Hour }, Log: slog.New(slog.DiscardHandler), OnChange: func() {},
+		Watches: func() bool { return watches }, Polls: func() bool { return watches },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- c.Run(ctx) }()
+	return &restoredFixture{t, memory, c}, func() {
+		cancel()
+		must.NoError(t, <-done)
+	}
+}
+
+func (f *restoredFixture) put(kind objectstore.Kind, name, value string) {
+	obj, err := f.memory.Get(context.Background(), kind, name)
+	if err != nil {
+		obj = objectstore.Object{Kind: kind, Name: name}
+	}
+	obj.Value = json.RawMessage(value)
+	_, err = f.memory.Put(context.Background(), obj)
+	must.NoError(f.t, err)
+}
+
+func (f *restoredFixture) version() int64 { return f.c.Config().Version }
+
+// The configuration of an older copy waits for the operator to write the lost one again, and is
+// put in force if that does not happen; changes count from the first one on, although their
+// revisions are lower than before (review/3).
+func TestConfigurationOfAnOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := objectstore.NewMemory(time.Second)
+		f := &restoredFixture{t: t, memory: memory}
+		f.put(objectstore.KindConfig, "main", `{"Version":1}`)
+		f.put(objectstore.KindUpstream, "a", `{"Slots":1}`)
+		f, stop := newRestoredFixture(t, memory, true)
+		defer stop()
+		copied := memory.Copy()
+		for version := 2; version < 9; version++ {
+			f.put(objectstore.KindConfig, "main", fmt.Sprintf(`{"Version":%d}`, version))
+		}
+		time.Sleep(time.Second)
+		must.Eq(t, 8, f.version())
+		for range 3 { // several returns in a row
+			memory.Restore(copied)
+			time.Sleep(10 * time.Second)
+			must.Eq(t, 8, f.version())
+		}
+		f.put(objectstore.KindConfig, "main", `{"Version":8}`)
+		f.put(objectstore.KindConfig, "main", `{"Version":9}`)
+		time.Sleep(time.Second)
+		must.Eq(t, 9, f.version())
+		memory.Restore(copied)
+		time.Sleep(restoredConfigGrace + 2*time.Second)
+		must.Eq(t, 1, f.version())
+	})
+}
+
+// An instance that is cut off from the store learns of the era from a peer. A peer that has not
+// heard of it and has higher revisions does not win (review/3).
+func TestPeerOfALaterEraWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := objectstore.NewMemory(time.Second)
+		f := &restoredFixture{t: t, memory: memory}
+		f.put(objectstore.KindConfig, "main", `{"Version":1}`)
+		f.put(objectstore.KindUpstream, "a", `{"Slots":1}`)
+		copied := memory.Copy()
+		for version := 2; version < 9; version++ {
+			f.put(objectstore.KindConfig, "main", fmt.Sprintf(`{"Version":%d}`, version))
+		}
+		behind, stopBehind := newRestoredFixture(t, memory, false)
+		defer stopBehind()
+		time.Sleep(time.Second)
+		must.Eq(t, 8, behind.version())
+		memory.Restore(copied)
+		f.put(objectstore.KindConfig, "main", `{"Version":9}`)
+		f.put(objectstore.KindUpstream, "b", `{"Slots":1}`)
+		ahead, stopAhead := newRestoredFixture(t, memory, true)
+		defer stopAhead()
+		time.Sleep(time.Second)
+		tell := func(from, to *restoredFixture) {
+			config, _, _ := to.c.Revisions()
+			update, err := from.c.UpdateSince(config, noRoster)
+			must.NoError(t, err)
+			must.NoError(t, to.c.Apply(update, "peer"))
+			revision, raw, err := from.c.RosterChanges(to.c.RosterBase())
+			must.NoError(t, err)
+			if revision > 0 {
+				must.NoError(t, to.c.ApplyRosterChanges(revision, raw, "peer"))
+			}
+		}
+		tell(behind, ahead)
+		must.Eq(t, 9, ahead.version())
+		must.Len(t, 2, ahead.c.Usable())
+		tell(ahead, behind)
+		must.Eq(t, 9, behind.version())
+		must.Len(t, 2, behind.c.Usable())
+	})
+}
+
+// noRoster is a revision that no list of upstreams is newer than.
+const noRoster = 1<<64 - 1
+
+// Peers of builds without eras compare the revisions of entries as the store gives them.
+func TestEntriesTellErasApart(t *testing.T) {
+	version, err := objectstore.VersionOf(3, 7)
+	must.NoError(t, err)
+	raw, err := json.Marshal(toWireEntry(fleet.Upstream{ID: "a", Revision: version}))
+	must.NoError(t, err)
+	var earlier fleet.Upstream
+	must.NoError(t, json.Unmarshal(raw, &earlier))
+	must.Eq(t, 7, earlier.Revision)
+	var entry wireEntry
+	must.NoError(t, json.Unmarshal(raw, &entry))
+	back, err := fromWireEntries([]wireEntry{entry})
+	must.NoError(t, err)
+	must.Eq(t, version, back[0].Revision)
+	_, err = fromWireEntries([]wireEntry{{Era: objectstore.MaxEra + 1}})
+	must.ErrorIs(t, err, objectstore.ErrVersionOutOfBounds)
+}
--- a/internal/streamversion/segments.go
+++ b/internal/streamversion/segments.go
@@ -29,6 +29,7 @@
 	current   int      // slot that is written, -1 for none
 	begun     time.Duration
 	stored    []Record // in the current segment
+	previous  []Record // in the one before
 	pending   []Record
 	seen      map[storedID]bool // of stored and pending ones
 }
@@ -108,6 +109,9 @@
 		return SegmentWrite{}, false
 	}
 	if s.current < 0 || now-s.begun >= horizon/segmentsPerHorizon || len(s.stored)+len(s.pending) > maxSegmentRecords {
+		if len(s.stored) > 0 {
+			s.previous = s.stored
+		}
 		s.forgetCurrent()
 		s.begun = now
 		s.current = slices.Index(s.revisions, slices.Min(s.revisions))
@@ -135,6 +139,17 @@
 	s.trim()
 }
 
+// Lost records that the store lost what was written lately. The records of the last two
+// segments, which take longer to fill than the writes that a store may lose, are stored once
+// more.
+func (s *Segments) Lost() {
+	s.revisions = nil
+	s.pending = slices.Concat(s.previous, s.stored, s.pending)
+	s.previous = nil
+	s.forgetCurrent()
+	s.trim()
+}
+
 // storedKey is the part of a key that is stored. With 2^17 records the chance that an unknown
 // stream has the one of another is below 10^-14.
 type storedKey [8]byte
--- a/internal/streamversion/segments_test.go
+++ b/internal/streamversion/segments_test.go
@@ -121,6 +121,32 @@
 	}
 }
 
+// Records that were stored and lost since, because the store came back from an older copy, are
+// stored once more (review/3).
+func TestLostRecordsAreStoredOnceMore(t *testing.T) {
+	s := NewSegments()
+	horizon := time.Minute
+	for i := range 3 {
+		now := time.Duration(i) * horizon / segmentsPerHorizon
+		s.Add([]Record{{Key: KeyOf("", fmt.Sprint(i)), Service: "app", Version: "v1", Until: time.Hour}})
+		if i == 0 {
+			s.SetRevisions(nil)
+		}
+		w, due := s.Next(now, horizon)
+		must.True(t, due)
+		must.SliceLen(t, 1, w.Records)
+		s.Written(w, uint64(10+i))
+	}
+	s.Lost()
+	waiting, unread := s.Waiting()
+	must.True(t, waiting)
+	must.True(t, unread)
+	s.SetRevisions(nil)
+	w, due := s.Next(time.Minute, horizon)
+	must.True(t, due)
+	must.SliceLen(t, 2, w.Records) // of the last two segments
+}
+
 // Records of a rate beyond the planned one, at which the store takes no writes, stay bounded.
 func TestSegmentsAreBounded(t *testing.T) {
 	s := NewSegments()
--- a/internal/upstreamlist/upstreamlist.go
+++ b/internal/upstreamlist/upstreamlist.go
@@ -10,6 +10,9 @@
 //     until reregistrationGrace after the store is reachable again; one that
 //     disappears at any other time is removed at once.
 //   - An older revision of the list never replaces a newer one.
+//   - A store that comes back from an older copy lacks entries that live upstreams write
+//     again. For reregistrationGrace from the first sight of an era (see
+//     objectstore.EraOf), entries that a list lacks count as in an outage, whoever sent it.
 package upstreamlist
 
 import (
@@ -19,6 +22,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
 )
 
 // reregistrationGrace is how long after an outage of the store entries that
@@ -59,7 +63,10 @@
 	draining map[incarnation]time.Duration
 	// graceUntil is the time until which an entry that disappears may be one
 	// that lapsed in an outage.
-	graceUntil       time.Duration
+	graceUntil time.Duration
+	// eraGraceUntil is the same for an older copy of the store, from which a peer may have
+	// its list, too.
+	eraGraceUntil    time.Duration
 	storeUnreachable bool
 	known            bool
 	version          uint64
@@ -96,24 +103,47 @@
 // Replace applies the full list that the store returned as of a revision. It
 // reports whether anything changed.
 func (s *View) Replace(now time.Duration, revision uint64, list []fleet.Upstream) bool {
-	return s.replace(revision, list, func(id string) { s.markMissing(now, id) })
+	return s.replace(now, revision, list, func(id string) { s.markMissing(now, id) })
 }
 
 // ReplaceFromPeer applies a peer's full list as of a revision and reports whether
 // anything changed. The peer's list still has the entries that may have lapsed
 // in an outage, so an entry that it lacks is removed at once, whether or not
-// this instance itself reaches the store.
-func (s *View) ReplaceFromPeer(revision uint64, list []fleet.Upstream) bool {
-	changed := s.replace(revision, list, func(id string) { delete(s.members, id) })
+// this instance itself reaches the store. Only a peer that started lately may lack an
+// entry because the store came back from an older copy.
+func (s *View) ReplaceFromPeer(now time.Duration, revision uint64, list []fleet.Upstream) bool {
+	changed := s.replace(now, revision, list, func(id string) {
+		if now < s.eraGraceUntil {
+			s.markMissing(now, id)
+			return
+		}
+		delete(s.members, id)
+	})
 	s.revision = max(s.revision, revision)
 	return changed
 }
 
-func (s *View) replace(revision uint64, list []fleet.Upstream, onMissing func(id string)) bool {
+// enterEra begins the grace period of an era if a revision is the first one of it, and reports
+// whether it is.
+func (s *View) enterEra(now time.Duration, revision uint64) bool {
+	if !s.known || objectstore.EraOf(revision) <= objectstore.EraOf(s.revision) {
+		return false
+	}
+	s.eraGraceUntil = now + reregistrationGrace
+	s.graceUntil = max(s.graceUntil, s.eraGraceUntil)
+	return true
+}
+
+// isOfEarlierEra reports whether a revision is of an era before that of the list.
+func (s *View) isOfEarlierEra(revision uint64) bool {
+	return objectstore.EraOf(revision) < objectstore.EraOf(s.revision)
+}
+
+func (s *View) replace(now time.Duration, revision uint64, list []fleet.Upstream, onMissing func(id string)) bool {
 	if s.known && revision < s.revision {
 		return false
 	}
-	changed := !s.known
+	changed := s.enterEra(now, revision) || !s.known
 	s.known = true
 	listed := make(map[string]bool, len(list))
 	for _, u := range list {
@@ -143,7 +173,7 @@
 
 // Upsert applies an entry that was written to the store.
 func (s *View) Upsert(u fleet.Upstream) {
-	if m := s.members[u.ID]; m != nil && m.upstream.Revision > u.Revision {
+	if m := s.members[u.ID]; m != nil && m.upstream.Revision > u.Revision || s.isOfEarlierEra(u.Revision) {
 		return
 	}
 	s.put(u)
@@ -154,6 +184,9 @@
 // Remove records that an entry was deleted, or can no longer be decoded, as of
 // a revision.
 func (s *View) Remove(now time.Duration, id string, revision uint64) {
+	if s.isOfEarlierEra(revision) {
+		return
+	}
 	s.markMissing(now, id)
 	s.revision = max(s.revision, revision)
 	s.version++
--- a/internal/upstreamlist/upstreamlist_test.go
+++ b/internal/upstreamlist/upstreamlist_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
 	"github.com/shoenig/test/must"
 )
 
@@ -70,7 +71,7 @@
 func TestPeersListTellsWhatAnUpstreamSaidItself(t *testing.T) {
 	s := New()
 	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
-	must.True(t, s.ReplaceFromPeer(6, []fleet.Upstream{draining(entry("a", 1)), entry("b", 2)}))
+	must.True(t, s.ReplaceFromPeer(0, 6, []fleet.Upstream{draining(entry("a", 1)), entry("b", 2)}))
 	must.Eq(t, []string{"b"}, usableIDs(s))
 }
 
@@ -130,7 +131,7 @@
 	s := New()
 	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
 	s.StoreUnreachable()
-	must.True(t, s.ReplaceFromPeer(30, []fleet.Upstream{entry("b", 2)}))
+	must.True(t, s.ReplaceFromPeer(0, 30, []fleet.Upstream{entry("b", 2)}))
 	must.Eq(t, []string{"b"}, usableIDs(s))
 	must.Eq(t, 30, s.Revision())
 }
@@ -139,7 +140,7 @@
 	s := New()
 	s.Replace(0, 20, []fleet.Upstream{entry("a", 11)})
 	must.False(t, s.Replace(0, 10, []fleet.Upstream{entry("b", 2)}))
-	must.False(t, s.ReplaceFromPeer(19, nil))
+	must.False(t, s.ReplaceFromPeer(0, 19, nil))
 	must.Eq(t, []string{"a"}, usableIDs(s))
 }
 
@@ -161,3 +162,46 @@
 	must.SliceEmpty(t, usableIDs(s))
 	must.Eq(t, fleet.UpstreamDraining, s.All()[0].State)
 }
+
+// inEra returns a version.
+func inEra(t *testing.T, era, revision uint64) uint64 {
+	version, err := objectstore.VersionOf(era, revision)
+	must.NoError(t, err)
+	return version
+}
+
+// An older copy of the store lacks entries that are written again, and its revisions are below
+// those of before: its list counts, but what it lacks is not removed at once (review/3).
+func TestListOfAnOlderCopyCountsAndLacksNothingAtOnce(t *testing.T) {
+	for _, peer := range []bool{false, true} {
+		s := New()
+		s.Replace(0, 500, []fleet.Upstream{entry("a", 300), entry("b", 400)})
+		now := 10 * time.Second
+		list, revision := []fleet.Upstream{entry("a", inEra(t, 1, 30)), entry("c", inEra(t, 1, 40))}, inEra(t, 1, 50)
+		if peer {
+			must.True(t, s.ReplaceFromPeer(now, revision, list))
+		} else {
+			must.True(t, s.Replace(now, revision, list))
+		}
+		must.Eq(t, revision, s.Revision())
+		must.Eq(t, []string{"a", "b", "c"}, usableIDs(s))
+		s.Upsert(entry("x", 501)) // an event of the earlier era that comes late
+		s.Remove(now, "a", 502)
+		must.False(t, s.ReplaceFromPeer(now, 600, nil))
+		must.Eq(t, []string{"a", "b", "c"}, usableIDs(s))
+		s.Remove(now, "c", inEra(t, 1, 51)) // a change of the present one
+		s.RemoveLapsed(now + reregistrationGrace)
+		must.Eq(t, []string{"a"}, usableIDs(s))
+	}
+}
+
+// Entries that are written again within the grace period stay.
+func TestEntryThatIsWrittenAgainStays(t *testing.T) {
+	s := New()
+	s.Replace(0, 500, []fleet.Upstream{entry("a", 300)})
+	s.Replace(0, inEra(t, 1, 50), nil)
+	must.Eq(t, inEra(t, 1, 50), s.Revision())
+	s.Upsert(entry("a", inEra(t, 1, 51)))
+	s.RemoveLapsed(reregistrationGrace)
+	must.Eq(t, []string{"a"}, usableIDs(s))
+}
