upstreamlist: doubts about upstreams are not taught, removals are remembered

Cause: the instance that wakes takes its failed watch for an outage of the store, keeps the missing entry as lapsed, and adopts the newer revision of the list all the same. Its peers compare one number for the whole list, fetch it, and take the entry for listed.

Change: what is known of an incarnation is merged by itself. Lapsed entries are told apart from listed ones, with the time left, and only an instance without a list takes them.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -65,6 +65,7 @@
 	s.RosterRevision, s.RosterEra = versionToWire(roster)
 	s.StoreReachable, s.StoreEra = reachable, objectstore.LatestEra(g.opts.Store)
 	s.Board = g.residencyTable.version()
+	s.RemovedUpstreams = g.removalsToWire()
 	s.Limits, s.LeavingUpstreams, s.Brittle = g.limitsToWire(now), g.leavingToWire(), g.roomsToWire(now)
 	s.Cold = g.coldToWire()
 	s.SuspicionsDigest, s.Suspicions = g.crashes.ToWire(to.Name)
@@ -94,6 +95,7 @@
 	g.mergeCold(s.Name, s.Cold)
 	g.streamVersions.merge(at, s.Versions)
 	g.crashes.Merge(at, s.Name, s.SuspicionsDigest, s.Suspicions)
+	g.recordRemovals(s.RemovedUpstreams, s.Name)
 	for _, u := range s.LeavingUpstreams {
 		g.catalog.MarkDraining(u.Upstream, u.Born)
 	}
--- a/internal/storesync/changes.go
+++ b/internal/storesync/changes.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
 	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
+	"github.com/eelgrassbay/eelgrassbay/internal/upstreamlist"
 )
 
 // rosterChanges are the changes of the list of upstreams since a revision, as
@@ -18,6 +20,15 @@
 	// Entries are the upstreams that changed since the revision, or that are
 	// draining: that may have become known without a change of the store.
 	Entries []wireEntry `json:"entries"`
+	// Lapsed are the entries that are not listed but count as live for some time. Builds
+	// that do not know the field remove them at once.
+	Lapsed []wireLapsed `json:"lapsed,omitempty"`
+}
+
+// wireLapsed is an entry that lapsed in an outage of the store.
+type wireLapsed struct {
+	Entry  wireEntry `json:"entry"`
+	LeftMS int64     `json:"left_ms"` // for which it counts as live
 }
 
 // wireEntry is an entry as instances send it to each other. The embedded Revision is the
@@ -56,6 +67,22 @@
 	return out, nil
 }
 
+func fromWireLapsed(list []wireLapsed) ([]upstreamlist.Lapsed, error) {
+	out := make([]upstreamlist.Lapsed, 0, len(list))
+	for _, l := range list {
+		entries, err := fromWireEntries([]wireEntry{l.Entry})
+		if err != nil {
+			return nil, err
+		}
+		left := time.Duration(min(max(l.LeftMS, 0), maxLapsedMS)) * time.Millisecond
+		out = append(out, upstreamlist.Lapsed{Upstream: entries[0], Left: left})
+	}
+	return out, nil
+}
+
+// maxLapsedMS bounds the time that a peer may tell.
+const maxLapsedMS = 60_000
+
 // errChangesDoNotFit means that the changes leave out an upstream that this instance
 // does not know.
 var errChangesDoNotFit = errors.New("the changes do not fit the list of this instance")
@@ -69,7 +96,7 @@
 		return 0, nil, nil
 	}
 	changes := rosterChanges{Since: since}
-	for _, u := range c.roster.All() {
+	for _, u := range c.roster.Listed() {
 		if since > 0 {
 			changes.IDs = append(changes.IDs, u.ID)
 		}
@@ -77,6 +104,9 @@
 			changes.Entries = append(changes.Entries, toWireEntry(u))
 		}
 	}
+	for _, l := range c.roster.Lapsed(c.opts.Now()) {
+		changes.Lapsed = append(changes.Lapsed, wireLapsed{toWireEntry(l.Upstream), l.Left.Milliseconds()})
+	}
 	if raw, err = json.Marshal(changes); err != nil {
 		return 0, nil, fmt.Errorf("storesync: encoding the changes of the list of upstreams: %w", err)
 	}
@@ -110,7 +140,11 @@
 			return fmt.Errorf("storesync: applying the changes of the list of upstreams from %s: %w", peer, err)
 		}
 	}
-	c.replaceRoster(revision, entries, peer)
+	lapsed, err := fromWireLapsed(changes.Lapsed)
+	if err != nil {
+		return fmt.Errorf("storesync: decoding the changes of the list of upstreams from %s: %w", peer, err)
+	}
+	c.replaceRoster(revision, entries, lapsed, peer)
 	c.mu.Lock()
 	c.wholeRosterNext = false
 	c.mu.Unlock()
@@ -122,9 +156,12 @@
 	byID := make(map[string]fleet.Upstream, len(ids))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, u := range c.roster.All() {
+	for _, u := range c.roster.Listed() {
 		byID[u.ID] = u
 	}
+	for _, l := range c.roster.Lapsed(0) {
+		byID[l.Upstream.ID] = l.Upstream
+	}
 	for _, u := range changed {
 		byID[u.ID] = u
 	}
--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -176,6 +176,30 @@
 	return c.roster.Leaving(c.opts.Now())
 }
 
+// Removals returns the upstreams whose entries are gone, for peers that may still have them.
+func (c *Controller) Removals() []upstreamlist.Removal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.roster.Removals(c.opts.Now())
+}
+
+// RecordRemovals records that a peer knows that entries are gone.
+func (c *Controller) RecordRemovals(list []upstreamlist.Removal, peer string) {
+	var gone []string
+	c.mu.Lock()
+	for _, r := range list {
+		if c.roster.RecordRemoval(c.opts.Now(), r) {
+			gone = append(gone, r.ID)
+		}
+	}
+	c.mu.Unlock()
+	if len(gone) == 0 {
+		return
+	}
+	c.opts.Log.Info("upstreams gone", "upstreams", gone, "reason", "a peer knows that their entries are gone", "peer", peer)
+	c.opts.OnChange()
+}
+
 // Run keeps the copies up to date until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
@@ -235,8 +259,12 @@
 	if ctx.Err() != nil || errors.Is(err, objectstore.ErrHistoryGone) || errors.Is(err, objectstore.ErrNotFound) {
 		return // the store answered
 	}
+	since := c.opts.Now()
 	c.mu.Lock()
-	c.roster.StoreUnreachable()
+	if errors.Is(err, context.DeadlineExceeded) {
+		since = c.lastAnswered // the store was silent since an unknown time after that
+	}
+	c.roster.StoreUnreachable(since)
 	first := !c.storeLost
 	c.storeLost = true
 	c.mu.Unlock()
@@ -374,24 +402,21 @@
 			entries = append(entries, u)
 		}
 	}
-	c.replaceRoster(list.Revision, entries, sourceStore)
+	c.replaceRoster(list.Revision, entries, nil, sourceStore)
 	return list.Revision, nil
 }
 
-func (c *Controller) replaceRoster(revision uint64, entries []fleet.Upstream, source string) {
-	entries = slices.DeleteFunc(entries, func(u fleet.Upstream) bool {
-		err := u.CheckBounds() // a peer of another build may have taken it
-		if err != nil {
-			c.logMalformed([]objectstore.Malformed{{Name: u.ID, Err: err}})
-		}
-		return err != nil
-	})
+// replaceRoster replaces the list of upstreams by that of the store or of a peer, with the
+// entries that lapsed in the peer's view.
+func (c *Controller) replaceRoster(revision uint64, entries []fleet.Upstream, lapsed []upstreamlist.Lapsed, source string) {
+	entries = slices.DeleteFunc(entries, c.isOutOfBounds)
+	lapsed = slices.DeleteFunc(lapsed, func(l upstreamlist.Lapsed) bool { return c.isOutOfBounds(l.Upstream) })
 	c.mu.Lock()
 	changed := false
 	if source == sourceStore {
 		changed = c.roster.Replace(c.opts.Now(), revision, entries)
 	} else {
-		changed = c.roster.ReplaceFromPeer(c.opts.Now(), revision, entries)
+		changed = c.roster.ReplaceFromPeer(c.opts.Now(), revision, entries, lapsed)
 	}
 	c.mu.Unlock()
 	if changed {
@@ -400,6 +425,16 @@
 	}
 }
 
+// isOutOfBounds reports, and logs, whether the figures of an entry cannot be meant. A peer of
+// another build may have taken it.
+func (c *Controller) isOutOfBounds(u fleet.Upstream) bool {
+	err := u.CheckBounds()
+	if err != nil {
+		c.logMalformed([]objectstore.Malformed{{Name: u.ID, Err: err}})
+	}
+	return err != nil
+}
+
 func (c *Controller) applyRosterEvents(list objectstore.List) {
 	c.logMalformed(list.Malformed)
 	for _, m := range list.Malformed {
@@ -483,7 +518,7 @@
 		k.ConfigRevision, k.Config = c.configObject.Version, c.configObject.Value
 	}
 	if c.roster.Known() && c.roster.Revision() > rosterRevision {
-		raw, err := json.Marshal(toWireEntries(c.roster.All()))
+		raw, err := json.Marshal(toWireEntries(c.roster.Listed()))
 		if err != nil {
 			return Update{}, fmt.Errorf("catalog: encoding the list of upstreams: %w", err)
 		}
@@ -511,6 +546,6 @@
 	if err != nil {
 		return fmt.Errorf("storesync: decoding the list of upstreams from %s: %w", peer, err)
 	}
-	c.replaceRoster(k.RosterRevision, list, peer)
+	c.replaceRoster(k.RosterRevision, list, nil, peer)
 	return nil
 }
--- a/internal/storesync/malformed_test.go
+++ b/internal/storesync/malformed_test.go
@@ -22,7 +22,7 @@
 		Decoder: Decoder{ConfigName: "main", Config: decodeConfig, Upstream: decodeUpstream},
 	})
 	c.recordAnswer()
-	c.replaceRoster(3, []fleet.Upstream{{ID: "a", Slots: 1}, {ID: "b", Slots: 1}}, sourceStore)
+	c.replaceRoster(3, []fleet.Upstream{{ID: "a", Slots: 1}, {ID: "b", Slots: 1}}, nil, sourceStore)
 	odd := objectstore.List{Revision: 4, Malformed: []objectstore.Malformed{{Name: "a", Err: errors.New("deep")}, {Err: errors.New("no name")}}}
 	c.applyRosterEvents(odd)
 	c.applyRosterEvents(odd)
--- a/internal/storesync/restored_test.go
+++ b/internal/storesync/restored_test.go
@@ -22,16 +22,22 @@
 }
 
 func newRestoredFixture(t *testing.T, memory *objectstore.Memory, watches bool) (*restoredFixture, func()) {
+	c, stop := runInstance(t, memory, watches)
+	return &restoredFixture{t, memory, c}, stop
+}
+
+// runInstance runs a controller that watches and polls a store, or follows its peers.
+func runInstance(t *testing.T, store objectstore.Store, watches bool) (*Controller, func()) {
 	began := time.Now()
 	c := New(Options{
-		Store: memory, WatchWait: time.Second, Decoder: Decoder{ConfigName: "main", Config: decodeConfig, Upstream: decodeUpstream},
+		Store: store, WatchWait: time.Second, Decoder: Decoder{ConfigName: "main", Config: decodeConfig, Upstream: decodeUpstream},
 		Now: func() time.Duration { return time.Since(began) + time.Hour }, Log: slog.New(slog.DiscardHandler), OnChange: func() {},
 		Watches: func() bool { return watches }, Polls: func() bool { return watches },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- c.Run(ctx) }()
-	return &restoredFixture{t, memory, c}, func() {
+	return c, func() {
 		cancel()
 		must.NoError(t, <-done)
 	}
--- a/internal/upstreamlist/upstreamlist.go
+++ b/internal/upstreamlist/upstreamlist.go
@@ -9,6 +9,9 @@
 //   - An entry that disappeared while the store was unreachable counts as live
 //     until reregistrationGrace after the store is reachable again; one that
 //     disappears at any other time is removed at once.
+//   - What is known of an incarnation is merged one by one: a removal that is
+//     certain is not taken back by whoever lists an older entry. Entries that
+//     lapsed are in doubt, and peers are not told that they are listed.
 //   - An older revision of the list never replaces a newer one.
 //   - A store that comes back from an older copy lacks entries that live upstreams write
 //     again. For reregistrationGrace from the first sight of an era (see
@@ -30,6 +33,11 @@
 // seconds.
 const reregistrationGrace = 2200 * time.Millisecond
 
+// minOutage is the length from which an outage of the store makes entries lapse. Upstreams
+// that are silent for three heartbeats lose their entry; a watch that is cut off and goes on,
+// or a short outage, makes none silent for so long.
+const minOutage = time.Second
+
 const (
 	// tellUnlistedFor is how long an incarnation that said that it leaves, and that the
 	// list does not name, is told to peers: some of them may have it in their lists.
@@ -49,9 +57,9 @@
 
 type member struct {
 	upstream fleet.Upstream
-	// lapsedAt is when the entry disappeared in an outage of the store, 0
-	// while it is listed.
-	lapsedAt time.Duration
+	// lapsedUntil is when an entry that disappeared in an outage of the store
+	// counts as gone, 0 while it is listed.
+	lapsedUntil time.Duration
 }
 
 // View is one instance's view of the list. It is not safe for concurrent use.
@@ -61,20 +69,21 @@
 	// draining has the incarnations that are draining, with the time at which one said so
 	// itself, 0 if the list says so.
 	draining map[incarnation]time.Duration
+	removed  removals
 	// graceUntil is the time until which an entry that disappears may be one
 	// that lapsed in an outage.
 	graceUntil time.Duration
 	// eraGraceUntil is the same for an older copy of the store, from which a peer may have
 	// its list, too.
-	eraGraceUntil    time.Duration
-	storeUnreachable bool
-	known            bool
-	version          uint64
+	eraGraceUntil time.Duration
+	outageSince   time.Duration // when the store was last known to answer, 0 while it does
+	known         bool
+	version       uint64
 }
 
 // New returns an empty view, for which Known reports false.
 func New() *View {
-	return &View{members: map[string]*member{}, draining: map[incarnation]time.Duration{}}
+	return &View{members: map[string]*member{}, draining: map[incarnation]time.Duration{}, removed: removals{}}
 }
 
 // Revision returns the store's revision of the last known change of the list.
@@ -89,91 +98,153 @@
 // may have changed.
 func (s *View) Version() uint64 { return s.version }
 
-// StoreUnreachable records that the store does not answer.
-func (s *View) StoreUnreachable() { s.storeUnreachable = true }
+// StoreUnreachable records that the store does not answer and may not have done so since a
+// time.
+func (s *View) StoreUnreachable(since time.Duration) {
+	if s.outageSince == 0 {
+		s.outageSince = max(since, 1)
+	}
+}
 
-// StoreReachable records that the store answers again.
+// StoreReachable records that the store answers again. After an outage, entries that lapsed
+// in an earlier one have the grace period once more: upstreams could not write meanwhile.
 func (s *View) StoreReachable(now time.Duration) {
-	if s.storeUnreachable {
-		s.storeUnreachable = false
+	if s.inOutage(now) {
 		s.graceUntil = now + reregistrationGrace
+		for _, m := range s.members {
+			if m.lapsedUntil != 0 {
+				m.lapsedUntil = s.graceUntil
+			}
+		}
 	}
+	s.outageSince = 0
+}
+
+// inOutage reports whether the store has not answered for so long that entries may lapse.
+func (s *View) inOutage(now time.Duration) bool {
+	return s.outageSince != 0 && now-s.outageSince >= minOutage
 }
 
 // Replace applies the full list that the store returned as of a revision. It
 // reports whether anything changed.
 func (s *View) Replace(now time.Duration, revision uint64, list []fleet.Upstream) bool {
-	return s.replace(now, revision, list, func(id string) { s.markMissing(now, id) })
-}
-
-// ReplaceFromPeer applies a peer's full list as of a revision and reports whether
-// anything changed. The peer's list still has the entries that may have lapsed
-// in an outage, so an entry that it lacks is removed at once, whether or not
-// this instance itself reaches the store. Only a peer that started lately may lack an
-// entry because the store came back from an older copy.
-func (s *View) ReplaceFromPeer(now time.Duration, revision uint64, list []fleet.Upstream) bool {
-	changed := s.replace(now, revision, list, func(id string) {
-		if now < s.eraGraceUntil {
-			s.markMissing(now, id)
-			return
-		}
-		delete(s.members, id)
-	})
-	s.revision = max(s.revision, revision)
-	return changed
-}
-
-// enterEra begins the grace period of an era if a revision is the first one of it, and reports
-// whether it is.
-func (s *View) enterEra(now time.Duration, revision uint64) bool {
-	if !s.known || objectstore.EraOf(revision) <= objectstore.EraOf(s.revision) {
+	if !s.accepts(revision) {
 		return false
 	}
-	s.eraGraceUntil = now + reregistrationGrace
-	s.graceUntil = max(s.graceUntil, s.eraGraceUntil)
-	return true
+	changed := s.enterEra(now, revision) || !s.known
+	s.known = true
+	listed := make(map[string]bool, len(list))
+	for _, u := range list {
+		listed[u.ID] = true
+		m := s.members[u.ID]
+		reappears := m != nil && m.lapsedUntil != 0
+		changed = s.merge(u, reappears) || changed
+	}
+	for id, m := range s.members {
+		if !listed[id] && m.lapsedUntil == 0 {
+			s.markMissing(now, id, revision)
+			changed = true
+		}
+	}
+	if changed {
+		s.revision = max(s.revision, revision)
+		s.version++
+	}
+	return changed
 }
 
-// isOfEarlierEra reports whether a revision is of an era before that of the list.
-func (s *View) isOfEarlierEra(revision uint64) bool {
-	return objectstore.EraOf(revision) < objectstore.EraOf(s.revision)
+// Lapsed is an entry that lapsed in an outage of the store and counts as live for some more
+// time.
+type Lapsed struct {
+	Upstream fleet.Upstream
+	Left     time.Duration
 }
 
-func (s *View) replace(now time.Duration, revision uint64, list []fleet.Upstream, onMissing func(id string)) bool {
-	if s.known && revision < s.revision {
+// ReplaceFromPeer applies a peer's full list as of a revision, with the entries that lapsed in
+// the peer's view, and reports whether anything changed. An entry that is in neither is
+// removed at once, whether or not this instance itself reaches the store, unless it lapsed
+// here or the store has just come back from an older copy: the peer may have started
+// since. Entries that lapsed are in doubt: they are taken only by an instance without a list.
+func (s *View) ReplaceFromPeer(now time.Duration, revision uint64, list []fleet.Upstream, lapsed []Lapsed) bool {
+	if !s.accepts(revision) {
 		return false
 	}
-	changed := s.enterEra(now, revision) || !s.known
+	first := !s.known
+	changed := s.enterEra(now, revision) || first
 	s.known = true
 	listed := make(map[string]bool, len(list))
 	for _, u := range list {
 		listed[u.ID] = true
-		if u.State == fleet.UpstreamDraining && !s.isDraining(u) { // a peer may know it from the upstream itself
-			s.markDraining(u)
-			changed = true
-		}
-		if m := s.members[u.ID]; m == nil || m.upstream.Revision < u.Revision || m.lapsedAt != 0 {
-			s.put(u)
-			changed = true
+		changed = s.merge(u, false) || changed
+	}
+	left := make(map[string]time.Duration, len(lapsed))
+	for _, l := range lapsed {
+		left[l.Upstream.ID] = l.Left
+		if first {
+			s.merge(l.Upstream, false)
 		}
 	}
 	for id, m := range s.members {
-		if !listed[id] {
-			lapsedBefore := m.lapsedAt
-			onMissing(id)
-			changed = changed || s.members[id] == nil || lapsedBefore == 0
+		if listed[id] || m.lapsedUntil != 0 {
+			continue
+		}
+		d, isLapsed := left[id]
+		switch {
+		case isLapsed:
+			m.lapsedUntil = now + min(d, reregistrationGrace)
+		case now < s.eraGraceUntil:
+			s.markMissing(now, id, revision)
+		default:
+			delete(s.members, id)
 		}
+		changed = true
 	}
+	s.revision = max(s.revision, revision)
 	if changed {
-		s.revision = max(s.revision, revision)
 		s.version++
 	}
 	return changed
 }
 
+// accepts reports whether a list as of a revision may replace the present one.
+func (s *View) accepts(revision uint64) bool { return !s.known || revision >= s.revision }
+
+// merge takes an entry over unless it is known to be gone or not newer than the own one, and
+// reports whether anything changed. reappears is whether an entry that is not newer counts,
+// too.
+func (s *View) merge(u fleet.Upstream, reappears bool) bool {
+	changed := false
+	if u.State == fleet.UpstreamDraining && !s.isDraining(u) { // a peer may know it from the upstream itself
+		s.markDraining(u)
+		changed = true
+	}
+	m := s.members[u.ID]
+	if s.removed.cover(u) || m != nil && m.upstream.Revision >= u.Revision && !reappears {
+		return changed
+	}
+	s.put(u)
+	return true
+}
+
+// enterEra begins the grace period of an era if a revision is the first one of it, and reports
+// whether it is.
+func (s *View) enterEra(now time.Duration, revision uint64) bool {
+	if !s.known || objectstore.EraOf(revision) <= objectstore.EraOf(s.revision) {
+		return false
+	}
+	s.eraGraceUntil = now + reregistrationGrace
+	s.graceUntil = max(s.graceUntil, s.eraGraceUntil)
+	return true
+}
+
+// isOfEarlierEra reports whether a revision is of an era before that of the list.
+func (s *View) isOfEarlierEra(revision uint64) bool {
+	return objectstore.EraOf(revision) < objectstore.EraOf(s.revision)
+}
+
 // Upsert applies an entry that was written to the store.
 func (s *View) Upsert(u fleet.Upstream) {
-	if m := s.members[u.ID]; m != nil && m.upstream.Revision > u.Revision || s.isOfEarlierEra(u.Revision) {
+	if m := s.members[u.ID]; m != nil && m.upstream.Revision > u.Revision || s.isOfEarlierEra(u.Revision) || s.removed.cover(u) {
 		return
 	}
 	s.put(u)
@@ -187,11 +258,27 @@
 	if s.isOfEarlierEra(revision) {
 		return
 	}
-	s.markMissing(now, id)
+	s.markMissing(now, id, revision)
 	s.revision = max(s.revision, revision)
 	s.version++
 }
 
+// RecordRemoval records that a peer knows that an entry is gone. It reports whether the set of
+// usable upstreams may have changed.
+func (s *View) RecordRemoval(now time.Duration, r Removal) bool {
+	s.removed.add(now, r)
+	m := s.members[r.ID]
+	if m == nil || !s.removed.cover(m.upstream) {
+		return false
+	}
+	delete(s.members, r.ID)
+	s.version++
+	return true
+}
+
+// Removals returns the removals that peers are told, sorted by ID.
+func (s *View) Removals(now time.Duration) []Removal { return s.removed.told(now) }
+
 // MarkDraining records that an incarnation of an upstream reported that it is
 // draining.
 func (s *View) MarkDraining(now time.Duration, id string, born int64) {
@@ -228,30 +315,36 @@
 	s.members[u.ID] = &member{upstream: u}
 }
 
-func (s *View) markMissing(now time.Duration, id string) {
+// markMissing processes that the store does not list an entry as of a revision.
+func (s *View) markMissing(now time.Duration, id string, revision uint64) {
 	m := s.members[id]
-	if m == nil {
+	if m == nil || m.lapsedUntil != 0 {
 		return
 	}
-	if m.lapsedAt == 0 && (s.storeUnreachable || now < s.graceUntil) && !s.isDraining(m.upstream) {
-		m.lapsedAt = max(now, 1)
+	if (s.inOutage(now) || now < s.graceUntil) && !s.isDraining(m.upstream) {
+		m.lapsedUntil = max(s.graceUntil, now+1)
 		return
 	}
-	if m.lapsedAt == 0 {
-		delete(s.members, id)
-	}
+	s.remove(now, m.upstream, revision)
+}
+
+// remove removes an entry that is gone as of a revision.
+func (s *View) remove(now time.Duration, u fleet.Upstream, revision uint64) {
+	delete(s.members, u.ID)
+	s.removed.add(now, Removal{ID: u.ID, StartedAtMS: u.StartedAtMS, AsOf: max(revision, u.Revision), Entry: u.Revision})
 }
 
 // RemoveLapsed removes entries that lapsed and did not reappear within
 // reregistrationGrace, and reports whether there were any.
 func (s *View) RemoveLapsed(now time.Duration) bool {
-	if s.storeUnreachable || now < s.graceUntil {
+	s.removed.forget(now)
+	if s.inOutage(now) {
 		return false
 	}
 	dropped := false
-	for id, m := range s.members {
-		if m.lapsedAt != 0 {
-			delete(s.members, id)
+	for _, m := range s.members {
+		if m.lapsedUntil != 0 && now >= m.lapsedUntil {
+			s.remove(now, m.upstream, s.revision)
 			dropped = true
 		}
 	}
@@ -310,12 +403,16 @@
 	return m.upstream, true
 }
 
-// All returns every known entry, including draining ones, sorted by ID. Peers
+// Listed returns every listed entry, including draining ones, sorted by ID. Peers
 // receive this list.
-func (s *View) All() []fleet.Upstream {
+func (s *View) Listed() []fleet.Upstream {
 	out := make([]fleet.Upstream, 0, len(s.members))
 	for _, id := range slices.Sorted(maps.Keys(s.members)) {
-		u := s.members[id].upstream
+		m := s.members[id]
+		if m.lapsedUntil != 0 {
+			continue
+		}
+		u := m.upstream
 		if s.isDraining(u) {
 			u.State = fleet.UpstreamDraining
 		}
@@ -323,3 +420,15 @@
 	}
 	return out
 }
+
+// Lapsed returns the entries that lapsed, sorted by ID.
+func (s *View) Lapsed(now time.Duration) []Lapsed {
+	var out []Lapsed
+	for _, m := range s.members {
+		if m.lapsedUntil > now {
+			out = append(out, Lapsed{m.upstream, m.lapsedUntil - now})
+		}
+	}
+	slices.SortFunc(out, func(a, b Lapsed) int { return cmp.Compare(a.Upstream.ID, b.Upstream.ID) })
+	return out
+}
--- a/internal/upstreamlist/upstreamlist_test.go
+++ b/internal/upstreamlist/upstreamlist_test.go
@@ -71,7 +71,7 @@
 func TestPeersListTellsWhatAnUpstreamSaidItself(t *testing.T) {
 	s := New()
 	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
-	must.True(t, s.ReplaceFromPeer(0, 6, []fleet.Upstream{draining(entry("a", 1)), entry("b", 2)}))
+	must.True(t, s.ReplaceFromPeer(0, 6, []fleet.Upstream{draining(entry("a", 1)), entry("b", 2)}, nil))
 	must.Eq(t, []string{"b"}, usableIDs(s))
 }
 
@@ -103,7 +103,7 @@
 func TestEntryThatLapsedInAnOutageIsKeptForTheGracePeriod(t *testing.T) {
 	s := New()
 	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
-	s.StoreUnreachable()
+	s.StoreUnreachable(0)
 	s.StoreReachable(10 * time.Second)
 	s.Replace(10*time.Second, 20, []fleet.Upstream{entry("b", 2)})
 	must.Eq(t, []string{"a", "b"}, usableIDs(s))
@@ -116,7 +116,7 @@
 func TestLapsedEntryReappears(t *testing.T) {
 	s := New()
 	s.Replace(0, 5, []fleet.Upstream{entry("a", 1)})
-	s.StoreUnreachable()
+	s.StoreUnreachable(0)
 	s.StoreReachable(10 * time.Second)
 	s.Replace(10*time.Second, 20, nil)
 	s.Upsert(entry("a", 21))
@@ -130,8 +130,8 @@
 func TestPeersListIsFinalAlsoWithoutAnOwnLinkToTheStore(t *testing.T) {
 	s := New()
 	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
-	s.StoreUnreachable()
-	must.True(t, s.ReplaceFromPeer(0, 30, []fleet.Upstream{entry("b", 2)}))
+	s.StoreUnreachable(0)
+	must.True(t, s.ReplaceFromPeer(0, 30, []fleet.Upstream{entry("b", 2)}, nil))
 	must.Eq(t, []string{"b"}, usableIDs(s))
 	must.Eq(t, 30, s.Revision())
 }
@@ -140,7 +140,7 @@
 	s := New()
 	s.Replace(0, 20, []fleet.Upstream{entry("a", 11)})
 	must.False(t, s.Replace(0, 10, []fleet.Upstream{entry("b", 2)}))
-	must.False(t, s.ReplaceFromPeer(0, 19, nil))
+	must.False(t, s.ReplaceFromPeer(0, 19, nil, nil))
 	must.Eq(t, []string{"a"}, usableIDs(s))
 }
 
@@ -160,7 +160,7 @@
 	must.Eq(t, []string{"a"}, usableIDs(s))
 	s.MarkDraining(0, "a", 1)
 	must.SliceEmpty(t, usableIDs(s))
-	must.Eq(t, fleet.UpstreamDraining, s.All()[0].State)
+	must.Eq(t, fleet.UpstreamDraining, s.Listed()[0].State)
 }
 
 // inEra returns a version.
@@ -179,7 +179,7 @@
 		now := 10 * time.Second
 		list, revision := []fleet.Upstream{entry("a", inEra(t, 1, 30)), entry("c", inEra(t, 1, 40))}, inEra(t, 1, 50)
 		if peer {
-			must.True(t, s.ReplaceFromPeer(now, revision, list))
+			must.True(t, s.ReplaceFromPeer(now, revision, list, nil))
 		} else {
 			must.True(t, s.Replace(now, revision, list))
 		}
@@ -187,7 +187,7 @@
 		must.Eq(t, []string{"a", "b", "c"}, usableIDs(s))
 		s.Upsert(entry("x", 501)) // an event of the earlier era that comes late
 		s.Remove(now, "a", 502)
-		must.False(t, s.ReplaceFromPeer(now, 600, nil))
+		must.False(t, s.ReplaceFromPeer(now, 600, nil, nil))
 		must.Eq(t, []string{"a", "b", "c"}, usableIDs(s))
 		s.Remove(now, "c", inEra(t, 1, 51)) // a change of the present one
 		s.RemoveLapsed(now + reregistrationGrace)
@@ -205,3 +205,100 @@
 	s.RemoveLapsed(reregistrationGrace)
 	must.Eq(t, []string{"a"}, usableIDs(s))
 }
+
+// wake returns the view of an instance that was frozen while an upstream was removed: its watch
+// failed, and the entry is missing from the list that it reads then.
+func wake(now time.Duration, revision uint64) *View {
+	s := New()
+	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
+	s.StoreUnreachable(now - 5*time.Second)
+	s.StoreReachable(now)
+	s.Replace(now, revision, []fleet.Upstream{entry("b", 2)})
+	return s
+}
+
+// An instance that wakes and doubts whether an upstream is gone must not bring it back to those
+// that know, though its list is newer than theirs (review/4).
+func TestEntryInDoubtIsNotTaught(t *testing.T) {
+	const now = 10 * time.Second
+	healthy := New()
+	healthy.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
+	healthy.Remove(6*time.Second, "a", 9)
+	woken := wake(now, 12)
+	must.Eq(t, []string{"a", "b"}, usableIDs(woken))
+	healthy.ReplaceFromPeer(now, woken.Revision(), woken.Listed(), woken.Lapsed(now))
+	must.Eq(t, []string{"b"}, usableIDs(healthy))
+	// A peer of an earlier build lists it all the same.
+	healthy.ReplaceFromPeer(now, 13, []fleet.Upstream{entry("a", 1), entry("b", 2)}, nil)
+	must.Eq(t, []string{"b"}, usableIDs(healthy))
+	for _, r := range healthy.Removals(now) {
+		must.True(t, woken.RecordRemoval(now, r))
+	}
+	must.Eq(t, []string{"b"}, usableIDs(woken))
+}
+
+// An entry in doubt counts no longer than until the end of the grace period, over any chain of
+// instances (review/4).
+func TestDoubtEndsOverAChainOfInstances(t *testing.T) {
+	const now = 10 * time.Second
+	first := wake(now, 12)
+	chain := []*View{first}
+	for i := range 3 {
+		at := now + time.Duration(i+1)*500*time.Millisecond
+		next, last := New(), chain[len(chain)-1]
+		next.ReplaceFromPeer(at, last.Revision(), last.Listed(), last.Lapsed(at)) // has just started
+		must.Eq(t, []string{"a", "b"}, usableIDs(next))
+		chain = append(chain, next)
+	}
+	for _, s := range chain {
+		s.RemoveLapsed(now + reregistrationGrace)
+		must.Eq(t, []string{"b"}, usableIDs(s))
+	}
+}
+
+// A removal hides neither a new incarnation under the same ID nor an upstream that enters
+// itself again, and is forgotten (review/4).
+func TestRemovalHidesOneEntryOnly(t *testing.T) {
+	s := New()
+	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
+	s.Remove(0, "a", 9)
+	s.Upsert(entry("a", 8)) // an event that comes late
+	must.Eq(t, []string{"b"}, usableIDs(s))
+	restarted := entry("a", 8)
+	restarted.StartedAtMS = 2
+	s.Upsert(restarted)
+	must.Eq(t, []string{"a", "b"}, usableIDs(s))
+	s.Remove(0, "a", 10)
+	s.Upsert(entry("a", 11))
+	must.Eq(t, []string{"a", "b"}, usableIDs(s))
+	for i := range 2 * maxRemovals {
+		s.RecordRemoval(time.Second, Removal{ID: fmt.Sprint(i), AsOf: 9})
+	}
+	must.LessEq(t, maxRemovals, len(s.removed))
+	must.SliceLen(t, maxRemovalsTold, s.Removals(time.Second))
+	s.RemoveLapsed(2*time.Second + keepRemovals)
+	must.MapEmpty(t, s.removed)
+}
+
+// An older copy of the store that lists an upstream that has left does not bring it back; one
+// that is alive enters itself again (review/3, review/4).
+func TestOlderCopyDoesNotBringBackWhatIsGone(t *testing.T) {
+	s := New()
+	s.Replace(0, 500, []fleet.Upstream{entry("a", 300), entry("b", 400)})
+	s.Remove(0, "a", 510)
+	s.Replace(0, inEra(t, 1, 450), []fleet.Upstream{entry("a", inEra(t, 1, 300)), entry("b", inEra(t, 1, 400))})
+	must.Eq(t, []string{"b"}, usableIDs(s))
+	s.Upsert(entry("a", inEra(t, 1, 451)))
+	must.Eq(t, []string{"a", "b"}, usableIDs(s))
+}
+
+// A watch that is cut off and goes on is no outage: an entry that is removed next is gone
+// (review/REPORT.md, "a watch that is cut off").
+func TestCutWatchIsNoOutage(t *testing.T) {
+	s := New()
+	s.Replace(0, 5, []fleet.Upstream{entry("a", 1), entry("b", 2)})
+	s.StoreUnreachable(time.Second)
+	s.StoreReachable(time.Second + 200*time.Millisecond)
+	s.Remove(time.Second+300*time.Millisecond, "a", 9)
+	must.Eq(t, []string{"b"}, usableIDs(s))
+}
