httpconn, gateway: a request that is repeated takes a connection that has not carried it

Cause: when both upstreams had rejected a request, the first was tried again on the connection that had carried the first try. A late copy of that rejection has the request's ID, and was taken for the answer to the new try.

Change: Request.OpenedAfter keeps a request off connections that may have carried it, also through the same relay. An answer without an ID on a connection that carried another request proves nothing any more; it was believed if it said "not run".

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -306,7 +306,7 @@
 // the upstream says there about itself.
 func (x *exchange) classify(a *attempt) fleet.AnswerKind {
 	x.recordAnswer(a)
-	kind := x.g.codec.ClassifyResponse(a.response.Status, a.response.Header, x.req.AttemptID)
+	kind := x.g.codec.ClassifyResponse(a.response.Status, a.response.Header, x.req.AttemptID, a.response.Reused)
 	if kind == fleet.AnswerOwn {
 		x.g.crashes.Alive(incarnationOf(a.Decision.Upstream))
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -26,8 +26,9 @@
 	CopyResponseHeader(out, in http.Header)
 	// ClassifyResponse returns what the status and headers of an upstream's answer
 	// prove. attemptID is the ID that the caller gave the request; an answer with
-	// another ID is not the answer to it.
-	ClassifyResponse(status int, h http.Header, attemptID string) fleet.AnswerKind
+	// another ID is not the answer to it. reused is whether the connection carried an
+	// earlier request: an answer without an ID may then be one to that.
+	ClassifyResponse(status int, h http.Header, attemptID string, reused bool) fleet.AnswerKind
 	// DecodeNotice returns what an upstream says about its own state in the status and
 	// headers of an answer. The error names what is malformed.
 	DecodeNotice(status int, h http.Header) (fleet.Notice, error)
@@ -86,6 +87,15 @@
 	retry         retry    // taken last from the retry budget
 	next          *attempt // begun already, nil if there is none
 	rec           requestRecord
+
+	// sentAt is when the request was last sent, by the way on which it went.
+	sentAt map[way]time.Duration
+}
+
+// way is how a request goes to an upstream.
+type way struct {
+	address string // of the upstream
+	relay   string // name of the peer that sends it, empty for the own link
 }
 
 // ServeHTTP handles one request of a caller. It implements http.Handler.
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
+	"github.com/eelgrassbay/eelgrassbay/internal/boottime"
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
 	"github.com/eelgrassbay/eelgrassbay/internal/httpconn"
 	"github.com/eelgrassbay/eelgrassbay/internal/reach"
@@ -34,7 +35,13 @@
 		x.sendThroughPeer(a)
 		return
 	}
-	a.exchange, a.err = x.g.pool.Send(a.ctx, x.attemptRequest(a))
+	own := way{address: u.Address}
+	r := x.attemptRequest(a)
+	r.OpenedAfter = x.sentBefore(own)
+	a.exchange, a.err = x.g.pool.Send(a.ctx, r)
+	if !errors.Is(a.err, httpconn.ErrNotSent) {
+		x.recordSent(own)
+	}
 	if a.err == nil {
 		a.wait = x.g.links.sent(u)
 		return
@@ -60,7 +67,12 @@
 		a.relays = append(a.relays, p.Name)
 		relayed := relay.Request(x.attemptRequest(a), linkOf(a.Decision.Upstream), p.PeerAddress)
 		relay.SetRegions(relayed.Header, x.job.Regions)
+		through := way{address: a.Decision.Upstream.Address, relay: p.Name}
+		relay.SetSentBefore(relayed.Header, x.sentBefore(through) != 0)
 		a.exchange, a.err = x.g.links.pool.Send(a.ctx, relayed)
+		if !errors.Is(a.err, httpconn.ErrNotSent) {
+			x.recordSent(through)
+		}
 		if a.err == nil {
 			x.g.links.begin(p.Name)
 			a.relayEnded = false
@@ -185,10 +197,14 @@
 		return relay.ErrRefused
 	}
 	began := l.g.now()
-	exchange, err := l.g.pool.Send(r.Context(), &httpconn.Request{
+	request := &httpconn.Request{
 		Address: u.Address, Method: r.Method, RequestURI: r.RequestURI, Host: r.Host, Header: relay.Forwarded(r.Header), Body: body,
 		MaySend: func() error { return l.mayRelay(key, relay.Regions(r.Header)) },
-	})
+	}
+	if relay.SentBefore(r.Header) {
+		request.OpenedAfter = boottime.Now() // this instance does not know what its connections carried
+	}
+	exchange, err := l.g.pool.Send(r.Context(), request)
 	switch {
 	case errors.Is(err, httpconn.ErrNoConnection):
 		l.dialFailed(u, err)
--- a/internal/gateway/relaying_test.go
+++ b/internal/gateway/relaying_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -192,3 +193,37 @@
 	must.False(t, r.node.g.links.refuses(context.Background(), suspect, address))
 	must.True(t, r.node.g.links.relayed(relayedUpstream, false))
 }
+
+// A relay does not know what its connections carried: a request that it may have sent before
+// goes over a new one, where no late copy of the answer to that can come (review/2).
+func TestRelayRepeatsARequestOnAnotherConnection(t *testing.T) {
+	var mu sync.Mutex
+	conns := map[string]bool{}
+	r, _ := newTestRelay(t, func(w http.ResponseWriter, req *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		conns[req.RemoteAddr] = true
+		must.Eq(t, "", req.Header.Get("Eelgrass-Relay-Again"))
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.WriteHeader(http.StatusOK)
+	})
+	for i, step := range []struct {
+		again  bool
+		conns  int
+		reused bool
+	}{{false, 1, false}, {false, 1, true}, {true, 2, false}, {false, 2, true}} {
+		request := &httpconn.Request{Method: "POST", RequestURI: "/", Host: "h", Header: http.Header{}}
+		relayed := relay.Request(request, relayedUpstream, r.address)
+		relay.SetSentBefore(relayed.Header, step.again)
+		resp, err := r.pool.Do(context.Background(), relayed)
+		must.NoError(t, err)
+		must.NoError(t, relay.Result(resp))
+		must.Eq(t, step.reused, resp.Reused, must.Sprint(i))
+		_, err = io.Copy(io.Discard, resp.Body)
+		must.NoError(t, err)
+		resp.Finish(true)
+		mu.Lock()
+		must.MapLen(t, step.conns, conns, must.Sprint(i))
+		mu.Unlock()
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
+	"github.com/eelgrassbay/eelgrassbay/internal/boottime"
 	"github.com/eelgrassbay/eelgrassbay/internal/httpconn"
 )
 
@@ -48,6 +50,17 @@
 	return r
 }
 
+// sentBefore returns when the request was last sent on a way, 0 for never.
+func (x *exchange) sentBefore(w way) time.Duration { return x.sentAt[w] }
+
+// recordSent records that at least a part of the request was sent on a way.
+func (x *exchange) recordSent(w way) {
+	if x.sentAt == nil {
+		x.sentAt = map[way]time.Duration{}
+	}
+	x.sentAt[w] = boottime.Now()
+}
+
 // mayStillSend reports why the request may no longer be sent, nil if it may. Opening a
 // connection takes time in which the upstream may leave and the deadline pass.
 func (x *exchange) mayStillSend(a *attempt) error {
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/boottime"
 	"golang.org/x/sys/unix"
 )
 
@@ -69,6 +70,11 @@
 	// MaySend is asked when the connection is there, right before the request is written. If
 	// it fails, nothing is sent. It may be nil.
 	MaySend func() error
+	// OpenedAfter is a boot time after which the connection must have been opened, 0 for any.
+	// An address to which the request was sent before may send its answer once more, late. On
+	// a connection that carried the request then, that answer cannot be told from the one to
+	// this try, as the request's ID is the same.
+	OpenedAfter time.Duration
 }
 
 // bodyBytes returns the length of the body.
@@ -86,6 +92,9 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// Reused is whether the connection carried a request before this one, so that the
+	// response may be one to that, unless it names its request.
+	Reused bool
 
 	conn         *conn
 	raw          *http.Response
@@ -98,6 +107,8 @@
 	net.Conn
 	reader  *bufio.Reader // reads through Read
 	address string
+	opened  time.Duration // boot time
+	used    bool          // has carried a request
 	expires time.Duration // boot time from which the connection is not reused
 	watch   Watch
 	told    time.Time // last call of watch.OnSilence in the current silence, zero for none
@@ -210,7 +221,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, address: address}
+	c := &conn{Conn: raw, address: address, opened: boottime.Now()}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -58,17 +59,18 @@
 	conn         *conn
 	request      *Request
 	written      <-chan writeResult // see readHead
+	reused       bool               // see Response.Reused
 	stopCtxWatch func() bool
 }
 
 // Send sends a request. When ctx ends, the connection is closed, also while the
 // response is read. Send fails with ErrNotSent or ErrExchangeFailed.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Exchange, error) {
-	c, err := p.get(ctx, r.Address)
+	c, err := p.get(ctx, r.Address, r.OpenedAfter)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrNoConnection, err)
 	}
-	e := &Exchange{pool: p, conn: c, request: r, stopCtxWatch: context.AfterFunc(ctx, func() { _ = c.Close() })}
+	e := &Exchange{pool: p, conn: c, request: r, reused: c.used, stopCtxWatch: context.AfterFunc(ctx, func() { _ = c.Close() })}
 	if ctx.Err() != nil {
 		e.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
@@ -79,6 +81,7 @@
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
+	c.used = true
 	if e.written, err = c.start(r); err != nil {
 		e.Close()
 		return nil, err
@@ -97,7 +100,7 @@
 		e.Close()
 		return nil, err
 	}
-	resp.stopCtxWatch = e.stopCtxWatch
+	resp.stopCtxWatch, resp.Reused = e.stopCtxWatch, e.reused
 	return resp, nil
 }
 
@@ -197,11 +200,12 @@
 	return nil, ErrHeadTooLarge
 }
 
-// get returns a healthy idle connection that has not expired, or a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// get returns a healthy idle connection that has not expired and was opened after a time, or a
+// new one.
+func (p *Pool) get(ctx context.Context, address string, openedAfter time.Duration) (*conn, error) {
 	now := boottime.Now()
 	for {
-		c := p.pop(address)
+		c := p.pop(address, openedAfter)
 		if c == nil {
 			break
 		}
@@ -245,18 +249,19 @@
 	delete(p.idle, address)
 }
 
-// pop removes and returns the most recently used idle connection to an address,
-// nil if there is none.
-func (p *Pool) pop(address string) *conn {
+// pop removes and returns the most recently used idle connection to an address that was
+// opened after a time, nil if there is none.
+func (p *Pool) pop(address string, openedAfter time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if openedAfter == 0 || c.opened > openedAfter {
+			p.idle[address] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 // put stores an idle connection for reuse. It closes the connection if the pool
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/boottime"
 	"github.com/shoenig/test/must"
 )
 
@@ -354,3 +355,78 @@
 	must.True(t, asked)
 	must.Eq(t, 0, len(served))
 }
+
+// doAfter sends a request on a connection that was opened after a time.
+func (u *rawServer) doAfter(id string, after time.Duration) (string, error) {
+	resp, err := u.pool.Do(context.Background(), &Request{
+		Address: u.address, Method: "POST", RequestURI: "/", Host: "h.example", Header: http.Header{"Id": {id}}, OpenedAfter: after,
+	})
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	resp.Finish(err == nil)
+	return string(body), err
+}
+
+// A server may send an answer once more when the same request comes again on the connection,
+// also after others in between. A request that is repeated takes one that has not carried it
+// (review/2).
+func TestRepeatedRequestTakesAnotherConnection(t *testing.T) {
+	var tries atomic.Int32
+	u := newRawServer(t, func(c net.Conn, r *http.Request, n int) bool {
+		text := response(r.Header.Get("Id"), "", fmt.Sprint("try ", tries.Add(1)))
+		if n == 2 {
+			text = response(r.Header.Get("Id"), "", "a copy") + text
+		}
+		_, err := io.WriteString(c, text)
+		return err == nil
+	})
+	_, _, err := u.do("1")
+	must.NoError(t, err)
+	sent := boottime.Now()
+	_, _, err = u.do("2") // in between
+	must.NoError(t, err)
+	body, err := u.doAfter("1", sent)
+	must.NoError(t, err)
+	must.Eq(t, "try 3", body)
+	must.Eq(t, 2, len(u.conns))
+	body, err = u.doAfter("3", sent) // the connection that was opened since serves others
+	must.NoError(t, err)
+	must.Eq(t, "try 4", body)
+	must.Eq(t, 2, len(u.conns))
+}
+
+// A response says whether something else was asked on its connection before.
+func TestResponseTellsWhetherItsConnectionWasUsed(t *testing.T) {
+	u := newRawServer(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, err := io.WriteString(c, response("", "", "ok"))
+		return err == nil
+	})
+	must.NoError(t, u.pool.Connect(context.Background(), u.address))
+	for i, reused := range []bool{false, true} {
+		resp, err := u.pool.Do(context.Background(), &Request{Address: u.address, Method: "GET", RequestURI: "/", Host: "h", Header: http.Header{}})
+		must.NoError(t, err)
+		must.Eq(t, reused, resp.Reused, must.Sprint(i))
+		_, err = io.Copy(io.Discard, resp.Body)
+		must.NoError(t, err)
+		resp.Finish(true)
+	}
+	must.Eq(t, 1, len(u.conns))
+}
+
+// Beyond maxStaleResponses a response to another request is handed up, and the caller tells by
+// its headers that it is none to this one.
+func TestThirdStaleResponseIsHandedUp(t *testing.T) {
+	u := newRawServer(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, err := io.WriteString(c, strings.Repeat(response("earlier", "", "not yours"), maxStaleResponses+1)+response(r.Header.Get("Id"), "", "ok"))
+		return err == nil
+	})
+	resp, err := u.pool.Do(context.Background(), &Request{Address: u.address, Method: "GET", RequestURI: "/", Host: "h", Header: http.Header{"Id": {"1"}}})
+	must.NoError(t, err)
+	must.Eq(t, "earlier", resp.Header.Get("Id"))
+	resp.Finish(true)
+	_, _, err = u.do("2")
+	must.NoError(t, err)
+	must.Eq(t, 2, len(u.conns)) // the first one is not used again
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,11 @@
 const (
 	headerTo     = "Eelgrass-Relay-To"     // incarnation of the upstream, in requests
 	headerResult = "Eelgrass-Relay-Result" // in all answers of a relay
+	// headerAgain is there if the relay may have sent the request to the upstream before.
+	headerAgain = "Eelgrass-Relay-Again"
+	// headerReused is there if the upstream answered on a connection that had carried an
+	// earlier request.
+	headerReused = "Eelgrass-Relay-Reused"
 
 	resultAnswered  = "answered"  // by the upstream
 	resultRefused   = "refused"   // not sent: the relay does not take the request
@@ -47,6 +52,19 @@
 	return &out
 }
 
+// SetSentBefore records in the headers of a request whether the same relay may have sent it to
+// the upstream before. It has to take a new connection then: a late copy of the answer to the
+// earlier try could not be told from the answer to this one.
+func SetSentBefore(h http.Header, before bool) {
+	h.Del(headerAgain)
+	if before {
+		h.Set(headerAgain, "1")
+	}
+}
+
+// SentBefore reports whether a peer's request may have been sent by this relay before.
+func SentBefore(h http.Header) bool { return h.Get(headerAgain) != "" }
+
 // Target returns the upstream to which a peer wants a request sent. ok is false if the
 // request is not one to relay.
 func Target(h http.Header) (u reach.Upstream, ok bool) { return parse(h.Get(headerTo)) }
@@ -63,6 +81,7 @@
 func Forwarded(h http.Header) http.Header {
 	out := h.Clone()
 	out.Del(headerTo)
+	out.Del(headerAgain)
 	out.Del(headerRegions)
 	out.Del(headerRegionsSet)
 	out.Del("Content-Length") // set anew from the body
@@ -70,10 +89,13 @@
 }
 
 // Result returns nil if the answer of a peer is that of the upstream, from whose headers it
-// takes its own. Otherwise it fails with one of the errors of this package.
+// takes its own; resp.Reused is then that of the connection to the upstream. Otherwise it fails
+// with one of the errors of this package.
 func Result(resp *httpconn.Response) error {
 	result := resp.Header.Get(headerResult)
+	resp.Reused = resp.Header.Get(headerReused) != ""
 	resp.Header.Del(headerResult)
+	resp.Header.Del(headerReused)
 	switch result {
 	case resultAnswered:
 		return nil
@@ -116,6 +138,10 @@
 		}
 	}
 	h.Set(headerResult, resultAnswered)
+	h.Del(headerReused)
+	if resp.Reused {
+		h.Set(headerReused, "1")
+	}
 	h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", keepAliveSeconds))
 	w.WriteHeader(resp.Status)
 	control := http.NewResponseController(w)
