clientguard: a client that gives way is either served or told that it is not

Cause: what the client is doing is decided under the guard's lock, and the 503 is written after it. The head may be complete by then.

Change: the request has a phase that both sides swap.

--- a/internal/clientguard/conn.go
+++ b/internal/clientguard/conn.go
@@ -51,6 +51,9 @@
 	client   *bodybudget.Client
 	evicted  atomic.Bool
 	deadline sync.Mutex // keeps the reader from replacing the deadline that evict sets
+	// phase is of the current request. It decides whether the request is served or rejected
+	// by evict, which knows only what the client did a moment ago.
+	phase atomic.Int32
 
 	mu        sync.Mutex
 	active    bool  // the head of a request has been read
@@ -60,6 +63,13 @@
 	charged   int64 // reserved for the head
 }
 
+// The phases of a request.
+const (
+	phaseHead     int32 = iota // its head has not been read
+	phaseServed                // the server has it
+	phaseRejected              // its client was told that it has not run
+)
+
 // Read implements net.Conn. It bounds the heads of requests.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -118,17 +128,23 @@
 	return p
 }
 
-// headEnded records that the head of a request has been read.
-func (c *conn) headEnded() {
+// headEnded records that the head of a request has been read. It reports whether the request
+// may be served: its client may have been told that it has not run.
+func (c *conn) headEnded() bool {
+	if !c.phase.CompareAndSwap(phaseHead, phaseServed) {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active = true
 	c.listener.guard.enter(c.client, bodybudget.StateServed)
+	return true
 }
 
 // requestEnded records that a request has been answered. A part of the next head may be in
 // net/http's buffer already, so that the next line may not be a first one.
 func (c *conn) requestEnded() {
+	c.phase.CompareAndSwap(phaseServed, phaseHead)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active, c.headBytes, c.fields, c.lineBytes = false, 0, 0, 1
@@ -184,7 +200,7 @@
 	default:
 		c.evicted.Store(true)
 		_ = c.Conn.SetWriteDeadline(time.Now()) // never waits
-		if !c.listener.opts.Encrypted && state == bodybudget.StateHead {
+		if !c.listener.opts.Encrypted && state == bodybudget.StateHead && c.phase.CompareAndSwap(phaseHead, phaseRejected) {
 			c.writeNow(why.answer())
 		}
 		_ = c.Close()
--- a/internal/clientguard/guard.go
+++ b/internal/clientguard/guard.go
@@ -124,7 +124,9 @@
 	}
 	switch s {
 	case http.StateActive:
-		guarded.headEnded()
+		if !guarded.headEnded() {
+			panic(http.ErrAbortHandler) // ends the connection before the handler is called
+		}
 	case http.StateIdle:
 		guarded.requestEnded()
 	}
--- a/internal/clientguard/guard_test.go
+++ b/internal/clientguard/guard_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/bodybudget"
 	"github.com/eelgrassbay/eelgrassbay/internal/boottime"
 	"github.com/shoenig/test/must"
 )
@@ -215,3 +216,38 @@
 	must.Error(t, err)
 	must.Eq(t, 1, s.metrics.counts["clients_rejected_unread"])
 }
+
+// A client that has to give way just when its request begins to be served must not be told that
+// it has not run, and one that was told so must not be served (REFUSED).
+func TestClientThatGivesWayIsEitherServedOrRejected(t *testing.T) {
+	for _, evictedFirst := range []bool{false, true} {
+		served := make(chan *conn, 1)
+		s := newServer(t, 144, 10, func(w http.ResponseWriter, r *http.Request) {
+			served <- r.Context().Value(connKey{}).(*conn)
+			<-r.Context().Done()
+		})
+		client := s.dial()
+		_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n")
+		must.NoError(t, err)
+		finish := func() { _, _ = io.WriteString(client, "\r\n") }
+		if evictedFirst {
+			// The reader has the whole head, and the server is about to get it.
+			var c *conn
+			for c == nil {
+				s.guard.mu.Lock()
+				for _, other := range s.guard.conns {
+					c = other
+				}
+				s.guard.mu.Unlock()
+			}
+			must.True(t, c.phase.CompareAndSwap(phaseHead, phaseRejected))
+			finish()
+		} else {
+			finish()
+			(<-served).evict(reasonMemory, bodybudget.StateHead)
+		}
+		answer, _ := io.ReadAll(client) // the connection may be reset
+		must.Eq(t, "", string(answer))
+		must.Eq(t, 0, len(served))
+	}
+}
