gateway: an instance that is out of touch does not resume unknown streams

Cause: find did not tell whether nobody knows a stream or nobody answered, and the own history has one version only.

Change: if the instances that would know the stream are not reached, and this one has heard from neither the store nor a peer for 2 s, the stream is rejected as one of an unknown version. All others go on as before.

Evidence: TestInstanceOutOfTouchDoesNotResumeUnknownStreams failed before; TestLastInstanceResumesUnknownStreams holds before and after. Not tried with processes.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -167,7 +167,9 @@
 
 // resolveVersion lets a stream that its caller resumes go on only at the version at which it
 // began. An unknown stream may go on anywhere if the service had one version only for as long
-// as streams are resumed, also before this process began.
+// as streams are resumed, also before this process began. An instance that is out of touch and
+// reaches nobody who would know the stream cannot tell, as others may have begun it at a version
+// that is not in its list.
 func (x *exchange) resolveVersion(ctx context.Context) fleet.Refusal {
 	if x.route.Kind != fleet.KindStream || x.req.Resumes == "" || x.req.LastEventID == "" {
 		return fleet.Refusal{}
@@ -177,7 +179,7 @@
 	switch {
 	case ok:
 		x.job.Version = &version
-	case x.g.streamVersions.mayDiffer(x.service):
+	case x.g.streamVersions.mayDiffer(x.service), from == versionUnreached && !x.g.streamVersions.listConfirmed():
 		return fleet.Refusal{Reason: fleet.ReasonVersionUnknown, RetryAfter: versionRetryAfter}
 	}
 	return fleet.Refusal{}
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -132,7 +132,10 @@
 	versionFromSelf = "self"
 	// versionFromStore: this instance has read it at its start.
 	versionFromStore = "store"
-	versionUnknown   = "unknown"
+	// versionUnknown: all instances that would know have answered.
+	versionUnknown = "unknown"
+	// versionUnreached: some of them have not.
+	versionUnreached = "unreached"
 )
 
 // lookUp returns the version at which a stream began if this instance knows it, and from where.
@@ -148,7 +151,7 @@
 }
 
 // find returns the version at which a stream began and who knew it: this instance, the store
-// or another instance. ok is false if nobody did.
+// or another instance. ok is false if nobody did, or if those that may know were not reached.
 func (v *streamVersions) find(ctx context.Context, organisation, request, service string) (version, from string, ok bool) {
 	key := streamversion.KeyOf(organisation, request)
 	if version, from, ok = v.lookUp(key, service); ok {
@@ -172,9 +175,23 @@
 	if version, from, ok = v.lookUp(key, service); ok { // the store was read in the meantime
 		return version, from, true
 	}
+	if len(asked) > 0 {
+		return "", versionUnreached, false
+	}
 	return "", versionUnknown, false
 }
 
+// listConfirmedFor is how long after it last heard from the store or from a peer an instance
+// takes its list of upstreams for that of all.
+const listConfirmedFor = 2 * time.Second
+
+// listConfirmed reports whether another version of a service could not have been listed for
+// some time without this instance knowing. It may be cut off, or have been frozen until now.
+func (v *streamVersions) listConfirmed() bool {
+	heard := max(v.g.catalog.LastAnswered(), time.Duration(v.g.lastStateAt.Load()))
+	return v.g.now()-heard <= listConfirmedFor
+}
+
 // ask asks instances at the same time. It returns the first answer that knows the stream, or
 // the instances that have not answered.
 func (v *streamVersions) ask(ctx context.Context, asked []*meshpb.MemberInfo, query *meshpb.StreamQuery) (version, from string, silent []*meshpb.MemberInfo) {
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
 	"github.com/shoenig/test/must"
 )
 
@@ -131,3 +132,44 @@
 		stopAll(nodes[4:])
 	})
 }
+
+// An instance that is out of touch, as it was cut off or frozen, must not let a stream go on at
+// the one version that it lists: another one may have been listed since, and the instances that
+// know the stream are not reached (issue 47, "out of step during a release").
+func TestInstanceOutOfTouchDoesNotResumeUnknownStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, nodes := newVersionedFleet(t, 6, "v1", "v1")
+		cut := nodes[3]
+		cut.side = 1
+		f.store.SetFaults(objectstore.Faults{Outage: true})
+		time.Sleep(listConfirmedFor + 500*time.Millisecond)
+		nodes[0].g.streamVersions.began("", "first", "app", "v2") // at an upstream that cut does not know
+		time.Sleep(time.Second)
+		must.Eq(t, fleet.ReasonVersionUnknown, resumed(cut, "first").resolveVersion(context.Background()).Reason)
+		x := resumed(nodes[4], "first")
+		must.Eq(t, fleet.ReasonNone, x.resolveVersion(context.Background()).Reason)
+		must.Eq(t, "v2", *x.job.Version)
+		// Those in touch with each other go on as before, though a keeper is silent.
+		must.Eq(t, fleet.ReasonNone, resumed(nodes[4], "nobody knows").resolveVersion(context.Background()).Reason)
+		cut.side = 0
+		f.store.SetFaults(objectstore.Faults{})
+		time.Sleep(5 * time.Second)
+		x = resumed(cut, "first")
+		must.Eq(t, fleet.ReasonNone, x.resolveVersion(context.Background()).Reason)
+		must.Eq(t, "v2", *x.job.Version)
+		stopAll(nodes)
+	})
+}
+
+// An instance whose peers have all ended, and that reaches the store, resumes streams.
+func TestLastInstanceResumesUnknownStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := newVersionedFleet(t, 4, "v1", "v1")
+		for _, n := range nodes[1:] {
+			n.stop()
+		}
+		time.Sleep(5 * time.Second)
+		must.Eq(t, fleet.ReasonNone, resumed(nodes[0], "nobody knows").resolveVersion(context.Background()).Reason)
+		stopAll(nodes[:1])
+	})
+}
--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -150,6 +150,13 @@
 	return c.configObject.Version, c.roster.Revision(), c.reachable()
 }
 
+// LastAnswered returns when the store last answered this instance, 0 if it never did.
+func (c *Controller) LastAnswered() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastAnswered
+}
+
 func (c *Controller) reachable() bool {
 	return !c.storeLost && c.opts.Now()-c.lastAnswered < reachableWindow+c.opts.WatchWait
 }
