gateway: a success that is no event stream does not continue a stream

Cause: the continuation was judged by its status alone.

Change: its media type must be that of the answer that began the stream. Otherwise the attempt has failed.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/assign"
@@ -79,6 +80,9 @@
 	splitter := eventstream.NewSplitter(maxEventBytes)
 	buf := make([]byte, readBufferBytes)
 	resumed := x.rec.stream.headSent
+	if resumed && mediaType(a.response.Header) != mediaType(x.w.Header()) {
+		return errNotResumed // a success of another kind is not the rest of the stream
+	}
 	for {
 		n, readErr := a.response.Body.Read(buf)
 		if err := splitter.Feed(buf[:n]); err != nil {
@@ -129,6 +133,12 @@
 	}
 }
 
+// mediaType returns the type of a body without parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // sendHead sends the status and headers of the answer, once per request; a
 // resumed stream keeps those of its first upstream.
 func (x *exchange) sendHead(resp *httpconn.Response) {
