upstreamlist: what a peer says lapsed ends at the time that it says

Cause: an instance whose own read of the store failed once, and that follows its peers since, does not notice that the store answers again. Entries that a peer told it lapsed would have stayed until the peer's removal is told.

Change: their time ends whatever the instance believes of the store. sentBefore, a lookup with a name, is gone.

Result: TestDoubtEndsOverAChainOfInstances, whose instances believe that the store is away now, failed before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -88,7 +88,7 @@
 	next          *attempt // begun already, nil if there is none
 	rec           requestRecord
 
-	// sentAt is when the request was last sent, by the way on which it went.
+	// sentAt is the boot time at which the request was last sent, by the way on which it went.
 	sentAt map[way]time.Duration
 }
 
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -37,7 +37,7 @@
 	}
 	own := way{address: u.Address}
 	r := x.attemptRequest(a)
-	r.OpenedAfter = x.sentBefore(own)
+	r.OpenedAfter = x.sentAt[own]
 	a.exchange, a.err = x.g.pool.Send(a.ctx, r)
 	if !errors.Is(a.err, httpconn.ErrNotSent) {
 		x.recordSent(own)
@@ -68,7 +68,7 @@
 		relayed := relay.Request(x.attemptRequest(a), linkOf(a.Decision.Upstream), p.PeerAddress)
 		relay.SetRegions(relayed.Header, x.job.Regions)
 		through := way{address: a.Decision.Upstream.Address, relay: p.Name}
-		relay.SetSentBefore(relayed.Header, x.sentBefore(through) != 0)
+		relay.SetSentBefore(relayed.Header, x.sentAt[through] != 0)
 		a.exchange, a.err = x.g.links.pool.Send(a.ctx, relayed)
 		if !errors.Is(a.err, httpconn.ErrNotSent) {
 			x.recordSent(through)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -50,9 +50,6 @@
 	return r
 }
 
-// sentBefore returns when the request was last sent on a way, 0 for never.
-func (x *exchange) sentBefore(w way) time.Duration { return x.sentAt[w] }
-
 // recordSent records that at least a part of the request was sent on a way.
 func (x *exchange) recordSent(w way) {
 	if x.sentAt == nil {
--- a/internal/upstreamlist/upstreamlist.go
+++ b/internal/upstreamlist/upstreamlist.go
@@ -60,6 +60,9 @@
 	// lapsedUntil is when an entry that disappeared in an outage of the store
 	// counts as gone, 0 while it is listed.
 	lapsedUntil time.Duration
+	// told is whether a peer said so. The peer sees when the store answers again; an instance
+	// that follows it does not.
+	told bool
 }
 
 // View is one instance's view of the list. It is not safe for concurrent use.
@@ -112,7 +115,7 @@
 	if s.inOutage(now) {
 		s.graceUntil = now + reregistrationGrace
 		for _, m := range s.members {
-			if m.lapsedUntil != 0 {
+			if m.lapsedUntil != 0 && !m.told {
 				m.lapsedUntil = s.graceUntil
 			}
 		}
@@ -191,7 +194,7 @@
 		d, isLapsed := left[id]
 		switch {
 		case isLapsed:
-			m.lapsedUntil = now + min(d, reregistrationGrace)
+			m.lapsedUntil, m.told = now+min(d, reregistrationGrace), true
 		case now < s.eraGraceUntil:
 			s.markMissing(now, id, revision)
 		default:
@@ -338,12 +341,9 @@
 // reregistrationGrace, and reports whether there were any.
 func (s *View) RemoveLapsed(now time.Duration) bool {
 	s.removed.forget(now)
-	if s.inOutage(now) {
-		return false
-	}
 	dropped := false
 	for _, m := range s.members {
-		if m.lapsedUntil != 0 && now >= m.lapsedUntil {
+		if m.lapsedUntil != 0 && now >= m.lapsedUntil && (m.told || !s.inOutage(now)) {
 			s.remove(now, m.upstream, s.revision)
 			dropped = true
 		}
