--- a/internal/upstreamlist/upstreamlist_test.go
+++ b/internal/upstreamlist/upstreamlist_test.go
@@ -246,7 +246,7 @@
 	for i := range 3 {
 		at := now + time.Duration(i+1)*500*time.Millisecond
 		next, last := New(), chain[len(chain)-1]
-		next.StoreUnreachable(now) // and it does not learn that the store answers again
+		next.StoreUnreachable(now)                                                // and it does not learn that the store answers again
 		next.ReplaceFromPeer(at, last.Revision(), last.Listed(), last.Lapsed(at)) // has just started
 		must.Eq(t, []string{"a", "b"}, usableIDs(next))
 		chain = append(chain, next)
