storesync, gateway, logstory: a refused request's line names the configuration that refused it

Cause: the line of a request with no_route or bad_key had the operator's version only. A version that is held back, one that cannot be decoded, an item that was skipped, a version that the readers lack and a request that no version allows looked the same; a configuration that cannot be decoded was decoded and logged again at each read, and not counted. Change: ConfigStatus has the version in force, its source and age, skipped items, the version held back or refused and the latest one heard of. The lines of such requests and the metrics have it, eelgrassctl why says it in words, and a refused configuration is decoded, logged and counted once.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,7 +174,9 @@
 	g.catalog = storesync.New(storesync.Options{
 		Store: g.opts.Store, Decoder: g.opts.Decoder, WatchWait: s.Store.WatchWait.Std(),
 		Now: g.now, Log: g.log, Watches: g.watchesStore, Polls: g.pollsStore, ConfigArrives: g.configFetcher.arrives(g.now), OnChange: g.applyCatalog,
-		OnMalformed: func() { g.metrics.Count("malformed_entries") }, Evacuations: g.evacuations.storeOptions(),
+		OnMalformed:       func() { g.metrics.Count("malformed_entries") },
+		OnMalformedConfig: func(items int) { g.metrics.CountBy("malformed_config_items", items) },
+		Evacuations:       g.evacuations.storeOptions(),
 	})
 	g.mesh = mesh.New(mesh.Options{
 		Self: g.self, Peers: g.peers, Now: g.now, Log: g.log, Seed: rand.Uint64(),
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -72,6 +72,13 @@
 	return now - l.since
 }
 
+// told returns the latest revision that a peer said it has.
+func (l *lag) told() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.newest
+}
+
 // lacks returns the revision that an instance with the revision own lacks and for how long
 // it has known of it, 0 for none.
 func (l *lag) lacks(now time.Duration, own uint64) (target uint64, late time.Duration) {
--- a/internal/gateway/lagreport.go
+++ b/internal/gateway/lagreport.go
@@ -20,6 +20,7 @@
 func (g *Gateway) reportLag(ctx context.Context) error {
 	for wait.Sleep(ctx, lagReportInterval) {
 		now := g.now()
+		g.publishConfigStatus()
 		stateAge := now - max(time.Duration(g.lastStateAt.Load()), g.started)
 		config, roster, storeReachable := g.catalog.Revisions()
 		if stateAge > maxStateAge && g.mesh.InstanceCount() > 1 {
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -106,6 +106,9 @@
 	if x.config != nil {
 		attrs = append(attrs, slog.Int64("config", x.config.Version))
 	}
+	if r.refusedByConfig() {
+		attrs = append(attrs, x.g.configAttrs()...)
+	}
 	if len(r.attempts) > 0 || r.refusal.Reason != fleet.ReasonNone {
 		attrs = append(attrs, slog.Int("candidates", r.inputs.Candidates), slog.Int("queue", r.inputs.QueueLength),
 			slog.Int("at_upstream", r.inputs.Requests), slog.Int64("peer_age_ms", r.inputs.PeerAge.Milliseconds()))
--- a/internal/logstory/logstory.go
+++ b/internal/logstory/logstory.go
@@ -68,8 +68,15 @@
 	VersionFrom  string  `json:"version_from"`
 	HeldKeys     string  `json:"held_keys"`
 	HeldCrashes  int     `json:"held_crashes"`
-	Suspects     string  `json:"suspects"` // of a crash
-	Keys         string  `json:"keys"`     // of a verdict
+	ConfigSource string  `json:"config_source"`
+	ConfigAgeMS  int64   `json:"config_age_ms"`
+	Skipped      int     `json:"config_skipped"`
+	Revision     uint64  `json:"config_revision"`
+	Held         uint64  `json:"config_held"`    // revision of a configuration that is held back
+	Refused      uint64  `json:"config_refused"` // revision of one that could not be decoded
+	Newest       uint64  `json:"config_newest"`  // latest revision that the instance heard of
+	Suspects     string  `json:"suspects"`       // of a crash
+	Keys         string  `json:"keys"`           // of a verdict
 }
 
 // Read returns the parsed lines of a log. It ignores the text that a log collector
@@ -149,8 +156,15 @@
 	return false
 }
 
-// isEvidence reports whether an event, however long ago, is why a request was held back.
+// isEvidence reports whether an event, however long ago, is why a request was held back or
+// refused.
 func isEvidence(r, l *Line) bool {
+	if r.Result == "no_route" || r.Result == "bad_key" {
+		switch l.Msg {
+		case "configuration refused", "part of the configuration skipped", "configuration of an older copy of the store held back", "document behind":
+			return l.Instance == r.Instance
+		}
+	}
 	return r.HeldKeys != "" && (l.Keys == r.HeldKeys || sharesKey(l.Suspects, r.HeldKeys))
 }
 
@@ -181,6 +195,8 @@
 		return fmt.Sprintf("its caller resumes the stream of request %s, and no instance that was asked knew at which of the versions of service %s it began: those that keep its record ended or were cut off; see the lines of that request, and which instances ended", r.Resumes, r.Service)
 	case "version_gone":
 		return fmt.Sprintf("its caller resumes the stream of request %s, which began at version %s of service %s, as %s knew: no upstream of that version was listed and usable", r.Resumes, r.Version, r.Service, r.VersionFrom)
+	case "no_route", "bad_key":
+		return explainRefusedByConfig(r)
 	case "evacuated":
 		return fmt.Sprintf("all upstreams of service %s that it could be sent to are in evacuated zones; see the lines \"evacuation in force\"", r.Service)
 	case "region":
@@ -209,6 +225,27 @@
 	return "refused on arrival: " + r.Result
 }
 
+// explainRefusedByConfig returns a sentence that states why the configuration in force did not
+// allow a request, as far as the instance knew.
+func explainRefusedByConfig(r *Line) string {
+	what := "no route of its host and path"
+	if r.Result == "bad_key" {
+		what = "no organisation with its key"
+	}
+	text := fmt.Sprintf("%s in version %d of the configuration, in force for %d ms, from %s", what, r.Config, r.ConfigAgeMS, r.ConfigSource)
+	switch {
+	case r.Refused > r.Revision:
+		return text + fmt.Sprintf("; the newer revision %d could not be decoded", r.Refused)
+	case r.Held > r.Revision:
+		return text + fmt.Sprintf("; revision %d is held back, since the store came back from an older copy", r.Held)
+	case r.Newest > r.Revision:
+		return text + fmt.Sprintf("; the instance had heard of revision %d and lacked it", r.Newest)
+	case r.Skipped > 0:
+		return text + fmt.Sprintf("; %d items of it could not be decoded", r.Skipped)
+	}
+	return text + "; the instance had heard of no newer one"
+}
+
 // explainUnknown returns a sentence that states why a request that may have run
 // ended without an answer.
 func explainUnknown(r *Line) string {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -102,7 +102,10 @@
 func (m *Metrics) Close() error { return m.closer.Close() }
 
 // Count increments a counter of the instance. The name must be a constant.
-func (m *Metrics) Count(name string) { m.root.Counter(name).Inc(1) }
+func (m *Metrics) Count(name string) { m.CountBy(name, 1) }
+
+// CountBy adds n to a counter of the instance. The name must be a constant.
+func (m *Metrics) CountBy(name string, n int) { m.root.Counter(name).Inc(int64(n)) }
 
 // SetGauge sets a gauge of the instance. The name must be a constant.
 func (m *Metrics) SetGauge(name string, value float64) { m.root.Gauge(name).Update(value) }
--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -84,6 +84,9 @@
 	// OnMalformed is called for each malformed entry of the list, once for each of its
 	// errors. It may be nil.
 	OnMalformed func()
+	// OnMalformedConfig is called with the number of items of a configuration that cannot be
+	// decoded, 1 for one that cannot be decoded as a whole, once for each version. It may be nil.
+	OnMalformedConfig func(items int)
 	// Evacuations are read if it is set.
 	Evacuations EvacuationOptions
 }
@@ -99,6 +102,7 @@
 
 	mu              sync.Mutex
 	configObject    objectstore.Object
+	notes           configNotes
 	roster          *upstreamlist.View
 	lastAnswered    time.Duration     // when the store last answered
 	storeLost       bool              // as last logged; true before the first answer
@@ -343,14 +347,15 @@
 	asked := c.opts.Now()
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
-	if own, _, _ := c.Revisions(); obj.Version <= own || c.restored.holds(c.opts.Now(), obj) {
+	refused := c.noteSeen(obj)
+	if own, _, _ := c.Revisions(); obj.Version <= own || refused || c.restored.holds(c.opts.Now(), obj) {
 		return
 	}
 	began := c.opts.Now()
 	config, skipped, err := c.opts.Decoder.Config(obj)
 	took := c.opts.Now() - began
 	if err != nil {
-		c.opts.Log.Error("configuration refused", "revision", obj.Version, "error", err)
+		c.refuseConfig(obj, source, err)
 		return
 	}
 	if c.holdBack(obj, config) {
@@ -359,12 +364,12 @@
 	c.mu.Lock()
 	c.configObject = obj
 	c.config.Store(config)
+	c.notes.source, c.notes.since, c.notes.skipped, c.notes.held = source, c.opts.Now(), len(skipped), 0
 	c.mu.Unlock()
 	c.restored = heldConfig{}
-	for _, e := range skipped {
-		c.opts.Log.Error("part of the configuration skipped", "revision", obj.Version, "error", e)
-	}
-	c.opts.Log.Info("configuration in force", "version", config.Version, "revision", obj.Version, "source", source,
+	c.skipItems(obj, skipped)
+	c.opts.Log.Info("configuration in force", "version", config.Version, "revision", obj.Version,
+		"era", objectstore.EraOf(obj.Version), "source", source, "skipped", len(skipped),
 		"routes", len(config.Routes), "organisations", len(config.Organisations), "bytes", len(obj.Value), "decode_ms", took.Milliseconds(),
 		"waited_ms", (began - asked).Milliseconds(), "decoded_items", config.DecodedItems)
 	decoded := c.opts.Now()
--- a/internal/storesync/restored.go
+++ b/internal/storesync/restored.go
@@ -40,8 +40,11 @@
 		return false
 	}
 	c.restored.object = obj
+	c.mu.Lock()
+	c.notes.held = obj.Version
+	c.mu.Unlock()
 	c.opts.Log.Warn("configuration of an older copy of the store held back", "version", config.Version, "in_force", current.Version,
-		"era", objectstore.EraOf(obj.Version), "left_ms", (c.restored.until - now).Milliseconds())
+		"revision", obj.Version, "era", objectstore.EraOf(obj.Version), "left_ms", (c.restored.until - now).Milliseconds())
 	return true
 }
 
