--- a/internal/storesync/restored_test.go
+++ b/internal/storesync/restored_test.go
@@ -149,3 +149,93 @@
 	_, err = fromWireEntries([]wireEntry{{Era: objectstore.MaxEra + 1}})
 	must.ErrorIs(t, err, objectstore.ErrVersionOutOfBounds)
 }
+
+// older is a store that comes back from a copy with version 5 while version 8 is in force, at
+// an instance that has been there since version from.
+func newOlderCopy(t *testing.T, from int) (f *restoredFixture, restore func(), stop func()) {
+	memory := objectstore.NewMemory(time.Second)
+	f = &restoredFixture{t: t, memory: memory}
+	f.put(objectstore.KindUpstream, "a", `{"Slots":1}`)
+	var copied objectstore.Copy
+	stop = func() {}
+	for version := 1; version <= 8; version++ {
+		f.put(objectstore.KindConfig, "main", fmt.Sprintf(`{"Version":%d}`, version))
+		if version == from {
+			f, stop = newRestoredFixture(t, memory, true)
+		}
+		time.Sleep(time.Second)
+		if version == 5 {
+			copied = memory.Copy()
+		}
+	}
+	must.Eq(t, 8, f.version())
+	return f, func() { memory.Restore(copied) }, stop
+}
+
+// applyBound is the time within which a change is to be in force.
+const applyBound = 2 * time.Second
+
+// The operator goes on from the copy, so that the versions fall below the one in force: the
+// changes are acknowledged, and requests must not be handled as before them.
+func TestChangeThatGoesOnFromAnOlderCopyIsInForceInTime(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		from  int // version at which the instance started
+		after time.Duration
+	}{
+		{"later", 1, 5 * time.Second},
+		{"at once", 1, 0},
+		{"before a version is first read again", 1, 50 * time.Millisecond},
+		{"at an instance that does not know the copy's version", 8, 5 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, restore, stop := newOlderCopy(t, c.from)
+				defer stop()
+				restore()
+				time.Sleep(c.after)
+				must.Eq(t, 8, f.version())
+				for _, version := range []int64{6, 7} {
+					f.put(objectstore.KindConfig, "main", fmt.Sprintf(`{"Version":%d,"MaxBodyBytes":%d}`, version, version))
+					time.Sleep(applyBound)
+					must.Eq(t, version, f.version())
+				}
+			})
+		})
+	}
+}
+
+// The operator writes the lost versions again one after the other: an instance that has the
+// last of them does not go back to those before.
+func TestVersionsThatAreWrittenAgainDoNotReplaceTheLastOfThem(t *testing.T) {
+	for _, pause := range []time.Duration{10 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			f, restore, stop := newOlderCopy(t, 1)
+			defer stop()
+			restore()
+			for version := 6; version <= 9; version++ {
+				f.put(objectstore.KindConfig, "main", fmt.Sprintf(`{"Version":%d}`, version))
+				for range 10 {
+					must.GreaterEq(t, 8, f.version())
+					time.Sleep(pause / 10)
+				}
+			}
+			time.Sleep(applyBound)
+			must.Eq(t, 9, f.version())
+		})
+	}
+}
+
+// An instance that started after the copy was made does not know the copy's version from one
+// that was written since; it stays at the one in force.
+func TestCopyOfBeforeAnInstanceStartedIsHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, restore, stop := newOlderCopy(t, 8)
+		defer stop()
+		restore()
+		for range 20 {
+			time.Sleep(time.Second)
+			must.Eq(t, 8, f.version())
+		}
+	})
+}
