storesync: a change that goes on from an older copy of the store is in force in time

Cause: in a new era, a configuration whose version was below the one in force waited for 30 s. The version is the operator's own; an operator who goes on from the copy counts on from the copy's, so that all instances refused each change at once. Ruled out: the order by the store's revision in the era alone, since the lost versions that an operator writes again would each be put in force on the way. Change: what decides is whether the content was in force at this instance before: then it is what the copy had or is written again, and waits as it did. A content that was not is a change; it waits for 0.5 s in case lost versions that were skipped are being written again, and not again at an instance that gets it from a peer. An instance that was not there at the revision compares with the store's when the era was first read.

--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -103,6 +103,7 @@
 	mu              sync.Mutex
 	configObject    objectstore.Object
 	notes           configNotes
+	history         configHistory
 	roster          *upstreamlist.View
 	lastAnswered    time.Duration     // when the store last answered
 	storeLost       bool              // as last logged; true before the first answer
@@ -283,6 +284,9 @@
 	switch {
 	case err == nil:
 		timeout.succeeded()
+		c.mu.Lock()
+		c.history.observe(list.Revision)
+		c.mu.Unlock()
 	case ctx.Err() == nil && callCtx.Err() != nil:
 		timeout.expired(limit)
 	}
@@ -358,12 +362,13 @@
 		c.refuseConfig(obj, source, err)
 		return
 	}
-	if c.holdBack(obj, config) {
+	if c.holdBack(obj, config, source) {
 		return
 	}
 	c.mu.Lock()
 	c.configObject = obj
 	c.config.Store(config)
+	c.history.putInForce(obj)
 	c.notes.source, c.notes.since, c.notes.skipped, c.notes.held = source, c.opts.Now(), len(skipped), 0
 	c.mu.Unlock()
 	c.restored = heldConfig{}
--- a/internal/storesync/restored_test.go
+++ b/internal/storesync/restored_test.go
@@ -192,6 +192,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				f, restore, stop := newOlderCopy(t, c.from)
 				defer stop()
+				follower, stopFollower := newRestoredFixture(t, f.memory, false)
+				defer stopFollower()
+				time.Sleep(time.Second)
 				restore()
 				time.Sleep(c.after)
 				must.Eq(t, 8, f.version())
@@ -199,6 +202,11 @@
 					f.put(objectstore.KindConfig, "main", fmt.Sprintf(`{"Version":%d,"MaxBodyBytes":%d}`, version, version))
 					time.Sleep(applyBound)
 					must.Eq(t, version, f.version())
+					update, err := f.c.UpdateSince(0, noRoster)
+					must.NoError(t, err)
+					must.NoError(t, follower.c.Apply(update, "peer"))
+					time.Sleep(rewriteSettleTime + 2*tickPeriod)
+					must.Eq(t, version, follower.version())
 				}
 			})
 		})
