storesync: a malformed entry of the configuration is logged and counted

Cause: entries of the store that cannot be read were told for upstreams and evacuations; one of the configuration's kind, such as one with a revision that is no whole number, left no line, so that all instances kept the older one in silence.

--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -338,6 +338,7 @@
 }
 
 func (c *Controller) applyConfigEvents(list objectstore.List) {
+	c.logMalformedConfig(list.Malformed)
 	for _, obj := range list.Objects {
 		if obj.Name == c.opts.Decoder.ConfigName && !obj.Deleted {
 			c.applyConfig(obj, sourceStore)
--- a/internal/storesync/malformed.go
+++ b/internal/storesync/malformed.go
@@ -28,6 +28,18 @@
 	}
 }
 
+// logMalformedConfig logs and counts entries of the configuration's kind that cannot be read,
+// once for each error. An entry without a name may be the configuration.
+func (c *Controller) logMalformedConfig(list []objectstore.Malformed) {
+	for _, m := range list {
+		named := m.Name == "" || m.Name == c.opts.Decoder.ConfigName
+		if named && c.firstMalformed(string(objectstore.KindConfig)+"/"+m.Name, m.Err) {
+			c.opts.Log.Error("configuration entry malformed", "name", m.Name, "error", malformedText(m.Err))
+			c.countMalformedConfig(1)
+		}
+	}
+}
+
 // decodeEntry decodes an entry of the list of upstreams. A malformed entry is
 // skipped; one with malformed fields that are not needed is used without them.
 func (c *Controller) decodeEntry(obj objectstore.Object) (fleet.Upstream, bool) {
--- a/internal/storesync/malformed_test.go
+++ b/internal/storesync/malformed_test.go
@@ -33,6 +33,23 @@
 	must.Eq(t, 2, strings.Count(log.String(), "malformed upstream entry skipped"))
 }
 
+// A configuration that the store's answer does not let read is told once, and the one in force
+// stays.
+func TestMalformedConfigurationEntryIsCounted(t *testing.T) {
+	counted := 0
+	c := New(Options{
+		Now: func() time.Duration { return time.Hour }, Log: slog.New(slog.DiscardHandler), OnChange: func() {},
+		OnMalformedConfig: func(items int) { counted += items }, Decoder: Decoder{ConfigName: "main", Config: decodeConfig},
+	})
+	c.applyConfig(objectstore.Object{Version: 3, Value: []byte(`{"Version":1}`)}, sourceStore)
+	for range 2 {
+		c.applyConfigEvents(objectstore.List{Revision: 4, Malformed: []objectstore.Malformed{{Name: "main", Err: errors.New("deep")}, {Name: "other", Err: errors.New("deep")}}})
+		c.applyConfig(objectstore.Object{Version: 5, Value: []byte(`[]`)}, sourceStore)
+	}
+	must.Eq(t, 2, counted)
+	must.Eq(t, ConfigStatus{Version: 1, Stored: 3, Source: sourceStore, Refused: 5, Newest: 5, StoreAge: time.Hour}, c.ConfigStatus())
+}
+
 // Figures that cannot be meant do not travel from a peer of another build.
 func TestPeersEntryOutOfBoundsIsSkipped(t *testing.T) {
 	c := New(Options{Now: func() time.Duration { return time.Hour }, Log: slog.New(slog.DiscardHandler), OnChange: func() {}})
