--- a/internal/jsonitems/split.go
+++ b/internal/jsonitems/split.go
@@ -24,6 +24,9 @@
 // IsNull reports whether the value is null.
 func (m *Member) IsNull() bool { return string(m.Value) == "null" }
 
+// usualMembers is the number of members for which there is room at first.
+const usualMembers = 16
+
 // Object returns the members of an object in the order of the text; the object null has
 // none. It only finds where values begin and end, however deep they are nested. Whether a
 // value is valid shows when it is decoded.
@@ -31,7 +34,7 @@
 	if string(bytes.TrimSpace(text)) == "null" {
 		return nil, nil
 	}
-	var out []Member
+	out := make([]Member, 0, usualMembers)
 	s := &splitter{text: text}
 	err := s.items('{', '}', func() error {
 		m, err := s.member()
