--- a/internal/logstory/logstory.go
+++ b/internal/logstory/logstory.go
@@ -241,7 +241,7 @@
 	case r.Newest > r.Revision:
 		return text + fmt.Sprintf("; the instance had heard of revision %d and lacked it", r.Newest)
 	case r.Skipped > 0:
-		return text + fmt.Sprintf("; %d items of it could not be decoded", r.Skipped)
+		return text + fmt.Sprintf("; %d items of it could not be decoded in full", r.Skipped)
 	}
 	return text + "; the instance had heard of no newer one"
 }
