httpconn: chunks in an answer of HTTP/1.0 are no body

What callers saw: an upstream that answers with "HTTP/1.0 200 OK" and "Transfer-Encoding: chunked" and stops anywhere after the head: a 200 with the bytes of the chunks so far as its body, framed as whole. Without a stop, the sizes of the chunks were part of the body.

Cause: http.ReadResponse drops the transfer coding of HTTP/1.0, so that the body seems to end with the connection, wherever that is. RFC 9112, section 6.1, calls such a message's framing faulty, also if it has a length.

Change: the head of a response that does not begin with HTTP/1.1 is read first; with a transfer coding the exchange fails. Connections of other versions are not kept. Responses of HTTP/1.1 go the way as before.

Evidence: TestAnswerCutAnywhereIsNotWhole cuts 23 forms of an answer at each byte, by a close and by a reset, read at once and byte by byte. Before, 90 of these cases counted as whole though they are not, all in the two forms of HTTP/1.0 with a transfer coding. Now none does; the other 21 forms held before, too.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -1,11 +1,14 @@
 package httpconn
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
 	"slices"
 	"sync"
 	"syscall"
@@ -189,7 +192,7 @@
 	c.inHead, c.headLeft = true, maxHeadBytes
 	defer func() { c.inHead = false }()
 	for range maxInformational + 1 {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		resp, err := c.readFramed(&http.Request{Method: method})
 		if errors.Is(c.readErr, ErrHeadTooLarge) { // err may tell of the line that was cut instead
 			return nil, c.readErr
 		}
@@ -200,6 +203,43 @@
 	return nil, ErrHeadTooLarge
 }
 
+// currentVersion begins the responses whose framing http.ReadResponse checks itself.
+const currentVersion = "HTTP/1.1 "
+
+// errFaultyFraming means that the end of a response cannot be told from its head.
+var errFaultyFraming = errors.New("transfer coding in a response of an earlier version of HTTP")
+
+// readFramed reads one response, also an informational one. http.ReadResponse ignores the
+// transfer coding of a response of HTTP/1.0, whose chunks would pass for its body, whole wherever
+// the connection ends. Such a response is faulty (RFC 9112, section 6.1).
+func (c *conn) readFramed(r *http.Request) (*http.Response, error) {
+	if version, _ := c.reader.Peek(len(currentVersion)); string(version) == currentVersion {
+		return http.ReadResponse(c.reader, r)
+	}
+	in := textproto.NewReader(c.reader)
+	status, err := in.ReadLine()
+	if err != nil {
+		return nil, err
+	}
+	header, err := in.ReadMIMEHeader()
+	if err != nil {
+		return nil, err
+	}
+	if len(header["Transfer-Encoding"]) > 0 {
+		return nil, errFaultyFraming
+	}
+	head := bytes.NewBufferString(status + "\r\n")
+	if err := http.Header(header).Write(head); err != nil {
+		return nil, err
+	}
+	head.WriteString("\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(head, c.reader)), r)
+	if err == nil {
+		resp.Close = true // further responses may be in the reader that was made for this one
+	}
+	return resp, err
+}
+
 // get returns a healthy idle connection that has not expired and was opened after a time, or a
 // new one.
 func (p *Pool) get(ctx context.Context, address string, openedAfter time.Duration) (*conn, error) {
