httpconn: a length with a blank after its name still frames

What callers saw: an upstream that sends "Content-Length : 12" (or a transfer coding in this way) and closes within the body: a 200 with the part of the body that had come, framed as whole.

Cause: net/textproto keeps such a name with its blanks, so http.ReadResponse does not see the field and takes the body for one that ends with its connection.

Change: an exchange fails if a field that frames the body is named in this way. Other fields named so are passed over as before.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/textproto"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -207,14 +208,18 @@
 const currentVersion = "HTTP/1.1 "
 
 // errFaultyFraming means that the end of a response cannot be told from its head.
-var errFaultyFraming = errors.New("transfer coding in a response of an earlier version of HTTP")
+var errFaultyFraming = errors.New("faulty framing of a response")
 
 // readFramed reads one response, also an informational one. http.ReadResponse ignores the
 // transfer coding of a response of HTTP/1.0, whose chunks would pass for its body, whole wherever
 // the connection ends. Such a response is faulty (RFC 9112, section 6.1).
 func (c *conn) readFramed(r *http.Request) (*http.Response, error) {
 	if version, _ := c.reader.Peek(len(currentVersion)); string(version) == currentVersion {
-		return http.ReadResponse(c.reader, r)
+		resp, err := http.ReadResponse(c.reader, r)
+		if err == nil && hidesFraming(resp.Header) {
+			return nil, errFaultyFraming
+		}
+		return resp, err
 	}
 	in := textproto.NewReader(c.reader)
 	status, err := in.ReadLine()
@@ -225,7 +230,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(header["Transfer-Encoding"]) > 0 {
+	if len(header["Transfer-Encoding"]) > 0 || hidesFraming(http.Header(header)) {
 		return nil, errFaultyFraming
 	}
 	head := bytes.NewBufferString(status + "\r\n")
@@ -240,6 +245,17 @@
 	return resp, err
 }
 
+// hidesFraming reports whether a field that frames the body has blanks after its name. Then
+// http.ReadResponse takes it for another field, and the body for one without a length.
+func hidesFraming(h http.Header) bool {
+	for name := range h {
+		if bare := strings.TrimRight(name, " "); len(bare) < len(name) && (strings.EqualFold(bare, "Content-Length") || strings.EqualFold(bare, "Transfer-Encoding")) {
+			return true
+		}
+	}
+	return false
+}
+
 // get returns a healthy idle connection that has not expired and was opened after a time, or a
 // new one.
 func (p *Pool) get(ctx context.Context, address string, openedAfter time.Duration) (*conn, error) {
