httpconn: the body of an earlier response is no response

What callers saw: where an upstream answers an earlier request once more on a kept connection, a caller could get a part of that answer's body as its answer, if the body has the form of one: a 200 framed as whole that no upstream gave.

Cause: the late answer is skipped by its framing, which was not known to hold. Of a body of more than 64 KB only the first 64 KB were skipped, and the rest was read as the next head. The framing also depends on the method: a late answer was read as one to the current method, though it may be the one to a HEAD, or the current one a HEAD.

Change: an exchange fails if the end of a late answer is not known: its body is too long, or the request is a HEAD. Connections that carried a HEAD are not kept.

Evidence: TestBodyOfAnEarlierResponseIsNoResponse and TestConnectionOfAHeadRequestIsNotReused.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -159,7 +159,7 @@
 		}
 		if skipped < maxStaleResponses && p.opts.IsResponseTo != nil && !p.opts.IsResponseTo(r.Header, raw.Header) {
 			skipped++
-			if _, err := io.Copy(io.Discard, io.LimitReader(raw.Body, readBufferBytes*16)); err != nil || raw.Close {
+			if !skipBody(raw) {
 				return nil, brokenError(errStaleResponse)
 			}
 			continue
@@ -173,6 +173,21 @@
 
 var errStaleResponse = errors.New("response to another request")
 
+// maxStaleBytes is the size of the largest body of a response to an earlier request that is
+// skipped.
+const maxStaleBytes = 64 << 10
+
+// skipBody reads the body of a response to an earlier request and reports whether the next
+// response begins after it. That is not known if this request is a HEAD, whose response has no
+// body, and the earlier one was not.
+func skipBody(raw *http.Response) bool {
+	if raw.Close || raw.Request.Method == http.MethodHead {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(raw.Body, maxStaleBytes+1))
+	return err == nil && n <= maxStaleBytes
+}
+
 // sentWithoutError reports whether the request has been sent completely. It does
 // not wait.
 func sentWithoutError(written <-chan writeResult) bool {
@@ -365,7 +380,8 @@
 	r.finished = true
 	r.conn.watch = Watch{}
 	open := r.stopCtxWatch()
-	framed := r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0
+	// A late copy of the response to a HEAD states the length of a body that it does not have.
+	framed := (r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0) && r.raw.Request.Method != http.MethodHead
 	idle := idleTimeout(r.Header)
 	if !open || !complete || !framed || r.raw.Close || idle <= 0 || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -135,6 +135,48 @@
 	must.Eq(t, 2, len(u.conns))
 }
 
+// The body of a response to an earlier request must not pass for a response, however long it is
+// and to whatever method.
+func TestBodyOfAnEarlierResponseIsNoResponse(t *testing.T) {
+	for _, method := range []string{"POST", "HEAD"} {
+		for _, skipped := range []int{0, 64 << 10} {
+			t.Run(fmt.Sprint(method, skipped), func(t *testing.T) {
+				u := newRawServer(t, func(c net.Conn, r *http.Request, _ int) bool {
+					_, _ = io.WriteString(c, response("earlier", "", strings.Repeat("x", skipped)+response(r.Header.Get("Id"), "", "not yours")))
+					return false
+				})
+				resp, err := u.pool.Do(context.Background(), &Request{Address: u.address, Method: method, RequestURI: "/", Host: "h", Header: http.Header{"Id": {"1"}}})
+				if err == nil {
+					resp.Finish(false)
+				}
+				must.ErrorIs(t, err, ErrExchangeFailed)
+			})
+		}
+	}
+}
+
+// On a connection that carried a HEAD, the body of a response could be taken for that of a late
+// copy of the response to the HEAD, and what follows for a response.
+func TestConnectionOfAHeadRequestIsNotReused(t *testing.T) {
+	u := newRawServer(t, func(c net.Conn, r *http.Request, n int) bool {
+		text := "HTTP/1.1 200 OK\r\nId: head\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\n"
+		if r.Method != http.MethodHead {
+			text = response(r.Header.Get("Id"), "", response(r.Header.Get("Id"), "", "part"))
+			if n > 0 {
+				text = fmt.Sprintf("HTTP/1.1 200 OK\r\nId: head\r\nContent-Length: %d\r\n\r\n", strings.Index(text, "\r\n\r\n")+4) + text
+			}
+		}
+		_, err := io.WriteString(c, text)
+		return err == nil
+	})
+	resp, err := u.pool.Do(context.Background(), &Request{Address: u.address, Method: "HEAD", RequestURI: "/", Host: "h", Header: http.Header{"Id": {"head"}}})
+	must.NoError(t, err)
+	resp.Finish(true)
+	_, body, err := u.do("1")
+	must.NoError(t, err)
+	must.Eq(t, response("1", "", "part"), body)
+}
+
 func TestRequestIsNotRetried(t *testing.T) {
 	var requests atomic.Int32
 	u := newRawServer(t, func(c net.Conn, r *http.Request, n int) bool {
