--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -1,12 +1,16 @@
 package httpconn
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -155,7 +159,7 @@
 		}
 		if skipped < maxStaleResponses && p.opts.IsResponseTo != nil && !p.opts.IsResponseTo(r.Header, raw.Header) {
 			skipped++
-			if _, err := io.Copy(io.Discard, io.LimitReader(raw.Body, readBufferBytes*16)); err != nil || raw.Close {
+			if !skipBody(raw) {
 				return nil, brokenError(errStaleResponse)
 			}
 			continue
@@ -169,6 +173,21 @@
 
 var errStaleResponse = errors.New("response to another request")
 
+// maxStaleBytes is the size of the largest body of a response to an earlier request that is
+// skipped.
+const maxStaleBytes = 64 << 10
+
+// skipBody reads the body of a response to an earlier request and reports whether the next
+// response begins after it. That is not known if this request is a HEAD, whose response has no
+// body, and the earlier one was not.
+func skipBody(raw *http.Response) bool {
+	if raw.Close || raw.Request.Method == http.MethodHead {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(raw.Body, maxStaleBytes+1))
+	return err == nil && n <= maxStaleBytes
+}
+
 // sentWithoutError reports whether the request has been sent completely. It does
 // not wait.
 func sentWithoutError(written <-chan writeResult) bool {
@@ -189,7 +208,7 @@
 	c.inHead, c.headLeft = true, maxHeadBytes
 	defer func() { c.inHead = false }()
 	for range maxInformational + 1 {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		resp, err := c.readFramed(&http.Request{Method: method})
 		if errors.Is(c.readErr, ErrHeadTooLarge) { // err may tell of the line that was cut instead
 			return nil, c.readErr
 		}
@@ -200,6 +219,58 @@
 	return nil, ErrHeadTooLarge
 }
 
+// currentVersion begins the responses whose framing http.ReadResponse checks itself.
+const currentVersion = "HTTP/1.1 "
+
+// errFaultyFraming means that the end of a response cannot be told from its head.
+var errFaultyFraming = errors.New("faulty framing of a response")
+
+// readFramed reads one response, also an informational one. http.ReadResponse ignores the
+// transfer coding of a response of HTTP/1.0, whose chunks would pass for its body, whole wherever
+// the connection ends. Such a response is faulty (RFC 9112, section 6.1).
+func (c *conn) readFramed(r *http.Request) (*http.Response, error) {
+	if version, _ := c.reader.Peek(len(currentVersion)); string(version) == currentVersion {
+		resp, err := http.ReadResponse(c.reader, r)
+		if err == nil && hidesFraming(resp.Header) {
+			return nil, errFaultyFraming
+		}
+		return resp, err
+	}
+	in := textproto.NewReader(c.reader)
+	status, err := in.ReadLine()
+	if err != nil {
+		return nil, err
+	}
+	header, err := in.ReadMIMEHeader()
+	if err != nil {
+		return nil, err
+	}
+	if len(header["Transfer-Encoding"]) > 0 || hidesFraming(http.Header(header)) {
+		return nil, errFaultyFraming
+	}
+	head := bytes.NewBufferString(status + "\r\n")
+	if err := http.Header(header).Write(head); err != nil {
+		return nil, err
+	}
+	head.WriteString("\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(head, c.reader)), r)
+	if err == nil {
+		resp.Close = true // further responses may be in the reader that was made for this one
+	}
+	return resp, err
+}
+
+// hidesFraming reports whether a field that frames the body has blanks after its name. Then
+// http.ReadResponse takes it for another field, and the body for one without a length.
+func hidesFraming(h http.Header) bool {
+	for name := range h {
+		if bare := strings.TrimRight(name, " "); len(bare) < len(name) && (strings.EqualFold(bare, "Content-Length") || strings.EqualFold(bare, "Transfer-Encoding")) {
+			return true
+		}
+	}
+	return false
+}
+
 // get returns a healthy idle connection that has not expired and was opened after a time, or a
 // new one.
 func (p *Pool) get(ctx context.Context, address string, openedAfter time.Duration) (*conn, error) {
@@ -309,7 +380,8 @@
 	r.finished = true
 	r.conn.watch = Watch{}
 	open := r.stopCtxWatch()
-	framed := r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0
+	// A late copy of the response to a HEAD states the length of a body that it does not have.
+	framed := (r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0) && r.raw.Request.Method != http.MethodHead
 	idle := idleTimeout(r.Header)
 	if !open || !complete || !framed || r.raw.Close || idle <= 0 || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
