httpconn: bound the lines of a response's head

An upstream that sent heads of 60 KB in lines of 7 bytes and then stood still took about 1 MB for each connection: the bound counts bytes, and each line costs an entry of the header map, its key and its value besides.

A head may now have 512 lines. They are counted as they are read, when further bytes of the head are needed, so that those of a body in the same read do not count; a head may exceed the bound by the lines of one read.

TestHeadOfVeryManyLines fails before (the exchange waits until its time limit of 5 s) and passes after. TestLargeHeadAndBody now has 400 lines in the head and a body of newlines, and passes before and after.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -32,8 +33,8 @@
 	// been sent, at least in part.
 	ErrExchangeFailed = errors.New("httpconn: exchange broken")
 	// ErrHeadTooLarge means that the head of a response does not end within
-	// maxHeadBytes, or that too many informational responses came before it. It comes
-	// with ErrExchangeFailed.
+	// maxHeadBytes or maxHeadLines, or that too many informational responses came before
+	// it. It comes with ErrExchangeFailed.
 	ErrHeadTooLarge = errors.New("httpconn: head of the response too large")
 )
 
@@ -42,6 +43,9 @@
 	// maxHeadBytes bounds the head of a response, with the informational responses
 	// before it. It equals the bound on the heads of callers' requests.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of the same, as each takes much more memory than its
+	// bytes. A head may exceed it by the lines of one read.
+	maxHeadLines = 512
 	// maxInformational is the number of informational responses that may come before
 	// a response.
 	maxInformational = 16
@@ -114,8 +118,9 @@
 	told    time.Time // last call of watch.OnSilence in the current silence, zero for none
 	readErr error     // ends all further reading
 	// inHead is whether a head is being read, of which headLeft more bytes may come.
-	inHead   bool
-	headLeft int
+	// headLines is the number of lines that have come.
+	inHead              bool
+	headLeft, headLines int
 }
 
 // Watch supervises the reading of a response. Its functions are called by the
@@ -200,14 +205,17 @@
 
 func (c *conn) readOnce(p []byte) (int, error) {
 	if c.inHead {
-		if c.headLeft <= 0 {
+		if c.headLeft <= 0 || c.headLines > maxHeadLines {
 			c.readErr = ErrHeadTooLarge
 			return 0, c.readErr
 		}
 		p = p[:min(len(p), c.headLeft)]
 	}
 	n, err := c.Conn.Read(p)
-	c.headLeft -= n
+	if c.inHead {
+		c.headLeft -= n
+		c.headLines += bytes.Count(p[:n], []byte("\n"))
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.readErr = err
 	}
--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -41,12 +42,30 @@
 	}
 }
 
-// A large head below the bound is read, and the bound does not count the body.
+// A head of very many short lines is given up, although it has few bytes: 200 of them took 200 MB.
+func TestHeadOfVeryManyLines(t *testing.T) {
+	var lines strings.Builder
+	for i := 0; lines.Len() < maxHeadBytes-1<<10; i++ {
+		fmt.Fprintf(&lines, "%x:\r\n", i)
+	}
+	s := newRawServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+lines.String()) // the pool may have disconnected
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := s.pool.Do(ctx, &Request{Address: s.address, Method: "GET", RequestURI: "/", Host: "h"})
+	must.ErrorIs(t, err, ErrHeadTooLarge)
+	must.NoError(t, ctx.Err())
+}
+
+// A large head below the bound is read, and the bounds do not count the body.
 func TestLargeHeadAndBody(t *testing.T) {
-	body := strings.Repeat("b", 4*maxHeadBytes)
+	body := strings.Repeat("b\n", 2*maxHeadBytes)
 	s := newRawServer(t, func(c net.Conn, _ *http.Request, n int) bool {
 		fmt.Fprint(c, strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", maxInformational))
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9\r\nA: %s\r\nContent-Length: %d\r\n\r\n%s", strings.Repeat("x", maxHeadBytes/2), len(body), body)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9\r\nA: %s\r\n%sContent-Length: %d\r\n\r\n%s", strings.Repeat("x", maxHeadBytes/2), strings.Repeat("B:\r\n", 400), len(body), body)
 		return true
 	})
 	for range 3 {
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -186,7 +186,7 @@
 // readResponse reads the next response and skips informational ones (1xx), except
 // 101. It fails with ErrHeadTooLarge if the head does not end within its bounds.
 func (c *conn) readResponse(method string) (*http.Response, error) {
-	c.inHead, c.headLeft = true, maxHeadBytes
+	c.inHead, c.headLeft, c.headLines = true, maxHeadBytes, 0
 	defer func() { c.inHead = false }()
 	for range maxInformational + 1 {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
