gateway: requests without an answer get one at the end of a stop

What callers saw: a request that an upstream had not begun to answer when the grace time of a planned stop ended was cut: EOF, no status, also for requests that may not be repeated and streams without a first event.

Cause: Shutdown waits until the end of the grace time and Server.Close then closes the connections under the handlers; nothing ended the requests before.

They get 502 (outcome_unknown) if they may have run, and 503 (new reason stopping, short retry-after) if they have not. Streams that have begun go on until the connections are closed.

--- a/internal/fleet/answer.go
+++ b/internal/fleet/answer.go
@@ -61,6 +61,8 @@
 	ReasonNoMemory
 	// ReasonSlowBody: the body came too slowly.
 	ReasonSlowBody
+	// ReasonStopping: the instance ends before an answer to the request can be expected.
+	ReasonStopping
 	ReasonOverloaded
 	// ReasonOutcomeUnknown: the request may have run.
 	ReasonOutcomeUnknown
@@ -73,6 +75,6 @@
 
 // String returns the name of the reason for logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"none", "not_ready", "limit", "no_upstream", "model_absent", "quarantined", "version_unknown", "version_gone", "evacuated", "region", "exceeds_memory", "no_memory", "slow_body", "overloaded", "outcome_unknown",
+	return [...]string{"none", "not_ready", "limit", "no_upstream", "model_absent", "quarantined", "version_unknown", "version_gone", "evacuated", "region", "exceeds_memory", "no_memory", "slow_body", "stopping", "overloaded", "outcome_unknown",
 		"timeout", "no_route", "bad_key", "bad_request", "too_large"}[r]
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,10 +36,12 @@
 	outcomeCallerLeft
 	// outcomeTimeout: the deadline for the answer has passed.
 	outcomeTimeout
+	// outcomeStopped: the instance ends.
+	outcomeStopped
 )
 
 func (o outcome) String() string {
-	return [...]string{"delivered", "not_run", "not_sent", "unknown", "stalled", "quarantined", "caller_left", "timeout"}[o]
+	return [...]string{"delivered", "not_run", "not_sent", "unknown", "stalled", "quarantined", "caller_left", "timeout", "stopped"}[o]
 }
 
 const (
@@ -79,6 +81,8 @@
 func (x *exchange) serve() {
 	ctx, cancel := context.WithTimeout(x.ctx, x.job.Deadline-x.arrived)
 	defer cancel()
+	x.leaveShutdown = context.AfterFunc(x.g.shutdown.overCtx, cancel)
+	defer x.leaveShutdown()
 	x.rec.stream = &streamState{}
 	if refusal := x.resolveVersion(ctx); refusal.Reason != fleet.ReasonNone {
 		x.refuse(refusal)
@@ -104,7 +108,7 @@
 		switch o {
 		case outcomeDelivered:
 			return
-		case outcomeCallerLeft, outcomeTimeout:
+		case outcomeCallerLeft, outcomeTimeout, outcomeStopped:
 			x.endWithoutAnswer()
 			return
 		}
@@ -236,8 +240,8 @@
 	x.refuse(d.Refusal)
 }
 
-// endWithoutAnswer ends a request whose caller disconnected or whose deadline has
-// passed.
+// endWithoutAnswer ends a request whose caller disconnected, whose deadline has
+// passed or whose instance ends.
 func (x *exchange) endWithoutAnswer() {
 	if x.ctx.Err() != nil {
 		x.rec.callerLeft = true
@@ -249,11 +253,16 @@
 		x.rec.abort = true
 		return
 	}
-	reason := fleet.ReasonOverloaded
-	if x.mayHaveRun {
-		reason = fleet.ReasonTimeout
+	switch {
+	case x.stopped() && x.mayHaveRun:
+		x.refuse(fleet.Refusal{Reason: fleet.ReasonOutcomeUnknown})
+	case x.stopped():
+		x.refuse(stopRefusal)
+	case x.mayHaveRun:
+		x.refuse(fleet.Refusal{Reason: fleet.ReasonTimeout})
+	default:
+		x.refuse(fleet.Refusal{Reason: fleet.ReasonOverloaded})
 	}
-	x.refuse(fleet.Refusal{Reason: reason})
 }
 
 // fail ends a request that may not be retried after an attempt with outcome o.
@@ -369,13 +378,15 @@
 }
 
 // requestOver reports whether the request is over because its caller
-// disconnected or its deadline has passed.
+// disconnected, its deadline has passed or the instance ends.
 func (x *exchange) requestOver() (outcome, bool) {
 	switch {
 	case x.ctx.Err() != nil:
 		return outcomeCallerLeft, true
 	case x.g.now() >= x.job.Deadline-clockSlack:
 		return outcomeTimeout, true
+	case x.stopped():
+		return outcomeStopped, true
 	}
 	return 0, false
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -87,6 +87,7 @@
 	retry         retry    // taken last from the retry budget
 	next          *attempt // begun already, nil if there is none
 	rec           requestRecord
+	leaveShutdown func() bool // lets the request go on to the end of the instance
 
 	// sentAt is the boot time at which the request was last sent, by the way on which it went.
 	sentAt map[way]time.Duration
@@ -101,7 +102,7 @@
 // ServeHTTP handles one request of a caller. It implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{g: g, w: w, r: r, ctx: r.Context(), arrived: g.now()}
-	if g.stopping.Load() {
+	if g.shutdown.began.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	defer x.finish()
--- a/internal/gateway/restored.go
+++ b/internal/gateway/restored.go
@@ -25,13 +25,13 @@
 	for wait.Sleep(ctx, eraCheckInterval) {
 		registered := g.registeredEra.Load()
 		era := objectstore.LatestEra(g.opts.Store)
-		if registered == notRegistered || int64(era) <= registered || g.stopping.Load() {
+		if registered == notRegistered || int64(era) <= registered || g.shutdown.began.Load() {
 			continue
 		}
 		g.log.Warn("store came back from an older copy", "era", era, "era_before", registered)
 		g.metrics.Count("store_restores")
 		g.streamVersions.storeRestored()
-		if !wait.Sleep(ctx, rand.N(rewriteSpread)) || g.stopping.Load() {
+		if !wait.Sleep(ctx, rand.N(rewriteSpread)) || g.shutdown.began.Load() {
 			continue
 		}
 		_ = g.registerInstance(ctx) // which ends without an error, or with ctx
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -33,9 +33,6 @@
 	// Those without an upstream are then refused with a retry-after time, so
 	// that the caller retries at another instance.
 	stopQueueTimeout = 3 * time.Second
-	// exitMargin is how long before the end of its grace time the process exits
-	// on its own.
-	exitMargin = 250 * time.Millisecond
 	// sweepInterval is the interval between checks for idle connections.
 	sweepInterval = 500 * time.Millisecond
 	// registerRetryInterval is the delay between attempts to add this instance
@@ -199,7 +196,7 @@
 // serveReady answers the load balancer's health check: 200 if the instance
 // accepts requests, 503 otherwise.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || !g.catalog.Ready() || g.evacuations.pending() {
+	if g.shutdown.began.Load() || !g.catalog.Ready() || g.evacuations.pending() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -208,15 +205,16 @@
 
 // stop shuts the instance down. Health checks fail first, requests are still
 // served until the load balancer notices, and requests in progress may finish
-// within the grace time.
+// within the grace time. At its end those without an answer get one.
 func (g *Gateway) stop(s *servers) {
 	stopStart := g.now()
 	g.log.Info("stopping", "grace", g.settings.Load().Stop.Grace.Std())
-	g.stopping.Store(true)
+	g.shutdown.began.Store(true)
 	g.mesh.MarkLeaving()
 	grace := g.settings.Load().Stop.Grace.Std() - exitMargin
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
+	defer time.AfterFunc(grace-lastAnswerMargin, g.shutdown.setOver).Stop()
 	go g.streamVersions.handOver(ctx)
 	g.dispatcher.update(func(now time.Duration, s *assign.Scheduler) { s.LimitQueueTime(now + min(stopQueueTimeout, grace/2)) })
 	wait.Sleep(ctx, min(lameDuckPeriod, grace/2))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -146,6 +146,7 @@
 		return
 	}
 	x.rec.stream.headSent = true
+	x.leaveShutdown()
 	x.g.codec.CopyResponseHeader(x.w.Header(), resp.Header)
 	x.w.WriteHeader(resp.Status)
 }
