fleet: match prefixes of routes in equivalent forms

What callers see: 404, or the answer of a route with a shorter prefix.

Cause: the longest prefix was chosen by its length as written, so that /%61/ counted as longer than /a/b/ (as long, and earlier in the list). Escapes were compared with the case of their digits (%2f and %2F are the same, RFC 3986, 6.2.2.1), and a prefix that is written with a blank or a letter outside ASCII did not match its requests, which escape them.

Change: normalPath escapes what needs it and writes escapes in upper case; the index has each prefix in that form, and its length counts. A lookup no longer normalises the prefixes of the host.

Measured: TestPrefixesMatchInEquivalentForms and the new row of TestEquivalentRequestsMatchTheSameRoute fail before and pass after. Hosts in other case, with a port and the root's dot, in the configuration or in the request, match before and after.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -134,17 +134,23 @@
 	// for this version rather than taken over from the version before.
 	DecodedItems int `json:"-"`
 
-	byHost map[string][]*Route
+	byHost map[string][]routeOfHost
 	byKey  map[KeyDigest]*Organisation
 }
 
+// routeOfHost is a route with its prefix in the form in which equivalent ones are equal.
+type routeOfHost struct {
+	prefix string
+	route  *Route
+}
+
 // Index builds the lookup tables for Route and OrganisationByKey. It must be
 // called once, before the value is shared.
 func (c *Config) Index() {
-	c.byHost = make(map[string][]*Route)
+	c.byHost = make(map[string][]routeOfHost)
 	for _, r := range c.Routes {
 		host := normalHost(r.Host)
-		c.byHost[host] = append(c.byHost[host], r)
+		c.byHost[host] = append(c.byHost[host], routeOfHost{normalPath(r.PathPrefix), r})
 	}
 	c.byKey = make(map[KeyDigest]*Organisation)
 	for _, name := range slices.Sorted(maps.Keys(c.Organisations)) { // so that all instances agree on a key of two
@@ -157,14 +163,14 @@
 // Route returns the route of the host with the longest matching prefix of path,
 // nil if none matches. Equivalent forms of a host and of a path match alike; path is escaped.
 func (c *Config) Route(host, path string) *Route {
-	var best *Route
+	var best routeOfHost
 	path = normalPath(path)
 	for _, r := range c.byHost[normalHost(host)] {
-		if strings.HasPrefix(path, normalPath(r.PathPrefix)) && (best == nil || len(r.PathPrefix) > len(best.PathPrefix)) {
+		if strings.HasPrefix(path, r.prefix) && (best.route == nil || len(r.prefix) > len(best.prefix)) {
 			best = r
 		}
 	}
-	return best
+	return best.route
 }
 
 // OrganisationByKey returns the organisation that the key belongs to, nil if
--- a/internal/fleet/match.go
+++ b/internal/fleet/match.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "strings"
+import (
+	"fmt"
+	"strings"
+)
 
 // normalHost returns the host that a Host header names, in the form in which equivalent ones
 // are equal: without a port and the dot of the root, in lower case (RFC 9110, 4.2.3).
@@ -11,26 +14,34 @@
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
-// normalPath decodes the escapes of a path that stand for characters that need none, so that
-// equivalent paths are equal (RFC 3986, 6.2.2.2). An escaped slash stays as it is.
+// normalPath returns a path in the form in which equivalent ones are equal (RFC 3986, 6.2.2):
+// characters that need no escape are not escaped, those that need one are, as in a prefix that
+// is written without escapes, and escapes are in upper case. An escaped slash stays escaped.
 func normalPath(path string) string {
-	if !strings.Contains(path, "%") {
+	if strings.IndexFunc(path, func(r rune) bool { return r == '%' || needsEscape(r) }) < 0 {
 		return path
 	}
 	var b strings.Builder
 	for i := 0; i < len(path); i++ {
-		if path[i] == '%' && i+2 < len(path) {
-			if c, ok := unhex(path[i+1], path[i+2]); ok && isUnreserved(c) {
-				b.WriteByte(c)
+		c, escaped := path[i], false
+		if c == '%' && i+2 < len(path) {
+			if decoded, ok := unhex(path[i+1], path[i+2]); ok {
+				c, escaped = decoded, true
 				i += 2
-				continue
 			}
 		}
-		b.WriteByte(path[i])
+		if escaped && !isUnreserved(c) || needsEscape(rune(c)) {
+			fmt.Fprintf(&b, "%%%02X", c)
+		} else {
+			b.WriteByte(c)
+		}
 	}
 	return b.String()
 }
 
+// needsEscape reports whether a path can have the character in an escape only.
+func needsEscape(r rune) bool { return r <= ' ' || r >= 0x7f }
+
 func unhex(high, low byte) (byte, bool) {
 	h, okHigh := hexDigit(high)
 	l, okLow := hexDigit(low)
--- a/internal/fleet/match_test.go
+++ b/internal/fleet/match_test.go
@@ -21,6 +21,20 @@
 	for _, path := range []string{"/read", "/read%2Fx", "/READ/", "/rea%6", "/%", "/read%", "/a/../read/"} {
 		must.Nil(t, c.Route("h.example", path), must.Sprint(path))
 	}
+	must.EqOp(t, c.Routes[1], c.Route("other.example", "/~a%2fb/c"))
 	must.Nil(t, c.Route("x.example", "/read/"))
 	must.Nil(t, c.Route("", "/read/"))
 }
+
+// A prefix with escapes hid one that is longer, and one without did not match its requests.
+func TestPrefixesMatchInEquivalentForms(t *testing.T) {
+	c := &Config{Routes: []*Route{
+		{Host: "H.example.", PathPrefix: "/%61/"}, {Host: "h.example:80", PathPrefix: "/a/b/"}, {Host: "h.example", PathPrefix: "/caf\u00e9 1/"}, {Host: "h.example", PathPrefix: "/100%/"},
+	}}
+	c.Index()
+	for path, want := range map[string]*Route{
+		"/a/x": c.Routes[0], "/a/b/x": c.Routes[1], "/%61/%62/": c.Routes[1], "/caf%C3%A9%201/x": c.Routes[2], "/caf%c3%a9%201/": c.Routes[2], "/cafe%201/": nil, "/100%/x": c.Routes[3],
+	} {
+		must.EqOp(t, want, c.Route("h.example", path), must.Sprint(path))
+	}
+}
