--- a/internal/jsonitems/split.go
+++ b/internal/jsonitems/split.go
@@ -24,9 +24,6 @@
 // IsNull reports whether the value is null.
 func (m *Member) IsNull() bool { return string(m.Value) == "null" }
 
-// usualMembers is the number of members for which there is room at first.
-const usualMembers = 16
-
 // Object returns the members of an object in the order of the text; the object null has
 // none. It only finds where values begin and end, however deep they are nested. Whether a
 // value is valid shows when it is decoded.
@@ -34,9 +31,9 @@
 	if string(bytes.TrimSpace(text)) == "null" {
 		return nil, nil
 	}
-	out := make([]Member, 0, usualMembers)
+	var out []Member
 	s := &splitter{text: text}
-	err := s.items('{', '}', func() error {
+	err := s.whole('{', '}', func() error {
 		m, err := s.member()
 		out = append(out, m)
 		return err
@@ -44,18 +41,58 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.skipSpace(); s.at != len(text) {
-		return nil, s.errorf("text after the end")
-	}
 	return out, nil
 }
 
+// Members calls f with each member of an object, in the order of the text, as Object does, but
+// keeps nothing. key and value are parts of the text, but for a key with escapes.
+func Members(text []byte, f func(key, value []byte)) error {
+	if string(bytes.TrimSpace(text)) == "null" {
+		return nil
+	}
+	s := &splitter{text: text}
+	return s.whole('{', '}', func() error {
+		key, err := s.key()
+		if err != nil {
+			return err
+		}
+		value, err := s.value()
+		if err == nil {
+			f(key, value)
+		}
+		return err
+	})
+}
+
+// Elements calls f with each element of an array, in the order of the text.
+func Elements(text []byte, f func(value []byte)) error {
+	s := &splitter{text: text}
+	return s.whole('[', ']', func() error {
+		value, err := s.value()
+		if err == nil {
+			f(value)
+		}
+		return err
+	})
+}
+
 // splitter reads a text from left to right.
 type splitter struct {
 	text []byte
 	at   int
 }
 
+// whole is items for the whole text.
+func (s *splitter) whole(opening, closing byte, item func() error) error {
+	if err := s.items(opening, closing, item); err != nil {
+		return err
+	}
+	if s.skipSpace(); s.at != len(s.text) {
+		return s.errorf("text after the end")
+	}
+	return nil
+}
+
 // items calls item at the beginning of each item between two brackets.
 func (s *splitter) items(opening, closing byte, item func() error) error {
 	if !s.take(opening) {
@@ -93,33 +130,45 @@
 	return false
 }
 
-func (s *splitter) member() (Member, error) {
+// key skips a key with its colon and returns the text that it stands for.
+func (s *splitter) key() ([]byte, error) {
 	s.skipSpace()
 	began := s.at
 	if !s.take('"') {
-		return Member{}, s.errorf("a key expected")
+		return nil, s.errorf("a key expected")
 	}
 	if err := s.restOfString(); err != nil {
-		return Member{}, err
+		return nil, err
 	}
-	var m Member
-	if raw := s.text[began:s.at]; bytes.IndexByte(raw, '\\') < 0 {
-		m.Key = string(raw[1 : len(raw)-1])
-	} else if err := json.Unmarshal(raw, &m.Key); err != nil {
-		return Member{}, s.errorf("key: %v", err)
+	raw := s.text[began:s.at]
+	key := raw[1 : len(raw)-1]
+	if bytes.IndexByte(raw, '\\') >= 0 {
+		var text string
+		if err := json.Unmarshal(raw, &text); err != nil {
+			return nil, s.errorf("key: %v", err)
+		}
+		key = []byte(text)
 	}
 	if !s.take(':') {
-		return Member{}, s.errorf("':' expected")
+		return nil, s.errorf("':' expected")
+	}
+	return key, nil
+}
+
+func (s *splitter) member() (Member, error) {
+	key, err := s.key()
+	if err != nil {
+		return Member{}, err
 	}
+	m := Member{Key: string(key)}
 	s.skipSpace()
-	began = s.at
+	began := s.at
 	m.IsArray = s.at < len(s.text) && s.text[s.at] == '['
 	if !m.IsArray {
-		var err error
 		m.Value, err = s.value()
 		return m, err
 	}
-	err := s.items('[', ']', func() error {
+	err = s.items('[', ']', func() error {
 		element, err := s.value()
 		m.Elements = append(m.Elements, element)
 		return err
--- a/internal/jsonitems/split_test.go
+++ b/internal/jsonitems/split_test.go
@@ -23,6 +23,13 @@
 			return
 		}
 		must.NoError(t, err)
+		var again []Member
+		must.NoError(t, Members(text, func(key, value []byte) { again = append(again, Member{Key: string(key), Value: value}) }))
+		must.Eq(t, len(members), len(again))
+		for i, m := range again {
+			must.Eq(t, members[i].Key, m.Key)
+			must.Eq(t, string(members[i].Value), string(m.Value))
+		}
 		got := map[string]Member{}
 		for _, m := range members {
 			got[m.Key] = m
@@ -44,8 +51,12 @@
 	var want []json.RawMessage
 	must.NoError(t, json.Unmarshal(m.Value, &want))
 	must.SliceLen(t, len(want), m.Elements)
+	var again [][]byte
+	must.NoError(t, Elements(m.Value, func(value []byte) { again = append(again, value) }))
+	must.SliceLen(t, len(want), again)
 	for i := range want {
 		must.Eq(t, string(want[i]), string(m.Elements[i]))
+		must.Eq(t, string(want[i]), string(again[i]))
 	}
 }
 
@@ -72,6 +83,12 @@
 		_, err := Object([]byte(text))
 		must.ErrorIs(t, err, ErrSyntax, must.Sprint(text))
 	}
+	for _, text := range []string{``, `1`, `[]`, `{"a"}`, `{"a":}`, `{"a":1,}`, `{1:2}`, `{"a":1`, `{"a":[`, `{"a":[[}]}`, `{"a":["x]}`, `{"a":[1]]}`, `{}{}`} {
+		must.ErrorIs(t, Members([]byte(text), func(_, _ []byte) {}), ErrSyntax, must.Sprint(text))
+	}
+	for _, text := range []string{``, `1`, `{}`, `[1,]`, `[1 2]`, `[1`, `[[}]`, `["x]`, `[]]`} {
+		must.ErrorIs(t, Elements([]byte(text), func([]byte) {}), ErrSyntax, must.Sprint(text))
+	}
 }
 
 func TestUnchangedItemsAreTakenOver(t *testing.T) {
