httpconn: a switch of protocols is no answer

What callers saw: an upstream that answers 101, signed and with the request's ID: the caller got "101 Switching Protocols" with no body as the end of its request, though it had asked for no switch, and no final answer.

Cause: readResponse took 101 for a final answer. It has no end, as what follows is of another protocol, and requests to upstreams never carry Upgrade.

Change: the exchange fails at a 101, so the outcome is unknown.

--- a/internal/httpconn/cut_test.go
+++ b/internal/httpconn/cut_test.go
@@ -83,6 +83,7 @@
 		{"blank after the name of the coding", "GET", "HTTP/1.1 200 OK\r\ntransfer-encoding : chunked\r\n\r\nc\r\nhello, world\r\n0\r\n\r\n", never},
 		{"HTTP/1.0, blank after the name of the length", "GET", "HTTP/1.0 200 OK\r\nContent-Length : 12\r\n\r\nhello, world", never},
 		{"blank after another name", "GET", "HTTP/1.1 200 OK\r\nA : b\r\nContent-Length: 12\r\n\r\nhello, world", atEnd},
+		{"switched protocols", "GET", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", never},
 		{"no length", "GET", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello, world", atClose},
 		{"HTTP/1.0", "GET", "HTTP/1.0 200 OK\r\nA: b\r\n\r\nhello, world", atClose},
 		{"HTTP/1.0, length", "GET", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 12\r\n\r\nhello, world", atEnd},
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -202,8 +202,12 @@
 	}
 }
 
-// readResponse reads the next response and skips informational ones (1xx), except
-// 101. It fails with ErrHeadTooLarge if the head does not end within its bounds.
+// errSwitched means that the upstream speaks another protocol from now on, which it was not
+// asked to: what follows is no response.
+var errSwitched = errors.New("upstream switched protocols")
+
+// readResponse reads the next response and skips informational ones (1xx). It fails with
+// errSwitched at a 101, and with ErrHeadTooLarge if the head does not end within its bounds.
 func (c *conn) readResponse(method string) (*http.Response, error) {
 	c.inHead, c.headLeft = true, maxHeadBytes
 	defer func() { c.inHead = false }()
@@ -212,9 +216,12 @@
 		if errors.Is(c.readErr, ErrHeadTooLarge) { // err may tell of the line that was cut instead
 			return nil, c.readErr
 		}
-		if err != nil || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if err != nil || resp.StatusCode >= http.StatusOK {
 			return resp, err
 		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSwitched
+		}
 	}
 	return nil, ErrHeadTooLarge
 }
