gateway: transfers that receive nothing keep the store unread for 1 s in all

What callers saw: nothing measured on real processes. In virtual time, six instances in four zones: five are refused by the store for 0.6 s around the acknowledgement, the sixth has the change, tells of it and does not answer those that fetch it. The store serves all again, yet five of six stay without the change for as long as the sixth does so (10 s, the end of the run): requests for added routes and keys are refused at all of them at once.

Cause: while a transfer from a peer runs that has received something within 2 s, the configuration is not read from the store, neither by those that watch nor by those that poll. Each transfer set that time anew when it began, and a peer that tells of a revision begins one every 150 ms. So transfers in a row that received nothing counted as one that has just begun.

Change: transfers in a row that received nothing count from the beginning of the first of them, as long as the instance's revision stays the same.

--- a/internal/gateway/configfetch.go
+++ b/internal/gateway/configfetch.go
@@ -23,9 +23,9 @@
 	minReplyBytes   = 4 << 10
 	maxReplyBytes   = 32 << 10
 	quickCall       = peerCallTimeout / 4
-	// peersFirst is how long a transfer from peers that receives nothing keeps the instance
-	// from reading the store, whose copy is whole and not compressed.
-	peersFirst = 2 * time.Second
+	// peersFirst is how long transfers from peers that receive nothing keep the instance from
+	// reading the store, whose copy is whole and not compressed.
+	peersFirst = time.Second
 	// maxGuesses is the number of peers in a row that are asked although they have not said
 	// that they have the revision, once those that have said so failed.
 	maxGuesses = 4
@@ -37,17 +37,24 @@
 type configFetcher struct {
 	sources sources
 	whole   documentFetcher // from peers of earlier builds
-	// progressAt is when the running transfer began or last received something, as a
-	// duration, 0 if none is running.
+	// progressAt is when the running transfer last received something, or when the first of
+	// those in a row that received nothing began, as a duration, 0 if none is running.
 	progressAt atomic.Int64
 
 	mu         sync.Mutex // held during a transfer
+	fruitless  fruitlessTransfers
 	target     configTarget
 	collector  chunk.Collector
 	replyBytes int
 	refused    uint64 // newest revision that could not be decoded
 }
 
+// fruitlessTransfers are transfers in a row that received nothing. The zero value has none.
+type fruitlessTransfers struct {
+	since time.Duration // when the first of them began
+	own   uint64        // revision that the instance has meanwhile
+}
+
 // configTarget is the configuration that is being collected.
 type configTarget struct {
 	revision uint64
@@ -73,15 +80,24 @@
 // already.
 func (f *configFetcher) run(g *Gateway) {
 	for f.pending(g) && f.mu.TryLock() {
-		f.progressAt.Store(int64(g.now()))
+		f.progressAt.Store(int64(f.waitsSince(g)))
 		f.transfer(g)
 		f.progressAt.Store(0)
 		f.mu.Unlock()
 	}
 }
 
-// arrives returns a function that reports whether a transfer is running that has
-// received something within peersFirst.
+// waitsSince returns since when transfers have received nothing, for one that begins now.
+func (f *configFetcher) waitsSince(g *Gateway) time.Duration {
+	own, _, _ := g.catalog.Revisions()
+	if f.fruitless == (fruitlessTransfers{}) || f.fruitless.own != own {
+		f.fruitless = fruitlessTransfers{g.now(), own}
+	}
+	return f.fruitless.since
+}
+
+// arrives returns a function that reports whether a transfer is running, and transfers have
+// received something within peersFirst or have been tried for less.
 func (f *configFetcher) arrives(now func() time.Duration) func() bool {
 	return func() bool {
 		at := time.Duration(f.progressAt.Load())
@@ -118,6 +134,7 @@
 				"bytes", stats.bytes, "reply_bytes", f.replyBytes, "call_ms", (g.now() - began).Milliseconds(), "error", err)
 			continue
 		}
+		f.fruitless = fruitlessTransfers{}
 		f.progressAt.Store(int64(g.now()))
 		stats.guesses, stats.answered = 0, s
 	}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -145,7 +145,8 @@
 	logged  lockedBuffer
 	lossy   atomic.Int64 // calls to it get no answer until this time in Unix nanoseconds, but each third one
 	calls   atomic.Int64
-	side    int // instances on different sides of a partition do not reach each other
+	mute    atomic.Bool // calls that fetch from it get no answer
+	side    int         // instances on different sides of a partition do not reach each other
 	started time.Time
 	cancel  context.CancelFunc
 	ended   sync.WaitGroup
@@ -270,6 +271,10 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	if to.mute.Load() && (strings.HasSuffix(rpc, "/Knowledge") || strings.HasSuffix(rpc, "/Blocks")) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if err := transfer(ctx, len(raw), c.from.link, to.link); err != nil {
 		return err
 	}
