mesh: an instance that knows a later era of the store does not read for others

What callers saw: nothing measured on real processes. In virtual time, six instances in four zones of which one, not the first of its zone, is replaced by this build while the others know no eras, after the store came back from an older copy: it has no change of the operator's in force, for as long as the others run.

Cause: one instance of a zone watches the store and two poll it for all. Readers of the build before drop what has lower revisions than they have seen, or tell of it as of era 0, which the new one rightly does not take. It did not read the store itself, since by its rank others read it.

Instances of the build before still drop such changes until they are replaced: that is their code.

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -114,6 +114,8 @@
 	// wrapStore changes the store as instances reach it; nil for no change.
 	wrapStore func(objectstore.Store) objectstore.Store
 	edit      func(*Settings) // changes the settings of instances
+	// receive changes the messages that instances get.
+	receive func(m any)
 	// starved is whether decoding costs what decodingCost says, and each instance has a
 	// decoder of its own for the configuration.
 	starved bool
@@ -140,6 +142,7 @@
 type testNode struct {
 	f       *testFleet
 	g       *Gateway
+	receive func(m any) // of the fleet when it was started
 	link    *testLink
 	cpu     *testProcessor
 	logged  lockedBuffer
@@ -157,7 +160,7 @@
 }
 
 func newTestFleet(t *testing.T) *testFleet {
-	return &testFleet{t: t, began: time.Now().Add(-time.Hour), store: objectstore.NewMemory(time.Second), decoder: newDecoder(), edit: func(*Settings) {}, nodes: map[string]*testNode{}}
+	return &testFleet{t: t, began: time.Now().Add(-time.Hour), store: objectstore.NewMemory(time.Second), decoder: newDecoder(), edit: func(*Settings) {}, receive: func(any) {}, nodes: map[string]*testNode{}}
 }
 
 // start starts an instance. capacity is that of its machine, see MachineSettings.
@@ -179,7 +182,7 @@
 	s := DefaultSettings()
 	s.Name, s.Zone, s.PeerListen, s.Peers = name, zone, name+":1", seeds
 	f.edit(s)
-	n := &testNode{f: f, link: &testLink{bytesPerS: m.bytesPerS}, cpu: &testProcessor{share: m.share}, started: time.Now()}
+	n := &testNode{f: f, receive: f.receive, link: &testLink{bytesPerS: m.bytesPerS}, cpu: &testProcessor{share: m.share}, started: time.Now()}
 	decoder := f.decoder
 	decoder.Config = func(o objectstore.Object) (*fleet.Config, []error, error) {
 		n.cpu.reserve(time.Duration(len(o.Value)>>10) * decodeWorkPerKB)
@@ -287,7 +290,9 @@
 		return err
 	}
 	c.from.cpu.handleCall(len(reply))
-	return enc.Unmarshal(reply, out)
+	err = enc.Unmarshal(reply, out)
+	c.from.receive(out)
+	return err
 }
 
 // handle answers a call of a peer.
@@ -302,6 +307,7 @@
 		if err := enc.Unmarshal(raw, in); err != nil {
 			return nil, err
 		}
+		n.receive(in)
 		out, err := receiver(meshServer{n.g}, ctx, in, nil)
 		if err != nil {
 			return nil, err
--- a/internal/mesh/exchanger.go
+++ b/internal/mesh/exchanger.go
@@ -256,10 +256,11 @@
 	}
 	e.mu.Unlock()
 	e.opts.FillState(now, s, receiver)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.members.observeEra(now, s.StoreEra)
 	if receiver.LargeFleet && receiver.SameZone && receiver.SenderIsLead {
-		e.mu.Lock()
 		s.Watchers = e.members.chosenWatchers(now, s.StoreReachable)
-		e.mu.Unlock()
 	}
 	return s
 }
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -67,6 +67,7 @@
 	inFlight         bool          // an exchange is in progress
 	leaving          bool
 	storeReachable   bool          // it reports that it reaches the store
+	storeEra         uint64        // latest era of the store that it reports
 	watchers         []string      // last list of watchers that it reported
 	watchersAt       time.Duration // time of the last report of watchers, 0 for never
 }
@@ -83,6 +84,8 @@
 	peers            map[string]*member       // by name
 	seedsRequestedAt map[string]time.Duration // time of the last exchange with a seed, by address
 	started          time.Duration
+	era              uint64        // latest era of the store that any instance has reported
+	eraAt            time.Duration // when it was first reported
 }
 
 func newMembers(started time.Duration, self *meshpb.MemberInfo) *members {
@@ -122,7 +125,8 @@
 	}
 	known.info = &meshpb.MemberInfo{Name: s.Name, Incarnation: s.Incarnation, PeerAddress: s.PeerAddress, Zone: s.Zone, Capacity: s.Capacity}
 	known.sequence, known.stateAt, known.seenAt = s.Sequence, at, at
-	known.leaving, known.storeReachable = s.Leaving, s.StoreReachable
+	known.leaving, known.storeReachable, known.storeEra = s.Leaving, s.StoreReachable, s.StoreEra
+	m.observeEra(at, s.StoreEra)
 	if len(s.Watchers) > 0 {
 		known.watchers, known.watchersAt = s.Watchers, at
 	}
@@ -130,6 +134,20 @@
 	return true
 }
 
+// observeEra records that this instance or a peer knows an era of the store.
+func (m *members) observeEra(now time.Duration, era uint64) {
+	if era > m.era {
+		m.era, m.eraAt = era, now
+	}
+}
+
+// knowsEra reports whether the peer knows the latest era of the store or may just not have
+// heard of it. What a peer of a build without eras reads counts as of an earlier era, so it
+// does not read for others.
+func (m *members) knowsEra(now time.Duration, p *member) bool {
+	return p.storeEra >= m.era || now-m.eraAt < silentAfter
+}
+
 // isPresent reports whether any instance has received a message from the peer
 // within presentTimeout and the peer is not leaving.
 func (p *member) isPresent(now time.Duration) bool {
@@ -301,7 +319,7 @@
 func (m *members) storeReaders(now time.Duration, zone string) []*meshpb.MemberInfo {
 	var out []*meshpb.MemberInfo
 	for _, p := range m.peers {
-		if p.stateAt != 0 && now-p.stateAt <= silentAfter && p.storeReachable && !p.leaving && (zone == "" || p.info.Zone == zone) {
+		if p.stateAt != 0 && now-p.stateAt <= silentAfter && p.storeReachable && m.knowsEra(now, p) && !p.leaving && (zone == "" || p.info.Zone == zone) {
 			out = append(out, p.info)
 		}
 	}
--- a/internal/mesh/watchers.go
+++ b/internal/mesh/watchers.go
@@ -61,7 +61,7 @@
 	zone := []watchCandidate{{info: m.self, storeReachable: storeReachable}}
 	for _, p := range m.peers {
 		if p.info.Zone == m.self.Zone && !p.leaving && p.stateAt != 0 && now-p.stateAt <= silentAfter {
-			zone = append(zone, watchCandidate{info: p.info, storeReachable: p.storeReachable})
+			zone = append(zone, watchCandidate{info: p.info, storeReachable: p.storeReachable && m.knowsEra(now, p)})
 		}
 	}
 	return chooseWatchers(now, zone)
@@ -69,8 +69,8 @@
 
 // isWatcher reports whether this instance watches the store. In a small fleet
 // or as a lead, it decides by itself; otherwise it uses the watchers that the
-// leads of its zone report. Without such a report for watchersTimeout, it
-// watches.
+// leads of its zone report, if they know the store's era. Without such a report for
+// watchersTimeout, it watches.
 func (m *members) isWatcher(now time.Duration, storeReachable bool) bool {
 	if !m.large(now) {
 		return m.storeReaderRank(now, m.self.Zone) < watchersPerZone
@@ -80,7 +80,7 @@
 	}
 	hasReport := false
 	for _, p := range m.peers {
-		if p.watchersAt != 0 && now-p.watchersAt <= watchersTimeout {
+		if p.watchersAt != 0 && now-p.watchersAt <= watchersTimeout && m.knowsEra(now, p) {
 			if slices.Contains(p.watchers, m.self.Name) {
 				return true
 			}
