gateway: a configuration that was not put in force is fetched again

What callers saw: nothing measured on real processes. In virtual time, an instance that does not reach the store refuses a configuration from a peer once and would take it a second later: it stays without it for good.

Cause: the newest revision that was not put in force was kept as a bound below which no peer is asked again. But whether a configuration is put in force depends on more than its content: one of an older copy of the store is held back for 30 s and counted as refused, too, and another one that is put in force meanwhile drops it.

Change: the bound holds for 2 s. Then peers are asked again; only blocks that differ from the configuration in force are fetched.

--- a/internal/gateway/configfetch.go
+++ b/internal/gateway/configfetch.go
@@ -26,6 +26,9 @@
 	// peersFirst is how long transfers from peers that receive nothing keep the instance from
 	// reading the store, whose copy is whole and not compressed.
 	peersFirst = time.Second
+	// refusedFor is how long peers are not asked for a configuration that was not put in force.
+	// Whether it is depends on more than its content.
+	refusedFor = 2 * time.Second
 	// maxGuesses is the number of peers in a row that are asked although they have not said
 	// that they have the revision, once those that have said so failed.
 	maxGuesses = 4
@@ -46,7 +49,21 @@
 	target     configTarget
 	collector  chunk.Collector
 	replyBytes int
-	refused    uint64 // newest revision that could not be decoded
+	refused    refusedConfig
+}
+
+// refusedConfig is the newest configuration from a peer that was not put in force.
+type refusedConfig struct {
+	revision uint64
+	at       time.Duration
+}
+
+// upTo returns the revision up to which peers are not asked, 0 for none.
+func (r refusedConfig) upTo(now time.Duration) uint64 {
+	if now-r.at >= refusedFor {
+		return 0
+	}
+	return r.revision
 }
 
 // fruitlessTransfers are transfers in a row that received nothing. The zero value has none.
@@ -121,9 +138,10 @@
 		if own >= f.target.revision {
 			f.target = configTarget{}
 		}
-		s, ok := f.choose(g, max(own, f.refused), &stats)
+		refused := f.refused.upTo(g.now())
+		s, ok := f.choose(g, max(own, refused), &stats)
 		if !ok {
-			f.sources.dropUpTo(f.refused)
+			f.sources.dropUpTo(refused)
 			return
 		}
 		began := g.now()
@@ -203,7 +221,7 @@
 		return err
 	}
 	if revision, _, _ := g.catalog.Revisions(); revision < target.revision {
-		f.refused = max(f.refused, target.revision)
+		f.refused = refusedConfig{max(f.refused.upTo(g.now()), target.revision), g.now()}
 		return errNotApplied
 	}
 	g.log.Info("document fetched", "kind", configDocument{}.String(), "peer", s.name, "revision", target.revision, "calls", stats.calls, "failed_calls", stats.failed,
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -149,6 +149,7 @@
 	lossy   atomic.Int64 // calls to it get no answer until this time in Unix nanoseconds, but each third one
 	calls   atomic.Int64
 	mute    atomic.Bool // calls that fetch from it get no answer
+	refuses atomic.Bool // it puts no configuration in force
 	side    int         // instances on different sides of a partition do not reach each other
 	started time.Time
 	cancel  context.CancelFunc
@@ -185,6 +186,9 @@
 	n := &testNode{f: f, receive: f.receive, link: &testLink{bytesPerS: m.bytesPerS}, cpu: &testProcessor{share: m.share}, started: time.Now()}
 	decoder := f.decoder
 	decoder.Config = func(o objectstore.Object) (*fleet.Config, []error, error) {
+		if n.refuses.Load() {
+			return nil, nil, errRefused
+		}
 		n.cpu.reserve(time.Duration(len(o.Value)>>10) * decodeWorkPerKB)
 		return f.decoder.Config(o)
 	}
@@ -253,7 +257,10 @@
 	address string
 }
 
-var errNoPeer = errors.New("no instance at this address")
+var (
+	errNoPeer  = errors.New("no instance at this address")
+	errRefused = errors.New("configuration refused")
+)
 
 // Invoke implements drpc.Conn.
 func (c *testPeerConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
--- a/internal/gateway/readers_test.go
+++ b/internal/gateway/readers_test.go
@@ -174,3 +174,24 @@
 		})
 	}
 }
+
+// A configuration from a peer that was not put in force at first is fetched again. An instance
+// that does not reach the store went without it for good.
+func TestConfigurationThatWasRefusedIsFetchedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newReaderFleet(t)
+		const behind = 3
+		f.troubleAt(leavesSilent, behind)
+		f.nodes[behind].refuses.Store(true)
+		revision := f.putConfig(2, 6)
+		time.Sleep(time.Second)
+		f.nodes[behind].refuses.Store(false)
+		late := f.latest(revision, []int{behind})
+		for _, n := range f.nodes {
+			n.stop()
+		}
+		time.Sleep(time.Minute)
+		must.LessEq(t, refusedFor, late)
+		t.Log("in force after", late)
+	})
+}
