gateway: watchers try to poll the store while no peer reaches it

What callers saw: nothing measured on real processes. In virtual time, the store answers nothing for 0.3 to 2 s and connections from before stay silent, as after a link or a machine of the store has failed. A change that is acknowledged at the end of the outage is in force up to 3.51 s later in a fleet of two zones with one instance each, 2.51 s with four; the store counts as stable after 3 s. With a second instance in two of four zones, 1.05 s.

Cause: an instance polls the store only if it reaches it, which ends with the first poll without an answer. When that has happened to all, nobody polls, and a watch on a dead connection ends after the 4 s that it may wait and the time of a read. Zones with more instances have others that list the store at once.

Change: while no peer answers that reaches the store, the instances that watch it try to poll it.

Result: TestStoreIsPolledWhileNobodyReachesIt fails before with 3.15 s (0.3 s of outage) and 3.51 s (1 s) of 3 s, passes after with 1.12 and 0.95 s; 2 s of outage: 2.51 s before, 1.85 s after. All tests of gateway, mesh and storesync pass but TestInstanceIsNotLeftBehindWhileAllLeadsLoseCalls, known red.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -173,7 +173,7 @@
 	s := g.settings.Load()
 	g.catalog = storesync.New(storesync.Options{
 		Store: g.opts.Store, Decoder: g.opts.Decoder, WatchWait: s.Store.WatchWait.Std(),
-		Now: g.now, Log: g.log, Watches: g.watchesStore, Polls: g.pollsStore, ConfigArrives: g.configFetcher.arrives(g.now), OnChange: g.applyCatalog,
+		Now: g.now, Log: g.log, Watches: g.watchesStore, Polls: g.triesStore, ConfigArrives: g.configFetcher.arrives(g.now), OnChange: g.applyCatalog,
 		OnMalformed: func() { g.metrics.Count("malformed_entries") }, Evacuations: g.evacuations.storeOptions(),
 	})
 	g.mesh = mesh.New(mesh.Options{
@@ -264,6 +264,14 @@
 	return g.mesh.StoreReaderRank() < storePollers
 }
 
+// triesStore reports whether this instance polls the store, or tries to while no instance is
+// known to reach it. A watch on a connection that has died in an outage is silent for longer
+// than the outage.
+func (g *Gateway) triesStore() bool {
+	_, _, reachable := g.catalog.Revisions()
+	return g.pollsStore() || !reachable && !g.mesh.HasStoreReader() && g.mesh.IsStoreWatcher(false)
+}
+
 // applyCatalog passes the current configuration and list of upstreams to the
 // scheduler and the limiter. Each reads them under its own lock, so that of changes at the
 // same time none is overwritten by what another had read before.
--- a/internal/gateway/readers_test.go
+++ b/internal/gateway/readers_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 )
 
@@ -26,7 +27,8 @@
 // troubledStore is the store as an instance reaches it.
 type troubledStore struct {
 	objectstore.Store
-	trouble *atomic.Int32
+	trouble  *atomic.Int32
+	silences *atomic.Int32 // number of times that calls were left silent
 }
 
 // List implements objectstore.Store.
@@ -57,13 +59,15 @@
 		}
 		return list, err
 	}
+	silences := s.silences.Load()
 	list, err := s.Store.Watch(ctx, kind, since)
-	switch storeTrouble(s.trouble.Load()) {
-	case leavesSilent, silentWatches:
+	trouble := storeTrouble(s.trouble.Load())
+	if trouble == refusesCalls {
+		return objectstore.List{}, objectstore.ErrUnavailable
+	}
+	if trouble == leavesSilent || trouble == silentWatches || s.silences.Load() != silences { // its connection is dead
 		<-ctx.Done()
 		return objectstore.List{}, ctx.Err()
-	case refusesCalls:
-		return objectstore.List{}, objectstore.ErrUnavailable
 	}
 	return list, err
 }
@@ -72,22 +76,21 @@
 // first of each zone watch the store, and the first two poll it.
 type readerFleet struct {
 	*testFleet
-	troubles []*atomic.Int32
+	troubles []troubledStore
 	nodes    []*testNode
 }
 
 var readerNames = []string{"a-0", "a-1", "b-0", "b-1", "c-0", "d-0"}
 
-func newReaderFleet(t *testing.T) *readerFleet {
+func newReaderFleet(t *testing.T, names ...string) *readerFleet {
 	f := &readerFleet{testFleet: newTestFleet(t)}
 	f.edit = func(s *Settings) { f.store.WatchWait = s.Store.WatchWait.Std() }
 	f.wrapStore = func(s objectstore.Store) objectstore.Store {
-		trouble := &atomic.Int32{}
-		f.troubles = append(f.troubles, trouble)
-		return troubledStore{s, trouble}
+		f.troubles = append(f.troubles, troubledStore{s, &atomic.Int32{}, &atomic.Int32{}})
+		return f.troubles[len(f.troubles)-1]
 	}
 	f.putConfig(1, 5)
-	for _, name := range readerNames {
+	for _, name := range names {
 		f.nodes = append(f.nodes, f.start(name, name[:1], 10, 0, []string{"a-0:1", "a-1:1", "b-0:1", "b-1:1", "c-0:1", "d-0:1"}))
 	}
 	time.Sleep(6 * time.Second)
@@ -96,7 +99,10 @@
 
 func (f *readerFleet) troubleAt(trouble storeTrouble, instances ...int) {
 	for _, i := range instances {
-		f.troubles[i].Store(int32(trouble))
+		f.troubles[i].trouble.Store(int32(trouble))
+		if trouble == leavesSilent {
+			f.troubles[i].silences.Add(1)
+		}
 	}
 }
 
@@ -159,7 +165,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			for phase := range 4 {
 				synctest.Test(t, func(t *testing.T) {
-					f := newReaderFleet(t)
+					f := newReaderFleet(t, readerNames...)
 					time.Sleep(time.Duration(phase) * 370 * time.Millisecond)
 					c.trouble(f)
 					time.Sleep(c.lead)
@@ -175,11 +181,36 @@
 	}
 }
 
+// After an outage of the store in which connections went silent, a change is in force at the end of
+// the 3 s after which the store counts as stable. Nobody polled the store once each poll had
+// failed, so that a fleet of one instance a zone waited for its watches to end.
+func TestStoreIsPolledWhileNobodyReachesIt(t *testing.T) {
+	for _, outage := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second} {
+		late := time.Duration(0)
+		for phase := range 8 {
+			synctest.Test(t, func(t *testing.T) {
+				f := newReaderFleet(t, "a-0", "b-0")
+				time.Sleep(time.Duration(phase) * 530 * time.Millisecond)
+				f.troubleAt(leavesSilent, 0, 1)
+				time.Sleep(outage)
+				f.troubleAt(noTrouble, 0, 1)
+				late = max(late, f.latest(f.putConfig(2, 6), []int{0, 1}))
+				for _, n := range f.nodes {
+					n.stop()
+				}
+				time.Sleep(time.Minute)
+			})
+		}
+		test.LessEq(t, 3*time.Second, late)
+		t.Log("outage", outage, "change in force after", late)
+	}
+}
+
 // A configuration from a peer that was not put in force at first is fetched again. An instance
 // that does not reach the store went without it for good.
 func TestConfigurationThatWasRefusedIsFetchedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newReaderFleet(t)
+		f := newReaderFleet(t, readerNames...)
 		const behind = 3
 		f.troubleAt(leavesSilent, behind)
 		f.nodes[behind].refuses.Store(true)
--- a/internal/mesh/exchanger.go
+++ b/internal/mesh/exchanger.go
@@ -169,6 +169,13 @@
 	return e.members.storeReaderRank(e.opts.Now(), "")
 }
 
+// HasStoreReader reports whether some peer answers and reaches the store.
+func (e *Exchanger) HasStoreReader() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.members.storeReaders(e.opts.Now(), "")) > 0
+}
+
 // MarkLeaving marks this instance as leaving in the states that it sends.
 func (e *Exchanger) MarkLeaving() {
 	e.mu.Lock()
