--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -45,10 +45,10 @@
 	evictUnread func() bool
 
 	mu      sync.Mutex
-	used    int64 // bytes
-	small   int64 // of smallAnswerMemory
-	leaving int64 // part of used of the answers that give way, which is about to be released
-	awaited int64 // bytes for which they give way
+	used    int64                    // bytes
+	small   int64                    // of smallAnswerMemory
+	leaving int64                    // part of used of the answers that give way, which is about to be released
+	awaited int64                    // bytes for which they give way
 	reading map[*answerBody]struct{} // unfinished, or about to release their memory for others
 	lastID  uint64
 }
--- a/internal/mesh/exchanger.go
+++ b/internal/mesh/exchanger.go
@@ -169,6 +169,13 @@
 	return e.members.storeReaderRank(e.opts.Now(), "")
 }
 
+// HasStoreReader reports whether some peer answers and reaches the store.
+func (e *Exchanger) HasStoreReader() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.members.storeReaders(e.opts.Now(), "")) > 0
+}
+
 // MarkLeaving marks this instance as leaving in the states that it sends.
 func (e *Exchanger) MarkLeaving() {
 	e.mu.Lock()
@@ -256,10 +263,11 @@
 	}
 	e.mu.Unlock()
 	e.opts.FillState(now, s, receiver)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.members.observeEra(now, s.StoreEra)
 	if receiver.LargeFleet && receiver.SameZone && receiver.SenderIsLead {
-		e.mu.Lock()
 		s.Watchers = e.members.chosenWatchers(now, s.StoreReachable)
-		e.mu.Unlock()
 	}
 	return s
 }
