gateway: answers without end do not take the others' memory

What callers saw: while one upstream of a service sent bodies without an end, callers of other services got 502 for answers above 4 KB.

Cause: the memory for answers (an eighth of the machine's) goes to whoever asks first, and the answer that asks when it is short is given up, whoever holds the rest. That end counted as nobody's fault. A body without an end meets it before its own limit of 16 MB, since the buffers of such a body count 32 MB, more than the whole bound below 256 MB, and others hold some.

Change: if the memory is short and the unfinished answers of one service hold more than half, the largest of that service gives way: its connection is closed, and its memory is kept for the answer that asked. Callers that do not read are cut only if no service holds that much. An answer that can never fit, by its length or its size, fails as too large.

TestBodiesWithoutEndLeaveRoomForOtherServices and TestOutgrownAnswersEjectAnUpstreamThatCompletesNone show the two decisions alone. The tests of answer_test.go state the source of an answer now, and check the same as before.

--- a/internal/assign/available_test.go
+++ b/internal/assign/available_test.go
@@ -143,3 +143,24 @@
 	must.NotNil(t, d)
 	must.Between(t, 3*time.Second, d.Refusal.RetryAfter, 4500*time.Millisecond)
 }
+
+// Answers that outgrow the memory eject an upstream that completes none. One that completes others
+// meanwhile, as with callers who ask for many large answers at once, stays in use.
+func TestOutgrownAnswersEjectAnUpstreamThatCompletesNone(t *testing.T) {
+	for _, completes := range []bool{false, true} {
+		s := newTestScheduler(1, "m")
+		now := start
+		for i := range ejectAfterFailures {
+			p, _ := s.Submit(now, newChatJob(i, now))
+			must.NotNil(t, p)
+			now += 10 * time.Millisecond
+			if completes {
+				other, _ := s.Submit(now, newChatJob(100+i, now))
+				must.NotNil(t, other)
+				s.Release(now, other, ResultOK)
+			}
+			s.Release(now, p, ResultOutgrown)
+		}
+		must.Eq(t, completes, s.byID["e0"].health.usable(now, 1))
+	}
+}
--- a/internal/assign/estimates_test.go
+++ b/internal/assign/estimates_test.go
@@ -66,7 +66,7 @@
 	must.True(t, s.byID["a0"].health.suspect(s.lowestFailureRate("app")))
 	must.False(t, s.byID["a1"].health.suspect(s.lowestFailureRate("app")))
 	for range enoughResponses {
-		s.byID["a0"].health.recordSuccess() // its own link is sound
+		s.byID["a0"].health.recordSuccess(start) // its own link is sound
 	}
 	must.False(t, s.byID["a0"].health.suspect(s.lowestFailureRate("app")))
 }
--- a/internal/assign/health.go
+++ b/internal/assign/health.go
@@ -38,6 +38,7 @@
 	ejections           int
 	ejectedUntil        time.Duration
 	probedAt            time.Duration // last request sent while suspect
+	succeededAt         time.Duration // last success, 0 for none
 }
 
 // enoughResponses is the number of responses from which on an instance goes by its own failure
@@ -59,7 +60,8 @@
 	return (own*h.failureRate + weight*h.fleet.Share()) / (own + weight)
 }
 
-func (h *health) recordSuccess() {
+func (h *health) recordSuccess(now time.Duration) {
+	h.succeededAt = now
 	h.responses = min(h.responses+1, enoughResponses)
 	h.failureRate -= failureRateWeight * h.failureRate
 	h.consecutiveFailures, h.ejections = 0, 0
--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -329,6 +329,9 @@
 	ResultOK      Result = iota
 	ResultFailed         // the upstream's fault
 	ResultUnknown        // says nothing about the health: the caller left, or the upstream refused
+	// ResultOutgrown: the answer took more memory than there was. It is the upstream's fault if
+	// no answer of the upstream was complete meanwhile.
+	ResultOutgrown
 )
 
 // Release ends a placement: it subtracts the job from the upstream's load and
@@ -341,9 +344,12 @@
 	} else {
 		p.removePending()
 	}
+	if result == ResultOutgrown && p.upstream.health.succeededAt < p.sentAt {
+		result = ResultFailed
+	}
 	switch result {
 	case ResultOK:
-		p.upstream.health.recordSuccess()
+		p.upstream.health.recordSuccess(now)
 		s.observeFailure(now, p.upstream, false)
 		if p.upstream.engine == nil {
 			p.upstream.ownLatency.observeServiceTime(now - p.sentAt)
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -2,14 +2,23 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"io"
+	"net"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
 
+// unstated is the source of answers without a stated length.
+var unstated = answerSource{service: "app", length: -1}
+
 // endless is a body without an end.
 type endless struct{ read int }
 
@@ -21,11 +30,11 @@
 func TestBodyWithoutEnd(t *testing.T) {
 	m := newAnswerMemory(0)
 	e := &endless{}
-	_, release, err := m.read(e)
+	_, release, err := m.read(e, unstated)
 	must.ErrorIs(t, err, errAnswerTooLarge)
 	must.LessEq(t, 2*maxAnswerBytes, e.read)
 	release()
-	must.Zero(t, m.used.Load())
+	must.Zero(t, m.used)
 }
 
 // Many bodies without an end together take no more than the instance has for answers.
@@ -34,30 +43,83 @@
 	m := newAnswerMemory(memoryMB)
 	var releases []func()
 	for range 200 {
-		_, release, err := m.read(&endless{})
+		_, release, err := m.read(&endless{}, unstated)
 		must.Error(t, err)
 		releases = append(releases, release)
-		must.LessEq(t, memoryMB<<20/answerMemoryDivisor, m.used.Load())
+		must.LessEq(t, memoryMB<<20/answerMemoryDivisor, m.used)
 	}
 	for _, release := range releases {
 		release()
 	}
-	must.Zero(t, m.used.Load())
-	body, release, err := m.read(strings.NewReader("an answer"))
+	must.Zero(t, m.used)
+	body, release, err := m.read(strings.NewReader("an answer"), unstated)
 	must.NoError(t, err)
 	must.Eq(t, "an answer", string(body))
 	release()
 }
 
+// slowly is a body without an end that takes a moment for each piece, until it is aborted.
+type slowly struct{ aborted chan struct{} }
+
+func (s slowly) Read(p []byte) (int, error) {
+	select {
+	case <-s.aborted:
+		return 0, net.ErrClosed
+	case <-time.After(10 * time.Millisecond):
+		return len(p), nil
+	}
+}
+
+// Bodies without an end must not keep out the answers of other services, and the memory comes
+// from them and not from callers that read slowly.
+func TestBodiesWithoutEndLeaveRoomForOtherServices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newAnswerMemory(144)
+		m.evictUnread = func() bool {
+			t.Error("a caller is cut off")
+			return false
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		outgrown := 0
+		for range 200 {
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					s := slowly{make(chan struct{})}
+					_, release, err := m.read(s, answerSource{"endless", -1, sync.OnceFunc(func() { close(s.aborted) })})
+					m.mu.Lock()
+					if errors.Is(err, errAnswerOutgrown) {
+						outgrown++
+					}
+					m.mu.Unlock()
+					release()
+				}
+			})
+		}
+		for range 100 {
+			time.Sleep(7 * time.Millisecond)
+			body, release, err := m.read(bytes.NewReader(make([]byte, 100<<10)), answerSource{service: "app", length: 100 << 10})
+			must.NoError(t, err)
+			must.Len(t, 100<<10, body)
+			release()
+		}
+		cancel()
+		wg.Wait()
+		must.Positive(t, outgrown)
+		must.Zero(t, m.used)
+		must.Zero(t, m.leaving)
+	})
+}
+
 func TestAnswerIsReadWhole(t *testing.T) {
 	want := bytes.Repeat([]byte("0123456789"), 20_000)
 	for _, r := range []io.Reader{bytes.NewReader(want), iotest.OneByteReader(bytes.NewReader(want)), iotest.DataErrReader(bytes.NewReader(want))} {
-		body, release, err := newAnswerMemory(0).read(r)
+		body, release, err := newAnswerMemory(0).read(r, unstated)
 		must.NoError(t, err)
 		must.Eq(t, want, body)
 		release()
 	}
-	_, release, err := newAnswerMemory(0).read(io.MultiReader(bytes.NewReader(want), iotest.ErrReader(io.ErrUnexpectedEOF)))
+	_, release, err := newAnswerMemory(0).read(io.MultiReader(bytes.NewReader(want), iotest.ErrReader(io.ErrUnexpectedEOF)), unstated)
 	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	release()
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -363,6 +363,10 @@
 		x.release(a, assign.ResultUnknown)
 		return outcomeUnknown
 	}
+	if errors.Is(err, errAnswerOutgrown) {
+		x.release(a, assign.ResultOutgrown)
+		return outcomeUnknown
+	}
 	x.release(a, assign.ResultFailed)
 	x.recordBroken(a)
 	return outcomeUnknown
@@ -421,7 +425,7 @@
 // relayComplete reads the whole answer and then passes it to the caller.
 func (x *exchange) relayComplete(a *attempt) outcome {
 	resp := a.response
-	body, release, err := x.g.answerMemory.read(resp.Body)
+	body, release, err := x.g.answerMemory.read(resp.Body, answerSource{service: x.service, length: resp.Length(), abort: a.cancel})
 	defer release()
 	resp.Finish(err == nil)
 	if err != nil {
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -107,6 +107,14 @@
 	finished     bool
 }
 
+// Length returns the length of the body as the response states it, in bytes, -1 if it does not.
+func (r *Response) Length() int64 {
+	if r.Body == http.NoBody { // that of the body that another method would get
+		return 0
+	}
+	return r.raw.ContentLength
+}
+
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader // reads through Read
