gateway: unfinished events of streams share the memory for answers

Cause: an event is bounded at 256 KB, but the buffers of all streams together are not, and the last ID of each stream is kept whole beside it.

Change: an unfinished event of more than 32 KB counts as an answer being read, twice since its buffer grows by being copied, and gives way by the same rule; the stream then ends as one whose upstream broke it off. The count and the buffer are returned when the event is whole. An ID of more than 4 KB breaks the stream: it could not be sent in Last-Event-Id either.

TestUnfinishedEventsShareTheMemory shows the count alone.

--- a/internal/eventstream/splitter.go
+++ b/internal/eventstream/splitter.go
@@ -29,10 +29,16 @@
 // NewSplitter returns a splitter that accepts events of up to maxBytes bytes.
 func NewSplitter(maxBytes int) *Splitter { return &Splitter{maxBytes: maxBytes} }
 
+// keptBytes is the size of the largest buffer that is kept when it is empty.
+const keptBytes = 32 << 10
+
 // Feed appends bytes of the stream. It invalidates the events returned so far, and
 // returns ErrTooLarge if more bytes than the limit are buffered without a whole
 // event.
 func (s *Splitter) Feed(p []byte) error {
+	if !s.Partial() && cap(s.buf) > keptBytes {
+		s.buf, s.consumed = nil, 0
+	}
 	s.buf = append(s.buf[:copy(s.buf, s.buf[s.consumed:])], p...)
 	s.consumed = 0
 	if len(s.buf) > s.maxBytes && s.eventLen(s.buf) < 0 {
@@ -52,6 +58,9 @@
 	return Event{Raw: rest[:end], ID: eventID(rest[:end])}, true
 }
 
+// Buffered returns the number of bytes that Next has not returned.
+func (s *Splitter) Buffered() int { return len(s.buf) - s.consumed }
+
 // Partial reports whether the buffer holds bytes that Next has not returned.
 func (s *Splitter) Partial() bool { return s.consumed < len(s.buf) }
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -269,6 +269,43 @@
 	}
 }
 
+// eventMemory counts the memory of the unfinished event of a stream as that of an answer, if it
+// is a large one.
+type eventMemory struct {
+	memory *answerMemory
+	from   answerSource
+	body   *answerBody // nil if nothing is counted
+}
+
+// uncountedEventBytes is the size up to which an event is not counted.
+const uncountedEventBytes = 2 * readBufferBytes
+
+// hold counts an unfinished event of n bytes in place of what was counted before. It fails like
+// answerMemory.take.
+func (e *eventMemory) hold(n int) error {
+	if n <= uncountedEventBytes {
+		return e.end(nil)
+	}
+	if e.body == nil {
+		e.body = e.memory.begin(e.from)
+	}
+	if more := 2*int64(n) - e.body.counted; more > 0 { // twice, as the buffer grows by being copied
+		return e.memory.take(e.body, more)
+	}
+	return nil
+}
+
+// end returns what is counted. Its result is that of answerMemory.end.
+func (e *eventMemory) end(err error) error {
+	if e.body == nil {
+		return err
+	}
+	err = e.memory.end(e.body, err)
+	e.memory.release(e.body)
+	e.body = nil
+	return err
+}
+
 // discardRejection reads the body of a rejection and reports whether it was read to its
 // end.
 func discardRejection(r io.Reader) bool {
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -111,6 +111,26 @@
 	})
 }
 
+// The unfinished events of streams take from the same memory, as long as they are large.
+func TestUnfinishedEventsShareTheMemory(t *testing.T) {
+	m := newAnswerMemory(144)
+	var streams []*eventMemory
+	var err error
+	for err == nil {
+		must.Less(t, 100, len(streams))
+		e := &eventMemory{memory: m, from: unstated}
+		streams = append(streams, e)
+		must.NoError(t, e.hold(uncountedEventBytes))
+		err = e.hold(maxEventBytes)
+	}
+	must.ErrorIs(t, err, errAnswerOutgrown)
+	for _, e := range streams {
+		must.NoError(t, e.hold(100))
+	}
+	must.Zero(t, m.used)
+	must.MapEmpty(t, m.reading)
+}
+
 func TestAnswerIsReadWhole(t *testing.T) {
 	want := bytes.Repeat([]byte("0123456789"), 20_000)
 	for _, r := range []io.Reader{bytes.NewReader(want), iotest.OneByteReader(bytes.NewReader(want)), iotest.DataErrReader(bytes.NewReader(want))} {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,7 +18,10 @@
 
 const (
 	// maxEventBytes is the maximum size of one event of a stream.
-	maxEventBytes   = 256 << 10
+	maxEventBytes = 256 << 10
+	// maxEventIDBytes is that of its ID, which is kept, and sent as a header to resume the
+	// stream.
+	maxEventIDBytes = 4 << 10
 	readBufferBytes = 16 << 10
 )
 
@@ -43,7 +46,8 @@
 // relayStream relays events as they arrive. It passes only whole events to the
 // caller, so that another upstream can resume the stream after the last one.
 func (x *exchange) relayStream(a *attempt) outcome {
-	err := x.copyEvents(a)
+	memory := &eventMemory{memory: x.g.answerMemory, from: answerSource{service: x.service, length: -1, abort: a.cancel}}
+	err := memory.end(x.copyEvents(a, memory))
 	a.response.Finish(err == nil)
 	var disconnected *callerDisconnectedError
 	switch {
@@ -72,11 +76,13 @@
 	return "gateway: writing to the caller: " + e.err.Error()
 }
 
+var errEventID = errors.New("gateway: ID of an event too large")
+
 var errPartialEvent = errors.New("gateway: stream ended in the middle of an event")
 
 // copyEvents relays events until the stream ends or breaks. In a resumed stream
 // it skips the events that the caller already has.
-func (x *exchange) copyEvents(a *attempt) error {
+func (x *exchange) copyEvents(a *attempt, memory *eventMemory) error {
 	splitter := eventstream.NewSplitter(maxEventBytes)
 	buf := make([]byte, readBufferBytes)
 	resumed := x.rec.stream.headSent
@@ -85,11 +91,17 @@
 	}
 	for {
 		n, readErr := a.response.Body.Read(buf)
+		if err := memory.hold(splitter.Buffered() + n); err != nil {
+			return err
+		}
 		if err := splitter.Feed(buf[:n]); err != nil {
 			return err
 		}
 		wrote := false
 		for event, ok := splitter.Next(); ok; event, ok = splitter.Next() {
+			if len(event.ID) > maxEventIDBytes {
+				return errEventID
+			}
 			if resumed && !x.isNewEvent(event.ID) {
 				continue
 			}
