eventstream: search what was read for the end of an event once

A read of many events with LF line ends was searched to its end for CRLF at each event.

The splitter now keeps how far it has searched, and looks for both kinds of blank lines in one pass; it moves the rest of the buffer only after events were taken from it.

--- a/internal/eventstream/splitter.go
+++ b/internal/eventstream/splitter.go
@@ -24,6 +24,7 @@
 	maxBytes int
 	buf      []byte
 	consumed int // number of bytes of buf that Next has returned
+	searched int // no event after consumed ends with a blank line that begins before
 }
 
 // NewSplitter returns a splitter that accepts events of up to maxBytes bytes.
@@ -37,11 +38,14 @@
 // event.
 func (s *Splitter) Feed(p []byte) error {
 	if !s.Partial() && cap(s.buf) > keptBytes {
-		s.buf, s.consumed = nil, 0
+		s.buf, s.consumed, s.searched = nil, 0, 0
 	}
-	s.buf = append(s.buf[:copy(s.buf, s.buf[s.consumed:])], p...)
-	s.consumed = 0
-	if len(s.buf) > s.maxBytes && s.eventLen(s.buf) < 0 {
+	if s.consumed > 0 {
+		s.buf = s.buf[:copy(s.buf, s.buf[s.consumed:])]
+		s.searched, s.consumed = s.searched-s.consumed, 0
+	}
+	s.buf = append(s.buf, p...)
+	if len(s.buf) > s.maxBytes && s.eventEnd() < 0 {
 		return ErrTooLarge
 	}
 	return nil
@@ -49,13 +53,13 @@
 
 // Next returns the next whole event, and false if there is none yet.
 func (s *Splitter) Next() (Event, bool) {
-	rest := s.buf[s.consumed:]
-	end := s.eventLen(rest)
+	end := s.eventEnd()
 	if end < 0 {
 		return Event{}, false
 	}
-	s.consumed += end
-	return Event{Raw: rest[:end], ID: eventID(rest[:end])}, true
+	raw := s.buf[s.consumed:end]
+	s.consumed = end
+	return Event{Raw: raw, ID: eventID(raw)}, true
 }
 
 // Buffered returns the number of bytes that Next has not returned.
@@ -64,17 +68,27 @@
 // Partial reports whether the buffer holds bytes that Next has not returned.
 func (s *Splitter) Partial() bool { return s.consumed < len(s.buf) }
 
-// eventLen returns the length in bytes of the first whole event in b, -1 if there
-// is none.
-func (s *Splitter) eventLen(b []byte) int {
-	lf, crlf := bytes.Index(b, []byte("\n\n")), bytes.Index(b, []byte("\r\n\r\n"))
-	switch {
-	case lf < 0 && crlf < 0:
-		return -1
-	case crlf < 0 || lf >= 0 && lf < crlf:
-		return lf + 2
+// eventEnd returns where the next event ends in the buffer, -1 if it is not whole. What was
+// searched in vain is not searched again.
+func (s *Splitter) eventEnd() int {
+	from := max(s.searched, s.consumed)
+	for {
+		n := bytes.IndexByte(s.buf[from:], '\n')
+		if n < 0 {
+			break
+		}
+		i := from + n
+		rest := s.buf[i+1:]
+		if bytes.HasPrefix(rest, []byte("\n")) {
+			return i + 2
+		}
+		if i > s.consumed && s.buf[i-1] == '\r' && bytes.HasPrefix(rest, []byte("\r\n")) {
+			return i + 3
+		}
+		from = i + 1
 	}
-	return crlf + 4
+	s.searched = max(len(s.buf)-2, s.consumed)
+	return -1
 }
 
 // eventID returns the value of the last id field of an event.
--- a/internal/eventstream/splitter_test.go
+++ b/internal/eventstream/splitter_test.go
@@ -34,7 +34,7 @@
 // The events must not depend on how the stream is divided into reads.
 func TestEventsDoNotDependOnReadSizes(t *testing.T) {
 	rapidtest.Check(t, func(rt *rapid.T) {
-		events := rapid.SliceOfN(rapid.StringMatching(`(id: [0-9]{1,3}\n)?data: [a-z]{0,12}\n\n`), 0, 8).Draw(rt, "events")
+		events := rapid.SliceOfN(rapid.StringMatching(`(id: [0-9]{1,3}\n)?data: [a-z]{0,12}\n\n|(data: [a-z]{0,3}\r\n){1,2}\r\n|:?\n\n|:\r?\n[a-z]\r\n\r\n`), 0, 8).Draw(rt, "events")
 		rest := strings.Join(events, "")
 		s := NewSplitter(1 << 10)
 		var got []string
@@ -53,3 +53,25 @@
 		}
 	})
 }
+
+// The work for an event must grow with its size, not with its square: an upstream may send one
+// that never ends in pieces of few bytes.
+func BenchmarkLongEventInSmallPieces(b *testing.B) {
+	piece := []byte("data:xxx")
+	for b.Loop() {
+		s := NewSplitter(256 << 10)
+		for s.Feed(piece) == nil {
+			s.Next()
+		}
+	}
+}
+
+func BenchmarkManySmallEvents(b *testing.B) {
+	read := []byte(strings.Repeat("\n\n", 8<<10))
+	for b.Loop() {
+		s := NewSplitter(256 << 10)
+		must.NoError(b, s.Feed(read))
+		for _, ok := s.Next(); ok; _, ok = s.Next() {
+		}
+	}
+}
