--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -68,9 +68,11 @@
 	// that large answers do not keep out small ones.
 	smallAnswerMemory = 1 << 20
 	// freeTries is how often memory is asked for while answers are given up, freeInterval the
-	// time in between, in which their memory is released.
-	freeTries    = 20
-	freeInterval = 5 * time.Millisecond
+	// time in between, in which their memory is released. Of those that callers do not read, at
+	// most maxUnreadTries are given up.
+	freeTries      = 100
+	maxUnreadTries = 20
+	freeInterval   = 5 * time.Millisecond
 )
 
 // answerSource says where an answer comes from.
@@ -94,6 +96,7 @@
 // errAnswerOutgrown.
 func (m *answerMemory) take(b *answerBody, n int64) error {
 	defer m.stopWaiting(b)
+	evicted := 0
 	for range freeTries {
 		granted, victim, unread := m.tryTake(b, n)
 		switch {
@@ -103,8 +106,10 @@
 			return b.err
 		case victim != nil && victim.abort != nil:
 			victim.abort()
-		case unread && (m.evictUnread == nil || !m.evictUnread()):
+		case unread && (evicted == maxUnreadTries || m.evictUnread == nil || !m.evictUnread()):
 			return errAnswerMemory
+		case unread:
+			evicted++
 		}
 		time.Sleep(freeInterval)
 	}
@@ -163,11 +168,11 @@
 		if other == b {
 			return other.counted + n
 		}
-		return other.counted
+		return other.counted + other.awaited
 	}
 	shares := map[string]int64{}
 	for other := range m.reading {
-		shares[other.service] += other.counted
+		shares[other.service] += other.counted + other.awaited
 	}
 	order := func(x, y *answerBody) int {
 		return cmp.Or(cmp.Compare(shares[x.service], shares[y.service]), strings.Compare(x.service, y.service), cmp.Compare(size(x), size(y)), cmp.Compare(x.id, y.id))
@@ -264,6 +269,43 @@
 	}
 }
 
+// eventMemory counts the memory of the unfinished event of a stream as that of an answer, if it
+// is a large one.
+type eventMemory struct {
+	memory *answerMemory
+	from   answerSource
+	body   *answerBody // nil if nothing is counted
+}
+
+// uncountedEventBytes is the size up to which an event is not counted.
+const uncountedEventBytes = 2 * readBufferBytes
+
+// hold counts an unfinished event of n bytes in place of what was counted before. It fails like
+// answerMemory.take.
+func (e *eventMemory) hold(n int) error {
+	if n <= uncountedEventBytes {
+		return e.end(nil)
+	}
+	if e.body == nil {
+		e.body = e.memory.begin(e.from)
+	}
+	if more := 2*int64(n) - e.body.counted; more > 0 { // twice, as the buffer grows by being copied
+		return e.memory.take(e.body, more)
+	}
+	return nil
+}
+
+// end returns what is counted. Its result is that of answerMemory.end.
+func (e *eventMemory) end(err error) error {
+	if e.body == nil {
+		return err
+	}
+	err = e.memory.end(e.body, err)
+	e.memory.release(e.body)
+	e.body = nil
+	return err
+}
+
 // discardRejection reads the body of a rejection and reports whether it was read to its
 // end.
 func discardRejection(r io.Reader) bool {
