gateway: an answer to a HEAD keeps the length that the upstream gave

What callers saw: "Content-Length: 0" in each answer to a HEAD on a route that does not stream, also where the upstream had said 1234 or nothing: the resource seemed empty, and whole.

Cause: relayComplete sets the length of the body that it read, which is none for a HEAD (RFC 9110, section 8.6, allows only the length that a GET would give).

Change: for a HEAD the upstream's length is passed on, and none if there is none.

Evidence: TestAnswerToAHeadRequestKeepsItsLength got "0" for "1234" before, and passes for four forms of framing now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -440,7 +440,7 @@
 		return outcomeCallerLeft
 	}
 	x.g.codec.CopyResponseHeader(x.w.Header(), resp.Header)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.setLength(resp, len(body))
 	x.w.WriteHeader(resp.Status)
 	if _, err := x.w.Write(body); err != nil {
 		x.rec.lastError = err
@@ -449,6 +449,17 @@
 	return outcomeDelivered
 }
 
+// setLength sets the length of the answer to the caller. The length in an answer to a HEAD is
+// that of a body that is not there, and stays as the upstream gave it.
+func (x *exchange) setLength(resp *httpconn.Response, bodyBytes int) {
+	const name = "Content-Length"
+	if x.r.Method != http.MethodHead {
+		x.w.Header().Set(name, strconv.Itoa(bodyBytes))
+	} else if length := resp.Header.Get(name); length != "" {
+		x.w.Header().Set(name, length)
+	}
+}
+
 // reserveRetry reports whether a request that an upstream answered with a server
 // error should be retried at another one, and takes that retry from the budget.
 func (x *exchange) reserveRetry() bool {
