gateway: a stopping instance passes on only what can end in time

What callers saw: a request taken after SIGTERM was passed on however long it would take. One that may not be repeated, whose body was complete only after the listener had closed (2.5 s after SIGTERM, grace 8 s), was passed on and cut with no answer at 7.75 s.

Cause: stop serves on until Shutdown and nothing compares a request with the end of the instance. Shutdown itself keeps net/http from serving a request whose head is read later, so that late ones are those with a slow body, those that waited in the queue, those sent once more, and all that came in the lame-duck period and last longer than what is left.

Change: runTimes learns, by route and model, how long requests take at upstreams (moving mean and mean deviation). While the instance stops, each placement asks whether the request can be expected to be answered before the end: its own time is over before, or mean + 4 deviations of its kind fit. An unmeasured kind is sent only if it may be repeated. Streams that have begun go on.

Ruled out: a connection that had sent no whole head when the listener closed.

Measured short requests are served in the lame-duck period (TestShortRequestsAreServedWhileTheBalancerNotices).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -122,6 +122,7 @@
 // finishAttempt records an attempt with outcome o and returns o.
 func (x *exchange) finishAttempt(a *attempt, o outcome) outcome {
 	a.cancel()
+	x.observeRunTime(a, o)
 	x.releaseBytes(a)
 	x.endRelayed(a)
 	x.g.links.ended(a.wait)
@@ -159,7 +160,7 @@
 }
 
 // acquire waits for an upstream for the job and, if no upstream holds the job's
-// adapter, requests the adapter.
+// adapter, requests the adapter. A request that would outlast the instance is refused.
 func (x *exchange) acquire(ctx context.Context) (assign.QueueResult, bool) {
 	if x.job.Adapter != "" {
 		x.g.adapterRequests.requestIfMissing(x.service, x.job.Model, x.job.Adapter)
@@ -168,10 +169,18 @@
 		x.job.InProgress = true
 		x.job.FirstEventDeadline = min(x.rec.stream.lastEventAt+x.patience, x.job.Deadline)
 	}
+	if !x.endsInTime() {
+		return assign.QueueResult{Decision: assign.Decision{Refusal: stopRefusal}}, true
+	}
 	started := x.g.now()
 	placed, ok := x.g.permits.acquire(ctx, x.job, x.organisation(), x.heldBack)
 	x.rec.queueTime += x.g.now() - started
 	x.rec.inputs = placed.Decision.Factors
+	if placed.Placement != nil && !x.endsInTime() { // after the wait
+		x.g.dispatcher.done(placed.Placement, assign.ResultUnknown)
+		x.g.dispatcher.recordNotSent(placed.Placement)
+		placed.Placement, placed.Decision.Refusal = nil, stopRefusal
+	}
 	return placed, ok
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,7 @@
 	zoneLeads     atomic.Pointer[[]string] // names of the other leads of the zone
 	fetchingTable atomic.Bool              // a fetch of a peer's residency table is running
 	shutdown      *shutdown
+	runTimes      *runTimes
 	// registeredEra is the era of the store in which this instance was last added to the list
 	// of instances, or notRegistered.
 	registeredEra atomic.Int64
@@ -147,7 +148,7 @@
 	g.limiter = &limiter{now: g.now, inner: sharedlimit.New(g.now(), g.expectedPeers(), s.Limits.Window.Std())}
 	g.answerMemory = newAnswerMemory(s.Memory.LimitMB)
 	g.inFlight = newInFlight()
-	g.shutdown = newShutdown()
+	g.shutdown, g.runTimes = newShutdown(), newRunTimes()
 	g.clients = clientguard.New(clientguard.Options{MemoryMB: s.Memory.LimitMB, Now: g.now, Log: g.log, Metrics: g.metrics})
 	g.answerMemory.evictUnread = g.clients.EvictUnread
 	g.demandMeter = &demandMeter{now: g.now, meter: residency.NewMeter()}
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -19,7 +19,7 @@
 func newTestExchange(n int) *exchange {
 	now := func() time.Duration { return time.Minute }
 	budget := newRetryBudget(RetrySettings{FixedPerWindow: float64(n) / budgetSafetyFactor, Window: settings.Duration(10 * time.Second)}, func() int { return 1 }, now)
-	g := &Gateway{now: now, retryBudget: budget, dispatcher: newDispatcher(assign.Options{}, now), shutdown: newShutdown()}
+	g := &Gateway{now: now, retryBudget: budget, dispatcher: newDispatcher(assign.Options{}, now), shutdown: newShutdown(), runTimes: newRunTimes()}
 	g.settings.Store(&Settings{})
 	g.permits = newPermits(g)
 	g.links = newLinks(g)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -203,15 +203,15 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// stop shuts the instance down. Health checks fail first, requests are still
-// served until the load balancer notices, and requests in progress may finish
+// stop shuts the instance down. Health checks fail first, requests that can be
+// expected to end in time are still served until the load balancer notices, and requests in progress may finish
 // within the grace time. At its end those without an answer get one.
 func (g *Gateway) stop(s *servers) {
 	stopStart := g.now()
 	g.log.Info("stopping", "grace", g.settings.Load().Stop.Grace.Std())
-	g.shutdown.began.Store(true)
-	g.mesh.MarkLeaving()
 	grace := g.settings.Load().Stop.Grace.Std() - exitMargin
+	g.shutdown.begin(stopStart + grace - lastAnswerMargin)
+	g.mesh.MarkLeaving()
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	defer time.AfterFunc(grace-lastAnswerMargin, g.shutdown.setOver).Stop()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -20,7 +20,8 @@
 // shutdown is the state of a graceful stop. It is safe for concurrent use.
 type shutdown struct {
 	began atomic.Bool
-	over  atomic.Bool // nothing waits for an upstream that has not begun to answer
+	endAt atomic.Int64 // when over will be set, as a duration
+	over  atomic.Bool  // nothing waits for an upstream that has not begun to answer
 
 	overCtx context.Context // ends when over is set
 	end     context.CancelFunc
@@ -36,9 +37,47 @@
 // at once.
 const stopRetryAfter = 50 * time.Millisecond
 
+// endsInTime reports whether a request that is sent now can be expected to be answered before the
+// instance ends: if its own time is over before, or if requests of its kind have not taken longer
+// so far. If none of them was measured, only a request that may be repeated is sent. A stream
+// that has begun goes on in any case.
+func (x *exchange) endsInTime() bool {
+	s := x.g.shutdown
+	if !s.began.Load() || x.begun() {
+		return true
+	}
+	end := time.Duration(s.endAt.Load())
+	if x.job.Deadline <= end {
+		return true
+	}
+	expected, known := x.g.runTimes.expected(x.runKind())
+	if !known {
+		return x.route.Repeatable()
+	}
+	return x.g.now()+expected <= end
+}
+
+func (x *exchange) runKind() runKind { return runKind{route: x.route.Name, model: x.req.Model} }
+
+// observeRunTime records how long an attempt with outcome o took.
+func (x *exchange) observeRunTime(a *attempt, o outcome) {
+	switch o {
+	case outcomeDelivered:
+		x.g.runTimes.observe(x.runKind(), x.g.now()-a.begunAt, true)
+	case outcomeTimeout, outcomeCallerLeft:
+		x.g.runTimes.observe(x.runKind(), x.g.now()-a.begunAt, false)
+	}
+}
+
 // stopRefusal is the refusal of a request that has not run and cannot end before its instance.
 var stopRefusal = fleet.Refusal{Reason: fleet.ReasonStopping, RetryAfter: stopRetryAfter}
 
+// begin begins the stop. The requests of which no part was answered end at end.
+func (s *shutdown) begin(end time.Duration) {
+	s.endAt.Store(int64(end))
+	s.began.Store(true)
+}
+
 // setOver ends the requests of which no part was answered.
 func (s *shutdown) setOver() {
 	s.over.Store(true)
