gateway: a stopping instance takes no more requests to relay

What callers saw: nothing directly. A peer that does not yet know that this instance stops may have a request sent through it until the end of the grace time; the peer's caller then gets 502, or a stream that breaks, by a stop of another instance.

Cause: relayOne refuses during an evacuation, but not during a stop.

Change: from SIGTERM on a relay refuses (not sent), so that the peer asks the next relay. Requests that it has are finished and waited for, as before.

Result: TestStoppingRelayTakesNothingMore fails before (no error, the request is sent) and passes after; the request that was there before the stop gets its whole answer.

--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -187,7 +187,7 @@
 func (l *links) relayOne(w http.ResponseWriter, r *http.Request, key reach.Upstream) error {
 	u, ok := l.listed(key)
 	defer l.relaying.Add(-1)
-	if l.relaying.Add(1) > maxRelayed || !ok || l.relayed(key, false) || l.g.evacuations.pending() {
+	if l.relaying.Add(1) > maxRelayed || !ok || l.relayed(key, false) || l.g.evacuations.pending() || l.g.shutdown.began.Load() {
 		return relay.ErrRefused
 	}
 	held := l.g.clients.Hold(r.Context())
--- a/internal/gateway/relaying_test.go
+++ b/internal/gateway/relaying_test.go
@@ -112,6 +112,33 @@
 	must.Eq(t, 1, arrived)
 }
 
+// A relay that stopped took requests of peers that did not know, and cut them at its end.
+func TestStoppingRelayTakesNothingMore(t *testing.T) {
+	begun, finish := make(chan struct{}, 2), make(chan struct{})
+	r, _ := newTestRelay(t, func(w http.ResponseWriter, _ *http.Request) {
+		begun <- struct{}{}
+		<-finish
+		fmt.Fprint(w, "whole")
+	})
+	before := make(chan string, 1)
+	go func() {
+		resp, err := r.pool.Do(context.Background(), relay.Request(&httpconn.Request{Method: "POST", RequestURI: "/", Host: "h", Header: http.Header{}}, relayedUpstream, r.address))
+		if err != nil {
+			before <- err.Error()
+			return
+		}
+		body, err := io.ReadAll(resp.Body)
+		before <- fmt.Sprint(string(body), err)
+	}()
+	<-begun
+	r.node.g.shutdown.begin(r.node.g.now() + time.Minute)
+	close(finish)
+	_, err := r.send(context.Background())
+	must.ErrorIs(t, err, relay.ErrRefused)
+	must.Eq(t, "whole<nil>", <-before)
+	r.node.g.links.drain(context.Background())
+}
+
 // A relay that does not reach the upstream itself says so; it asks no other peer.
 func TestRelayDoesNotRelayAgain(t *testing.T) {
 	r, upstream := newTestRelay(t, func(http.ResponseWriter, *http.Request) {})
