gateway, platform: more cases of a stop

TestRequestThatWaitedTooLongInAStopIsNotSent covers a request that is placed after a wait when it no longer ends in time: refused, nothing of its place is left at the upstream. It fails without the check after the wait (placement not nil), passes five of five times with -race.

--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,3 +47,47 @@
 		})
 	}
 }
+
+// A request that waited for an upstream until it cannot end in time gives its place back.
+func TestRequestThatWaitedTooLongInAStopIsNotSent(t *testing.T) {
+	var clock atomic.Int64
+	clock.Store(int64(time.Minute))
+	x := newTestExchange(0)
+	x.g.now = func() time.Duration { return time.Duration(clock.Load()) }
+	x.withUpstreams("u0")
+	job := func() *assign.Job {
+		at := x.g.now()
+		return &assign.Job{Service: "app", Arrived: at, Objective: at + time.Minute, FirstEventDeadline: at + time.Minute, Deadline: at + time.Minute}
+	}
+	var running []*assign.Placement
+	for {
+		placed, ok := x.g.dispatcher.placeNow(job())
+		if !ok {
+			break
+		}
+		running = append(running, placed.Placement)
+	}
+	x.job, x.rec.stream = job(), &streamState{}
+	x.g.runTimes.observe(x.runKind(), time.Second, true)
+	x.g.shutdown.begin(x.g.now() + 5*time.Second)
+	must.True(t, x.endsInTime())
+	result := make(chan assign.QueueResult, 1)
+	go func() {
+		placed, _ := x.acquire(context.Background())
+		result <- placed
+	}()
+	for queued := 0; queued == 0; time.Sleep(time.Millisecond) {
+		x.g.dispatcher.read(func(s *assign.Scheduler) { queued = s.QueueLength() })
+	}
+	clock.Add(int64(3 * time.Second))
+	for _, p := range running {
+		x.g.dispatcher.done(p, assign.ResultOK)
+	}
+	placed := <-result
+	must.Nil(t, placed.Placement)
+	must.Eq(t, fleet.ReasonStopping, placed.Decision.Refusal.Reason)
+	must.MapEmpty(t, x.g.dispatcher.localLoads())
+	placed, ok := x.acquire(context.Background()) // another attempt is refused at once
+	must.True(t, ok)
+	must.Eq(t, fleet.ReasonStopping, placed.Decision.Refusal.Reason)
+}
