gateway: a rejection whose body does not end is read for 50 ms at most

What callers saw: an upstream that answered "not run" (503, 421) with a body that went on in few bytes held the request until its deadline, and it was then refused with 503, though another upstream could have run it.

Cause: the body of a rejection is read so that its connection can be kept. That was bounded at 16 KB, but not in time, as the supervision of the attempt ends with its head.

Change: reading ends after 50 ms, whether bytes come or not; the connection is then closed, as beyond 16 KB.

TestRejectionWithoutEndIsNotReadOn has the new argument and one case more.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -23,10 +23,13 @@
 	// maxRejectionBytes is how much of the body of a rejection is read so that its
 	// connection can be kept.
 	maxRejectionBytes = 16 << 10
+	// maxRejectionTime is how long it is read: the request waits for it.
+	maxRejectionTime = 50 * time.Millisecond
 )
 
 // Errors of reading an answer.
 var (
+	errRejectionLate  = errors.New("gateway: body of a rejection does not end")
 	errAnswerTooLarge = errors.New("gateway: answer too large")
 	errAnswerMemory   = errors.New("gateway: no memory left for answers")
 	// errAnswerOutgrown means that an answer without a stated length was given up because those
@@ -306,9 +309,16 @@
 	return err
 }
 
-// discardRejection reads the body of a rejection and reports whether it was read to its
-// end.
-func discardRejection(r io.Reader) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(r, maxRejectionBytes+1))
-	return err == nil && n <= maxRejectionBytes
+// discardRejection reads the body of a rejection until it is over, and reports whether it was
+// read to its end.
+func discardRejection(r io.Reader, over func() bool) bool {
+	buf := make([]byte, 1<<10)
+	for n := 0; n <= maxRejectionBytes && !over(); {
+		m, err := r.Read(buf)
+		n += m
+		if err != nil {
+			return errors.Is(err, io.EOF) && n <= maxRejectionBytes
+		}
+	}
+	return false
 }
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -146,7 +146,9 @@
 
 func TestRejectionWithoutEndIsNotReadOn(t *testing.T) {
 	e := &endless{}
-	must.False(t, discardRejection(e))
+	never := func() bool { return false }
+	must.False(t, discardRejection(e, never))
 	must.LessEq(t, 4*maxRejectionBytes, e.read)
-	must.True(t, discardRejection(strings.NewReader("full")))
+	must.True(t, discardRejection(strings.NewReader("full"), never))
+	must.False(t, discardRejection(&endless{}, func() bool { return true }))
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -392,15 +392,14 @@
 // rejectAnswer ends an attempt whose answer must not be passed to the caller.
 func (x *exchange) rejectAnswer(a *attempt, kind fleet.AnswerKind) outcome {
 	id, resp := a.Decision.Upstream.ID, a.response
-	a.exchange.Watch(httpconn.Watch{})
 	switch kind {
 	case fleet.AnswerNotRun:
-		resp.Finish(discardRejection(resp.Body))
+		x.finishRejection(a)
 		x.g.dispatcher.upstreamFull(a.Placement, id)
 		x.rejectedBy = append(x.rejectedBy, id)
 		return outcomeNotRun
 	case fleet.AnswerMisdirected:
-		resp.Finish(discardRejection(resp.Body))
+		x.finishRejection(a)
 		x.g.dispatcher.modelAbsent(a.Placement, id, x.job.Model, x.job.Adapter)
 		if x.job.Model != "" { // a plain upstream that is not the one addressed stays so
 			x.rejectedBy = append(x.rejectedBy, id)
@@ -414,6 +413,18 @@
 	return outcomeUnknown
 }
 
+// finishRejection reads the body of a rejection for a moment, so that its connection can be kept.
+func (x *exchange) finishRejection(a *attempt) {
+	began := x.g.now()
+	elapsed := func() time.Duration { return x.g.now() - began }
+	a.exchange.Watch(httpconn.Watch{
+		Timeout:   func() time.Duration { return maxRejectionTime },
+		Silent:    elapsed,
+		OnSilence: func(time.Duration) error { return errRejectionLate },
+	})
+	a.response.Finish(discardRejection(a.response.Body, func() bool { return elapsed() >= maxRejectionTime }))
+}
+
 // errNotResumed means that an upstream answered the request to resume a stream
 // with something other than a successful stream.
 var errNotResumed = errors.New("gateway: upstream did not resume the stream")
