logring: bound the queue in bytes, too

The queue of the log held 2,048 lines, of whatever length. An upstream that sends a line of 60 KB in place of an answer makes log lines of 308 KB, as the error quotes it (seen in a process with such an upstream: 46 of them in three seconds, peak 88 MB where other kinds take 31 to 45). While nobody reads the output, 629 MB of them were queued.

Lines are dropped and counted beyond 4 MB as beyond 2,048 lines, which is 2 KB a line; a request's line has about 0.6 KB.

TestQueueOfLongLinesIsBounded fails before (628,838,400 bytes queued) and passes after.

--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -1,7 +1,7 @@
 // Package logring provides a log writer that never blocks its caller. Lines pass
-// through a bounded queue to a goroutine that writes them to an io.Writer. When
-// the queue is full, lines are dropped and counted, and a log line with the count
-// is written as soon as there is room.
+// through a queue, bounded in lines and bytes, to a goroutine that writes them to an
+// io.Writer. When the queue is full, lines are dropped and counted, and a log line with
+// the count is written as soon as there is room.
 package logring
 
 import (
@@ -17,6 +17,7 @@
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
+	queued  atomic.Int64 // bytes in lines
 	dropped atomic.Int64
 	wg      sync.WaitGroup
 }
@@ -28,14 +29,22 @@
 	return r
 }
 
+// maxQueuedBytes bounds the queue: a line may quote what a faulty peer sent.
+const maxQueuedBytes = 4 << 20
+
 // Write queues a copy of line, or drops the line if the queue is full. It
 // implements io.Writer and never blocks or fails.
 func (r *Writer) Write(line []byte) (int, error) {
-	select {
-	case r.lines <- append([]byte(nil), line...):
-	default:
-		r.dropped.Add(1)
+	n := int64(len(line))
+	if r.queued.Add(n) <= maxQueuedBytes {
+		select {
+		case r.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	r.queued.Add(-n)
+	r.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -45,7 +54,7 @@
 func (r *Writer) run() {
 	var batch []byte
 	for line := range r.lines {
-		batch = append(batch[:0], line...)
+		batch = r.appendLine(batch[:0], line)
 		batch = r.appendQueued(batch)
 		if n := r.dropped.Swap(0); n > 0 {
 			batch = append(batch, droppedLine(n)...)
@@ -54,6 +63,11 @@
 	}
 }
 
+func (r *Writer) appendLine(batch, line []byte) []byte {
+	r.queued.Add(-int64(len(line)))
+	return append(batch, line...)
+}
+
 // appendQueued appends the lines that are already queued, until the batch has
 // maxBatchBytes.
 func (r *Writer) appendQueued(batch []byte) []byte {
@@ -63,7 +77,7 @@
 			if !ok {
 				return batch
 			}
-			batch = append(batch, line...)
+			batch = r.appendLine(batch, line)
 		default:
 			return batch
 		}
--- a/internal/logring/logring_test.go
+++ b/internal/logring/logring_test.go
@@ -52,6 +52,26 @@
 	must.Eq(t, 100, written+dropped)
 }
 
+// Long lines that nobody reads must not fill the memory, however few they are.
+func TestQueueOfLongLinesIsBounded(t *testing.T) {
+	const lineBytes = 300 << 10
+	w := &slowWriter{release: make(chan struct{})}
+	r := New(w, 2048)
+	line := append(bytes.Repeat([]byte("x"), lineBytes-1), '\n')
+	for range 2048 {
+		_, err := r.Write(line)
+		must.NoError(t, err)
+	}
+	must.LessEq(t, int64(maxQueuedBytes), r.queued.Load())
+	must.Between(t, 1, len(r.lines), maxQueuedBytes/lineBytes)
+	close(w.release)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	r.Close(ctx)
+	must.Zero(t, r.queued.Load())
+	must.StrContains(t, w.buf.String(), "log lines dropped")
+}
+
 func TestLinesKeepTheirOrder(t *testing.T) {
 	var out bytes.Buffer
 	r := New(&out, 100)
