httpconn: errors quote only the beginning of what an upstream sent

An upstream that sent 60 KB in place of a status line or a header line had all of it, escaped, in the log line of each request: 308 KB a line, 46 lines in three seconds from one upstream that was soon left alone.

The text of such an error ends after 256 bytes now.

--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -60,6 +60,21 @@
 	must.NoError(t, ctx.Err())
 }
 
+// An error must not keep what an upstream sent in place of an answer: it goes into the log.
+func TestErrorsQuoteOnlyTheBeginning(t *testing.T) {
+	long := strings.Repeat("\xff", maxHeadBytes-1<<10)
+	for _, text := range []string{long + "\r\n\r\n", "HTTP/1.1 " + long + "\r\n\r\n", "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n"} {
+		s := newRawServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, text) // the pool may have disconnected
+			return false
+		})
+		_, err := s.pool.Do(context.Background(), &Request{Address: s.address, Method: "GET", RequestURI: "/", Host: "h"})
+		must.ErrorIs(t, err, ErrExchangeFailed)
+		must.StrContains(t, err.Error(), "malformed")
+		must.Less(t, 1<<10, len(err.Error()))
+	}
+}
+
 // A large head below the bound is read, and the bounds do not count the body.
 func TestLargeHeadAndBody(t *testing.T) {
 	body := strings.Repeat("b\n", 2*maxHeadBytes)
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -193,13 +193,27 @@
 		if errors.Is(c.readErr, ErrHeadTooLarge) { // err may tell of the line that was cut instead
 			return nil, c.readErr
 		}
-		if err != nil || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, err
+		if err != nil {
+			return nil, shortened(err)
+		}
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
 		}
 	}
 	return nil, ErrHeadTooLarge
 }
 
+// maxQuotedBytes bounds the text of an error that quotes what an upstream sent.
+const maxQuotedBytes = 256
+
+// shortened returns an error with the beginning of the text of err if that is long.
+func shortened(err error) error {
+	if text := err.Error(); len(text) > maxQuotedBytes {
+		return errors.New(text[:maxQuotedBytes] + "...")
+	}
+	return err
+}
+
 // get returns a healthy idle connection that has not expired and was opened after a time, or a
 // new one.
 func (p *Pool) get(ctx context.Context, address string, openedAfter time.Duration) (*conn, error) {
