gateway: a resumed stream is not whole without an event that was begun

Cause: each answer was judged by its own framing only. That the event before the break was begun, so that the stream does not end there, was forgotten with the attempt.

Change: the stream remembers that an event was begun until a new event is passed on. An answer that ends before that has failed: another upstream is asked if the route allows it, and otherwise the caller's connection breaks. Without a begun event an empty rest is whole as before.

Evidence: TestResumedStreamWithoutTheBrokenEventIsNotWhole, three framings of the empty rest: before, all three counted as whole after a break within an event; now none does, and all three still do after a break between events.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,6 +25,7 @@
 // streamState is the part of a stream that the caller has received so far.
 type streamState struct {
 	headSent    bool // the status and headers were sent to the caller
+	eventBegun  bool // an upstream broke off within the event after the last one
 	lastEventID string
 	events      int
 	lastEventAt time.Duration
@@ -74,10 +75,14 @@
 
 var errPartialEvent = errors.New("gateway: stream ended in the middle of an event")
 
+// errEventMissing means that a stream ended without the event that an upstream before had begun.
+var errEventMissing = errors.New("gateway: resumed stream ended without the event that was begun")
+
 // copyEvents relays events until the stream ends or breaks. In a resumed stream
 // it skips the events that the caller already has.
 func (x *exchange) copyEvents(a *attempt) error {
 	splitter := eventstream.NewSplitter(maxEventBytes)
+	defer func() { x.rec.stream.eventBegun = x.rec.stream.eventBegun || splitter.Partial() }()
 	buf := make([]byte, readBufferBytes)
 	resumed := x.rec.stream.headSent
 	if resumed && mediaType(a.response.Header) != mediaType(x.w.Header()) {
@@ -106,6 +111,7 @@
 			if _, err := x.w.Write(event.Raw); err != nil {
 				return &callerDisconnectedError{err}
 			}
+			x.rec.stream.eventBegun = false
 			x.rec.stream.events++
 			x.rec.bytes += len(event.Raw)
 			if len(event.ID) > 0 {
@@ -125,6 +131,8 @@
 		switch {
 		case errors.Is(readErr, io.EOF) && splitter.Partial():
 			return errPartialEvent
+		case errors.Is(readErr, io.EOF) && resumed && x.rec.stream.eventBegun:
+			return errEventMissing
 		case errors.Is(readErr, io.EOF):
 			return nil
 		case readErr != nil:
