gateway: the side of a partition in fleet tests is safe for concurrent use

The race detector reported TestFleetIsNotLeftBehindByItsReaders/readers_frozen: tests set the side of a partition while calls between instances read it.

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -148,9 +148,9 @@
 	logged  lockedBuffer
 	lossy   atomic.Int64 // calls to it get no answer until this time in Unix nanoseconds, but each third one
 	calls   atomic.Int64
-	mute    atomic.Bool // calls that fetch from it get no answer
-	refuses atomic.Bool // it puts no configuration in force
-	side    int         // instances on different sides of a partition do not reach each other
+	mute    atomic.Bool  // calls that fetch from it get no answer
+	refuses atomic.Bool  // it puts no configuration in force
+	side    atomic.Int32 // instances on different sides of a partition do not reach each other
 	started time.Time
 	cancel  context.CancelFunc
 	ended   sync.WaitGroup
@@ -269,7 +269,7 @@
 		time.Sleep(linkDelay)
 		return errNoPeer
 	}
-	if to.side != c.from.side {
+	if to.side.Load() != c.from.side.Load() {
 		<-ctx.Done()
 		return ctx.Err()
 	}
--- a/internal/gateway/permitfleet_test.go
+++ b/internal/gateway/permitfleet_test.go
@@ -202,7 +202,7 @@
 			f.check(t, "before", time.Second, 0.8, 0.02, 1)
 			former := f.arbiter()
 			if fault == "is partitioned" {
-				former.side = 1
+				former.side.Store(1)
 			} else {
 				former.stop()
 			}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -35,7 +35,7 @@
 		time.Sleep(6 * time.Second)
 		rng := rand.New(rand.NewPCG(30, 1))
 		cut := nodes[size-1]
-		cut.side = 1
+		cut.side.Store(1)
 		bad := []quarantine.Key{{Kind: quarantine.KindPart, Service: "app", ID: 7}}
 		for i := range 3 {
 			nodes[rng.IntN(size-1)].g.crashes.Broke(quarantine.Upstream{ID: fmt.Sprint("u", i), StartedAtMS: 1, Zone: fmt.Sprint("z", i)}, "a", bad)
@@ -54,7 +54,7 @@
 			return out
 		}
 		must.Eq(t, []string{cut.g.self.Name}, missing())
-		cut.side = 0
+		cut.side.Store(0)
 		nodes[1].stop()
 		nodes[1] = start(1)
 		nodes = append(nodes, start(size))
--- a/internal/gateway/readers_test.go
+++ b/internal/gateway/readers_test.go
@@ -110,7 +110,7 @@
 func (f *readerFleet) freeze(instances ...int) {
 	f.troubleAt(leavesSilent, instances...)
 	for _, i := range instances {
-		f.nodes[i].side = 1
+		f.nodes[i].side.Store(1)
 	}
 }
 
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -104,7 +104,7 @@
 		time.Sleep(8 * time.Second)
 		f.mu.Lock()
 		for i, n := range nodes {
-			n.side = i % 2
+			n.side.Store(int32(i % 2))
 		}
 		f.mu.Unlock()
 		for range 60 {
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -140,7 +140,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, nodes := newVersionedFleet(t, 6, "v1", "v1")
 		cut := nodes[3]
-		cut.side = 1
+		cut.side.Store(1)
 		f.store.SetFaults(objectstore.Faults{Outage: true})
 		time.Sleep(listConfirmedFor + 500*time.Millisecond)
 		nodes[0].g.streamVersions.began("", "first", "app", "v2") // at an upstream that cut does not know
@@ -151,7 +151,7 @@
 		must.Eq(t, "v2", *x.job.Version)
 		// Those in touch with each other go on as before, though a keeper is silent.
 		must.Eq(t, fleet.ReasonNone, resumed(nodes[4], "nobody knows").resolveVersion(context.Background()).Reason)
-		cut.side = 0
+		cut.side.Store(0)
 		f.store.SetFaults(objectstore.Faults{})
 		time.Sleep(5 * time.Second)
 		x = resumed(cut, "first")
