mesh: the address of a peer is read under the lock

The race detector reported TestFirstInstanceOfABuildWithErasHasChanges: the goroutine of an exchange read what is known of a peer while a state from that peer replaced it. No effect on callers was seen. The address is read when the exchange is decided on. With it the new tests pass under the race detector.

--- a/internal/mesh/exchanger.go
+++ b/internal/mesh/exchanger.go
@@ -211,8 +211,9 @@
 	now := e.opts.Now()
 	e.mu.Lock()
 	due := e.members.dueForExchange(now, e.rng)
-	for _, p := range due {
-		p.inFlight, p.requestedAt = true, now
+	addresses := make([]string, len(due))
+	for i, p := range due {
+		p.inFlight, p.requestedAt, addresses[i] = true, now, p.info.PeerAddress
 	}
 	seeds := e.members.dueSeeds(now, e.opts.Seeds())
 	expired := e.members.removeExpired(now)
@@ -220,9 +221,9 @@
 	for _, i := range expired {
 		e.opts.Log.Info("peer forgotten", "peer", i.Name, "incarnation", i.Incarnation, "silent_ms", forgetAfter.Milliseconds())
 	}
-	for _, p := range due {
+	for i, p := range due {
 		go func() {
-			e.exchangeWith(ctx, p.info.PeerAddress, e.buildState(now, p))
+			e.exchangeWith(ctx, addresses[i], e.buildState(now, p))
 			e.mu.Lock()
 			p.inFlight = false
 			e.mu.Unlock()
