gateway: answers that begin during a stop close their connection

What callers saw: the answer to a request that was in progress at SIGTERM kept its connection. The next request on it came to the stopping instance within the lame-duck period, or crossed the close of idle connections after that.

Cause: ServeHTTP set Connection: close when a request came, so only for those that came after SIGTERM.

Change: the header is set when an answer begins: refusals, whole answers and the heads of streams.

Result: TestConnectionIsNotKeptAfterAnAnswerInAStop: before, none of a 502, a whole answer and a stream closed its connection; now all three do, in three of three runs.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -461,6 +461,7 @@
 	}
 	x.g.codec.CopyResponseHeader(x.w.Header(), resp.Header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.closeInStop()
 	x.w.WriteHeader(resp.Status)
 	if _, err := x.w.Write(body); err != nil {
 		x.rec.lastError = err
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -102,9 +102,6 @@
 // ServeHTTP handles one request of a caller. It implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{g: g, w: w, r: r, ctx: r.Context(), arrived: g.now()}
-	if g.shutdown.began.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	defer x.finish()
 	if refusal := x.identify(); refusal.Reason != fleet.ReasonNone {
 		clientguard.SkipBody(w, r)
@@ -261,6 +258,7 @@
 // refuse answers the request with a refusal by the gateway.
 func (x *exchange) refuse(r fleet.Refusal) {
 	x.rec.refusal = r
+	x.closeInStop()
 	x.g.codec.WriteError(x.w, x.req.AttemptID, r)
 }
 
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -57,6 +57,14 @@
 	return x.g.now()+expected <= end
 }
 
+// closeInStop lets the connection be closed after the answer if the instance stops, so that the
+// caller's next request goes to another one.
+func (x *exchange) closeInStop() {
+	if x.g.shutdown.began.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 func (x *exchange) runKind() runKind { return runKind{route: x.route.Name, model: x.req.Model} }
 
 // observeRunTime records how long an attempt with outcome o took.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -148,6 +148,7 @@
 	x.rec.stream.headSent = true
 	x.leaveShutdown()
 	x.g.codec.CopyResponseHeader(x.w.Header(), resp.Header)
+	x.closeInStop()
 	x.w.WriteHeader(resp.Status)
 }
 
