storesync: an older configuration does not replace the one that waits

What callers would see: a change of a new era of the store that goes on from an older copy is late at an instance, until it reads the change again, at the latest when the grace of 30 s ends. Cause: while the change waits, an object of a lower store version was held back in its place. One comes from a peer that started after the store came back, whose configuration is the copy's, or from a list that was answered before the watch's event. An object that was in force before waits for the whole grace, and a watch does not deliver the change twice. Change: what is older than the object that waits is ignored, as what is older than the one in force. Measured: TestCopyOfAPeerDoesNotReplaceTheChangeThatWaits failed (version 8 in force for 6, 2.25 s after the change) and passes; go test ./internal/storesync passes.

--- a/internal/storesync/restored.go
+++ b/internal/storesync/restored.go
@@ -90,9 +90,10 @@
 	graceEnd time.Duration // of the era of object
 }
 
-// holds reports whether an object is the one held back and its time has not passed.
+// holds reports whether an object is the one held back and its time has not passed, or an
+// earlier one, such as that of a peer that has started since the store came back.
 func (h *heldConfig) holds(now time.Duration, obj objectstore.Object) bool {
-	return h.object.Version != 0 && obj.Version == h.object.Version && now < h.until
+	return obj.Version < h.object.Version || obj.Version == h.object.Version && now < h.until
 }
 
 // hold holds an object of a new era back. What settles does so from the first of a series.
--- a/internal/storesync/restored_test.go
+++ b/internal/storesync/restored_test.go
@@ -247,3 +247,29 @@
 		}
 	})
 }
+
+// A change that waited was replaced by the version of the copy that a peer had, and was lost until
+// the next read of the store.
+func TestCopyOfAPeerDoesNotReplaceTheChangeThatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := objectstore.NewMemory(time.Second)
+		f := &restoredFixture{t: t, memory: memory}
+		f.put(objectstore.KindUpstream, "a", `{"Slots":1}`)
+		f.put(objectstore.KindConfig, "main", `{"Version":5}`)
+		f, stop := newRestoredFixture(t, memory, false)
+		defer stop()
+		time.Sleep(time.Second)
+		apply := func(era, revision uint64, text, source string) {
+			version, err := objectstore.VersionOf(era, revision)
+			must.NoError(t, err)
+			f.c.applyConfig(objectstore.Object{Kind: objectstore.KindConfig, Name: "main", Version: version, Value: json.RawMessage(text)}, source)
+		}
+		apply(0, 20, `{"Version":8}`, sourceStore)
+		apply(1, 9, `{"Version":6,"MaxBodyBytes":6}`, sourceStore)
+		time.Sleep(rewriteSettleTime / 2)
+		apply(1, 2, `{"Version":5}`, "peer")
+		must.Eq(t, 8, f.version())
+		time.Sleep(applyBound)
+		must.Eq(t, 6, f.version())
+	})
+}
