storesync: the grace of a new era of the store ends at all instances at once

What callers would see: the store comes back from an older copy and the operator writes nothing again. After 30 s the instances that read the store handle requests by the copy's configuration, those that follow them go on with the lost one for another 30 s: the answer depends on the instance. Cause: the grace began when an instance first held a configuration of the era back. An instance that follows its peers gets one only when they have put it in force, at the end of their grace. Change: it begins with the first sight of the era, which instances tell each other at once.

--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -99,6 +99,7 @@
 
 	applyMu  sync.Mutex // held while a configuration is decoded, so that one is at a time
 	restored heldConfig // under applyMu
+	sight    eraSight   // under applyMu
 
 	mu              sync.Mutex
 	configObject    objectstore.Object
--- a/internal/storesync/restored.go
+++ b/internal/storesync/restored.go
@@ -13,7 +13,8 @@
 	// restoredConfigGrace is how long a configuration stays in force although the store has
 	// come back from an older copy with one of before it. The operator writes the lost one
 	// again, and requests must not be handled as before it meanwhile. After this time the
-	// store's counts, so that what instances do does not depend on when they started.
+	// store's counts, so that what instances do does not depend on when they started. It begins
+	// with the first sight of the era, so that it ends at all instances at about the same time.
 	restoredConfigGrace = 30 * time.Second
 	// rewriteSettleTime is how long a configuration of a lower version that this instance has
 	// not had before waits for the lost ones that the operator may be writing again after it.
@@ -80,14 +81,25 @@
 	return originUnknown
 }
 
+// eraSight is the first sight of the store's latest era, from whatever source.
+type eraSight struct {
+	era uint64
+	at  time.Duration
+}
+
+func (s *eraSight) observe(now time.Duration, era uint64) {
+	if era > s.era {
+		s.era, s.at = era, now
+	}
+}
+
 // heldConfig is a configuration of a store that came back from an older copy that is not put
 // in force yet.
 type heldConfig struct {
-	object   objectstore.Object // with version 0 for none
-	source   string
-	until    time.Duration
-	settles  bool          // rather than waiting for the operator
-	graceEnd time.Duration // of the era of object
+	object  objectstore.Object // with version 0 for none
+	source  string
+	until   time.Duration
+	settles bool // rather than waiting for the operator
 }
 
 // holds reports whether an object is the one held back and its time has not passed, or an
@@ -96,16 +108,17 @@
 	return obj.Version < h.object.Version || obj.Version == h.object.Version && now < h.until
 }
 
-// hold holds an object of a new era back. What settles does so from the first of a series.
-func (h *heldConfig) hold(now time.Duration, obj objectstore.Object, source string, settles bool) {
-	if h.object.Version == 0 || objectstore.EraOf(h.object.Version) < objectstore.EraOf(obj.Version) {
-		*h = heldConfig{graceEnd: now + restoredConfigGrace}
+// hold holds an object of a new era back, at most until the end of the grace. What settles does
+// so from the first of a series.
+func (h *heldConfig) hold(now, graceEnd time.Duration, obj objectstore.Object, source string, settles bool) {
+	if objectstore.EraOf(h.object.Version) < objectstore.EraOf(obj.Version) {
+		*h = heldConfig{}
 	}
 	switch {
 	case !settles:
-		h.until = h.graceEnd
+		h.until = graceEnd
 	case !h.settles:
-		h.until = min(h.graceEnd, now+rewriteSettleTime)
+		h.until = min(graceEnd, now+rewriteSettleTime)
 	}
 	h.object, h.source, h.settles = obj, source, settles
 }
@@ -127,8 +140,9 @@
 		return false
 	}
 	now := c.opts.Now()
+	c.sight.observe(now, objectstore.EraOf(obj.Version))
 	if c.restored.object.Version != obj.Version {
-		c.restored.hold(now, obj, source, origin == originSince || origin == originUnknown && fromPeer)
+		c.restored.hold(now, c.sight.at+restoredConfigGrace, obj, source, origin == originSince || origin == originUnknown && fromPeer)
 	}
 	if now >= c.restored.until {
 		return false
@@ -142,13 +156,14 @@
 }
 
 // releaseHeldConfig puts the configuration that was held back in force once its time has
-// passed. It does not wait for another one that is being decoded, since lapsed entries are
+// passed, and notes the store's era. It does not wait for another one that is being decoded, since lapsed entries are
 // removed by the same goroutine.
 func (c *Controller) releaseHeldConfig() {
 	if !c.applyMu.TryLock() {
 		return
 	}
 	held := c.restored
+	c.sight.observe(c.opts.Now(), objectstore.LatestEra(c.opts.Store))
 	c.applyMu.Unlock()
 	if held.object.Version != 0 && c.opts.Now() >= held.until {
 		c.applyConfig(held.object, held.source)
--- a/internal/storesync/restored_test.go
+++ b/internal/storesync/restored_test.go
@@ -273,3 +273,39 @@
 		must.Eq(t, 6, f.version())
 	})
 }
+
+// An instance that follows its peers held the copy's version back for another 30 s when they had
+// put it in force.
+func TestGraceOfAFollowerEndsWithThatOfItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := objectstore.NewMemory(time.Second)
+		f := &restoredFixture{t: t, memory: memory}
+		f.put(objectstore.KindUpstream, "a", `{"Slots":1}`)
+		f.put(objectstore.KindConfig, "main", `{"Version":5}`)
+		f, stop := newRestoredFixture(t, memory, true)
+		defer stop()
+		follower, stopFollower := newRestoredFixture(t, memory, false)
+		defer stopFollower()
+		time.Sleep(time.Second)
+		tell := func() {
+			time.Sleep(tickPeriod)
+			own, _, _ := follower.c.Revisions()
+			update, err := f.c.UpdateSince(own, noRoster)
+			must.NoError(t, err)
+			must.NoError(t, follower.c.Apply(update, "peer"))
+		}
+		copied := memory.Copy()
+		f.put(objectstore.KindConfig, "main", `{"Version":8}`)
+		time.Sleep(time.Second)
+		tell()
+		must.Eq(t, 8, follower.version())
+		memory.Restore(copied)
+		for f.version() == 8 {
+			tell()
+		}
+		for range applyBound / tickPeriod {
+			tell()
+		}
+		must.Eq(t, 5, follower.version())
+	})
+}
