storesync: a configuration that was refused is decoded again when it is read again

What callers would see: nothing with a decoder whose result depends on the bytes alone. An instance that refused a configuration for another reason would stay without it. Change: what was refused before is decoded again, as before; it is still logged and counted once. Measured: the test fails before and passes after; go test ./internal/storesync passes.

--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -353,15 +353,17 @@
 	asked := c.opts.Now()
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
-	refused := c.noteSeen(obj)
-	if own, _, _ := c.Revisions(); obj.Version <= own || refused || c.restored.holds(c.opts.Now(), obj) {
+	refusedBefore := c.noteSeen(obj)
+	if own, _, _ := c.Revisions(); obj.Version <= own || c.restored.holds(c.opts.Now(), obj) {
 		return
 	}
 	began := c.opts.Now()
 	config, skipped, err := c.opts.Decoder.Config(obj)
 	took := c.opts.Now() - began
 	if err != nil {
-		c.refuseConfig(obj, source, err)
+		if !refusedBefore {
+			c.refuseConfig(obj, source, err)
+		}
 		return
 	}
 	if c.holdBack(obj, config, source) {
--- a/internal/storesync/status.go
+++ b/internal/storesync/status.go
@@ -48,7 +48,7 @@
 }
 
 // noteSeen records that a version of the configuration exists. It reports whether the object is
-// the one that was refused last.
+// the one that was refused last, whose refusal is not logged and counted again.
 func (c *Controller) noteSeen(obj objectstore.Object) (refused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
