--- a/internal/storesync/restored_test.go
+++ b/internal/storesync/restored_test.go
@@ -247,3 +247,65 @@
 		}
 	})
 }
+
+// A change that waited was replaced by the version of the copy that a peer had, and was lost until
+// the next read of the store.
+func TestCopyOfAPeerDoesNotReplaceTheChangeThatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := objectstore.NewMemory(time.Second)
+		f := &restoredFixture{t: t, memory: memory}
+		f.put(objectstore.KindUpstream, "a", `{"Slots":1}`)
+		f.put(objectstore.KindConfig, "main", `{"Version":5}`)
+		f, stop := newRestoredFixture(t, memory, false)
+		defer stop()
+		time.Sleep(time.Second)
+		apply := func(era, revision uint64, text, source string) {
+			version, err := objectstore.VersionOf(era, revision)
+			must.NoError(t, err)
+			f.c.applyConfig(objectstore.Object{Kind: objectstore.KindConfig, Name: "main", Version: version, Value: json.RawMessage(text)}, source)
+		}
+		apply(0, 20, `{"Version":8}`, sourceStore)
+		apply(1, 9, `{"Version":6,"MaxBodyBytes":6}`, sourceStore)
+		time.Sleep(rewriteSettleTime / 2)
+		apply(1, 2, `{"Version":5}`, "peer")
+		must.Eq(t, 8, f.version())
+		time.Sleep(applyBound)
+		must.Eq(t, 6, f.version())
+	})
+}
+
+// An instance that follows its peers held the copy's version back for another 30 s when they had
+// put it in force.
+func TestGraceOfAFollowerEndsWithThatOfItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := objectstore.NewMemory(time.Second)
+		f := &restoredFixture{t: t, memory: memory}
+		f.put(objectstore.KindUpstream, "a", `{"Slots":1}`)
+		f.put(objectstore.KindConfig, "main", `{"Version":5}`)
+		f, stop := newRestoredFixture(t, memory, true)
+		defer stop()
+		follower, stopFollower := newRestoredFixture(t, memory, false)
+		defer stopFollower()
+		time.Sleep(time.Second)
+		tell := func() {
+			time.Sleep(tickPeriod)
+			own, _, _ := follower.c.Revisions()
+			update, err := f.c.UpdateSince(own, noRoster)
+			must.NoError(t, err)
+			must.NoError(t, follower.c.Apply(update, "peer"))
+		}
+		copied := memory.Copy()
+		f.put(objectstore.KindConfig, "main", `{"Version":8}`)
+		time.Sleep(time.Second)
+		tell()
+		must.Eq(t, 8, follower.version())
+		memory.Restore(copied)
+		for f.version() == 8 {
+			tell()
+		}
+		for range applyBound / tickPeriod {
+			tell()
+		}
+		must.Eq(t, 5, follower.version())
+	})
+}
