--- a/internal/storesync/restored_test.go
+++ b/internal/storesync/restored_test.go
@@ -309,3 +309,30 @@
 		must.Eq(t, 5, follower.version())
 	})
 }
+
+// The copy falls between versions of which this instance had only the last one: the copy's is
+// unknown to it and must not count as a change.
+func TestCopyOfASkippedVersionIsHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := objectstore.NewMemory(time.Second)
+		f := &restoredFixture{t: t, memory: memory}
+		f.put(objectstore.KindUpstream, "a", `{"Slots":1}`)
+		f.put(objectstore.KindConfig, "main", `{"Version":5}`)
+		f, stop := newRestoredFixture(t, memory, true)
+		defer stop()
+		time.Sleep(3 * time.Second)
+		var copied objectstore.Copy
+		for version := 6; version <= 8; version++ {
+			f.put(objectstore.KindConfig, "main", fmt.Sprintf(`{"Version":%d}`, version))
+			if version == 7 {
+				copied = memory.Copy()
+			}
+		}
+		time.Sleep(3 * time.Second)
+		memory.Restore(copied)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			must.Eq(t, 8, f.version())
+		}
+	})
+}
