--- a/internal/storesync/restored.go
+++ b/internal/storesync/restored.go
@@ -156,8 +156,8 @@
 }
 
 // releaseHeldConfig puts the configuration that was held back in force once its time has
-// passed, and notes the store's era. It does not wait for another one that is being decoded, since lapsed entries are
-// removed by the same goroutine.
+// passed, and notes the store's era. It does not wait for another one that is being decoded,
+// since lapsed entries are removed by the same goroutine.
 func (c *Controller) releaseHeldConfig() {
 	if !c.applyMu.TryLock() {
 		return
--- a/internal/storesync/status.go
+++ b/internal/storesync/status.go
@@ -13,7 +13,7 @@
 	Stored   uint64 // version in the store, 0 if none is in force
 	Source   string // the store, or the name of the peer that it came from
 	InForce  time.Duration
-	Skipped  int    // items that could not be decoded
+	Skipped  int    // items of which a field, or all, could not be decoded
 	Held     uint64 // version in the store of one that is held back, 0 if none is
 	Refused  uint64 // version in the store of a newer one that could not be decoded, 0 if none
 	Newest   uint64 // latest version in the store that was seen, whether it is in force or not
