gateway: a caller that is taken for gone gets no empty success

Cause: when the context of a request ends, the handler returned without writing, unless a stream had begun. net/http answers 200 with Content-Length 0 for a handler that wrote nothing. Change: the connection is ended without an answer, as for a stream that has begun.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -254,7 +254,7 @@
 func (x *exchange) endWithoutAnswer() {
 	if x.ctx.Err() != nil {
 		x.rec.callerLeft = true
-		x.rec.abort = x.rec.stream.headSent
+		x.rec.abort = true // net/http answers 200 for a handler that wrote nothing
 		return
 	}
 	if x.rec.stream.headSent {
