storesync, gateway: state that follows from other state is not kept beside it

A refused configuration was kept whole to be compared with what is read again; a version has one content, so that its version is enough, and the refusal itself tells whether it was logged. Of a stop, a flag and a context said the same. Two comments are wrapped or name what they describe. Behaviour and tests stay as they are.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -203,8 +203,8 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// stop shuts the instance down. Health checks fail first, requests that can be
-// expected to end in time are still served until the load balancer notices, and requests in progress may finish
+// stop shuts the instance down. Health checks fail first, requests that can be expected to end
+// in time are still served until the load balancer notices, and requests in progress may finish
 // within the grace time. At its end those without an answer get one.
 func (g *Gateway) stop(s *servers) {
 	stopStart := g.now()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -20,16 +20,15 @@
 // shutdown is the state of a graceful stop. It is safe for concurrent use.
 type shutdown struct {
 	began atomic.Bool
-	endAt atomic.Int64 // when over will be set, as a duration
-	over  atomic.Bool  // nothing waits for an upstream that has not begun to answer
+	endAt atomic.Int64 // when overCtx will end, as a duration
 
-	overCtx context.Context // ends when over is set
-	end     context.CancelFunc
+	overCtx context.Context // from its end on nothing waits for an upstream that has not begun to answer
+	setOver context.CancelFunc
 }
 
 func newShutdown() *shutdown {
 	s := &shutdown{}
-	s.overCtx, s.end = context.WithCancel(context.Background())
+	s.overCtx, s.setOver = context.WithCancel(context.Background())
 	return s
 }
 
@@ -86,15 +85,9 @@
 	s.began.Store(true)
 }
 
-// setOver ends the requests of which no part was answered.
-func (s *shutdown) setOver() {
-	s.over.Store(true)
-	s.end()
-}
-
 // stopped reports whether the request is over because the instance ends. A stream that has
 // begun goes on until its connection is closed.
-func (x *exchange) stopped() bool { return x.g.shutdown.over.Load() && !x.begun() }
+func (x *exchange) stopped() bool { return x.g.shutdown.overCtx.Err() != nil && !x.begun() }
 
 // begun reports whether the caller has received a part of a stream.
 func (x *exchange) begun() bool { return x.rec.stream != nil && x.rec.stream.headSent }
--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -353,7 +353,7 @@
 	asked := c.opts.Now()
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
-	refusedBefore := c.noteSeen(obj)
+	c.noteSeen(obj.Version)
 	if own, _, _ := c.Revisions(); obj.Version <= own || c.restored.holds(c.opts.Now(), obj) {
 		return
 	}
@@ -361,9 +361,7 @@
 	config, skipped, err := c.opts.Decoder.Config(obj)
 	took := c.opts.Now() - began
 	if err != nil {
-		if !refusedBefore {
-			c.refuseConfig(obj, source, err)
-		}
+		c.refuseConfig(obj, source, err)
 		return
 	}
 	if c.holdBack(obj, config, source) {
--- a/internal/storesync/restored_test.go
+++ b/internal/storesync/restored_test.go
@@ -150,8 +150,8 @@
 	must.ErrorIs(t, err, objectstore.ErrVersionOutOfBounds)
 }
 
-// older is a store that comes back from a copy with version 5 while version 8 is in force, at
-// an instance that has been there since version from.
+// newOlderCopy returns an instance that has been there since version from and has version 8 in
+// force, and a function that lets its store come back from a copy with version 5.
 func newOlderCopy(t *testing.T, from int) (f *restoredFixture, restore func(), stop func()) {
 	memory := objectstore.NewMemory(time.Second)
 	f = &restoredFixture{t: t, memory: memory}
--- a/internal/storesync/status.go
+++ b/internal/storesync/status.go
@@ -1,7 +1,6 @@
 package storesync
 
 import (
-	"bytes"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
@@ -26,7 +25,7 @@
 	since   time.Duration // when the one in force was put in force
 	skipped int
 	held    uint64
-	refused objectstore.Object // the latest one that could not be decoded
+	refused uint64 // the latest one that could not be decoded
 	newest  uint64
 }
 
@@ -41,26 +40,28 @@
 	if config := c.config.Load(); config != nil {
 		s.Version, s.InForce = config.Version, now-n.since
 	}
-	if n.refused.Version > s.Stored {
-		s.Refused = n.refused.Version
+	if n.refused > s.Stored {
+		s.Refused = n.refused
 	}
 	return s
 }
 
-// noteSeen records that a version of the configuration exists. It reports whether the object is
-// the one that was refused last, whose refusal is not logged and counted again.
-func (c *Controller) noteSeen(obj objectstore.Object) (refused bool) {
+// noteSeen records that a version of the configuration exists.
+func (c *Controller) noteSeen(version uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.notes.newest = max(c.notes.newest, obj.Version)
-	return obj.Version == c.notes.refused.Version && bytes.Equal(obj.Value, c.notes.refused.Value)
+	c.notes.newest = max(c.notes.newest, version)
 }
 
-// refuseConfig logs and counts a configuration that cannot be decoded.
+// refuseConfig logs and counts a configuration that cannot be decoded, once if it is read again.
 func (c *Controller) refuseConfig(obj objectstore.Object, source string, err error) {
 	c.mu.Lock()
-	c.notes.refused = obj
+	again := c.notes.refused == obj.Version
+	c.notes.refused = obj.Version
 	c.mu.Unlock()
+	if again {
+		return
+	}
 	c.opts.Log.Error("configuration refused", "revision", obj.Version, "era", objectstore.EraOf(obj.Version),
 		"source", source, "bytes", len(obj.Value), "error", malformedText(err))
 	c.countMalformedConfig(1)
