--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,6 +69,7 @@
 	silent   bool               // a silence was recorded as the upstream's failure
 	sound    bool               // the answer got beyond its beginning
 	firstAt  time.Duration      // of the first event of a stream, 0 before
+	run      streamRun
 
 	wait       *reach.Wait // for an answer over the own link, nil for none
 	relays     []string    // peers that were asked to send it, in order
@@ -129,7 +130,7 @@
 	if a.charged && (o == outcomeNotSent || o == outcomeNotRun || o == outcomeHeld) {
 		x.g.limiter.refund(x.org.Name, x.cost)
 	}
-	x.rec.attempts = append(x.rec.attempts, attemptRecord{upstream: a.Decision.Upstream.ID, version: a.Decision.Upstream.Version, relay: a.via(), outcome: o})
+	x.rec.attempts = append(x.rec.attempts, attemptRecord{upstream: a.Decision.Upstream.ID, version: a.Decision.Upstream.Version, relay: a.via(), outcome: o, run: a.run})
 	switch o {
 	case outcomeNotRun:
 		x.rejected++
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -19,6 +19,7 @@
 	upstream string
 	version  string // of the upstream's software
 	outcome  outcome
+	run      streamRun
 }
 
 // requestRecord collects the data that explains the result of a request, for its
@@ -79,13 +80,18 @@
 	if r.firstEventAt > 0 {
 		flow.TimeToFirstToken(r.firstEventAt - x.arrived)
 	}
+	faulty := false
 	for _, a := range r.attempts {
 		flow.Attempt(a.outcome.String())
+		if a.run.fault != "" {
+			faulty = true
+			x.g.metrics.StreamFault(x.service, a.run.fault)
+		}
 	}
 	if r.retryDenied != "" {
 		flow.RetryDenied(r.retryDenied)
 	}
-	if r.result() == "ok" && len(r.attempts) == 1 && !x.g.successLogLimit.allow(now) {
+	if r.result() == "ok" && len(r.attempts) == 1 && !faulty && !x.g.successLogLimit.allow(now) {
 		return
 	}
 	if r.causedByCaller() && !x.g.callerLogLimit.allow(now) {
@@ -116,9 +122,14 @@
 	if len(r.attempts) > 0 {
 		attrs = append(attrs, slog.String("attempts", r.attemptList()))
 	}
+	if runs := r.runList(); runs != "" {
+		attrs = append(attrs, slog.String("runs", runs))
+	}
+	if x.req.LastEventID != "" {
+		attrs = append(attrs, slog.String("after_event", x.req.LastEventID))
+	}
 	if x.req.Resumes != "" {
-		attrs = append(attrs, slog.String("resumes", x.req.Resumes), slog.String("after_event", x.req.LastEventID),
-			slog.String("version_from", r.versionFrom))
+		attrs = append(attrs, slog.String("resumes", x.req.Resumes), slog.String("version_from", r.versionFrom))
 		if x.job != nil && x.job.Version != nil {
 			attrs = append(attrs, slog.String("stream_version", *x.job.Version))
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -48,7 +49,9 @@
 // caller, so that another upstream can resume the stream after the last one.
 func (x *exchange) relayStream(a *attempt) outcome {
 	memory := &eventMemory{memory: x.g.answerMemory, from: answerSource{service: x.service, length: -1, abort: a.cancel}}
+	a.run.begin(a.Decision.Upstream.StartedAtMS, a.response.Framing())
 	err := memory.end(x.copyEvents(a, memory))
+	a.run.endedWith(err)
 	a.response.Finish(err == nil)
 	var disconnected *callerDisconnectedError
 	switch {
@@ -108,6 +111,7 @@
 				return errEventID
 			}
 			if resumed && !x.isNewEvent(event.ID) {
+				a.run.skipped++
 				continue
 			}
 			if x.rec.stream.events == 0 {
@@ -126,6 +130,7 @@
 			x.rec.stream.eventBegun = false
 			x.rec.stream.events++
 			x.rec.bytes += len(event.Raw)
+			a.run.passed(x.lastKnownID(), string(event.ID))
 			if len(event.ID) > 0 {
 				x.rec.stream.lastEventID = string(event.ID)
 			}
@@ -183,6 +188,11 @@
 	return errLast != nil || errThis != nil || this > last
 }
 
+// lastKnownID returns the ID of the last event that the caller has, also from a request before.
+func (x *exchange) lastKnownID() string {
+	return cmp.Or(x.rec.stream.lastEventID, x.req.LastEventID)
+}
+
 // recordVersion records that the stream began at the version of an attempt's upstream. From
 // now on it goes on at that version only, here and wherever its caller resumes it.
 func (x *exchange) recordVersion(a *attempt) {
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -115,6 +115,18 @@
 	return r.raw.ContentLength
 }
 
+// Framing returns what tells the end of the body: "length", "chunked", or "close" for the end of
+// the connection.
+func (r *Response) Framing() string {
+	switch {
+	case len(r.raw.TransferEncoding) > 0:
+		return "chunked"
+	case r.Length() >= 0:
+		return "length"
+	}
+	return "close"
+}
+
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader // reads through Read
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -107,6 +107,12 @@
 // CountBy adds n to a counter of the instance. The name must be a constant.
 func (m *Metrics) CountBy(name string, n int) { m.root.Counter(name).Inc(int64(n)) }
 
+// StreamFault counts an attempt of a service whose events were out of order, by the fault. The
+// fault must be a constant.
+func (m *Metrics) StreamFault(service, fault string) {
+	m.root.Tagged(map[string]string{"service": service, "fault": fault}).Counter("stream_faults").Inc(1)
+}
+
 // SetGauge sets a gauge of the instance. The name must be a constant.
 func (m *Metrics) SetGauge(name string, value float64) { m.root.Gauge(name).Update(value) }
 
