--- /dev/null
+++ b/internal/gateway/answerend_test.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// dyingHandler answers without a length or chunks and closes all that the server has, as the
+// kernel does for a process that ends.
+func dyingHandler(server **httptest.Server) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_ = (*server).Listener.Close()
+		_, _ = io.WriteString(c, streamHead+"\r\n"+cutEvents)
+	}
+}
+
+// A relay framed the answer of a process that had ended anew, so that its peer could not tell
+// that it was cut (issue 54).
+func TestAnswerOfAnEndedProcessIsBrokenThroughARelay(t *testing.T) {
+	var server *httptest.Server
+	r, upstream := newTestRelay(t, func(w http.ResponseWriter, r *http.Request) { dyingHandler(&server)(w, r) })
+	server = upstream
+	resp, err := r.send(context.Background())
+	must.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	must.Error(t, err)
+	must.Eq(t, cutEvents, string(body))
+	resp.Finish(false)
+}
+
+// The answer of a process that had ended was taken for whole, also as the rest of a stream
+// (issue 54).
+func TestAnswerOfAnEndedProcessIsNotDelivered(t *testing.T) {
+	r, _ := newTestRelay(t, func(http.ResponseWriter, *http.Request) {})
+	g := r.node.g
+	g.codec = ownCodec{}
+	for _, resumed := range []bool{false, true} {
+		var server *httptest.Server
+		server = httptest.NewServer(dyingHandler(&server))
+		o, _ := passOn(t, g, strings.TrimPrefix(server.URL, "http://"), "", resumed)
+		server.Close()
+		must.Eq(t, outcomeUnknown, o, must.Sprintf("resumed %t: %v", resumed, o))
+	}
+}
+
+// What another instance relays has a frame of its own. An answer without one is not whole.
+func TestUnframedAnswerOfAPeerIsNotDelivered(t *testing.T) {
+	r, _ := newTestRelay(t, func(http.ResponseWriter, *http.Request) {})
+	r.node.g.codec = ownCodec{}
+	answers := make(chan rawAnswer, 1)
+	address := newRawServer(t, answers)
+	answers <- rawAnswer{text: streamHead + "Eelgrass-Relay-Result: answered\r\n\r\n" + cutEvents}
+	o, _ := passOn(t, r.node.g, address, "p", false)
+	must.Eq(t, outcomeUnknown, o)
+}
+
+// An answer that has no body is whole with its head, whoever has ended.
+func TestAnswerWithoutABodyIsWhole(t *testing.T) {
+	r, _ := newTestRelay(t, func(http.ResponseWriter, *http.Request) {})
+	r.node.g.codec = ownCodec{}
+	for _, status := range []string{"204 No Content", "304 Not Modified"} {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		go func() {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			_ = lis.Close()
+			_, _ = c.Read(make([]byte, 1<<10))
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n\r\n")
+			_ = c.Close()
+		}()
+		o, _ := passOn(t, r.node.g, lis.Addr().String(), "", false)
+		must.Eq(t, outcomeDelivered, o, must.Sprint(status))
+	}
+}
