gateway, httpconn: the end of an unframed answer counts if its process is still there

Cause: a process that ends, killed or not, closes its connections in order, and such an answer ends with its connection. Change: such an end is believed only if a connection to the process is open 40 ms later, another one of the pool or a new one, which the next request uses.

--- /dev/null
+++ b/internal/gateway/answerend.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/assign"
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/httpconn"
+)
+
+// endSettleTime is how long the end of an answer that only its connection's close tells is held
+// back. A process that ends closes its connections and its address one after the other.
+const endSettleTime = 40 * time.Millisecond
+
+var (
+	errOtherIncarnation = errors.New("gateway: upstream has started again")
+	errRelayedUnframed  = errors.New("gateway: relayed answer without a length or chunks")
+)
+
+// proveEnd returns err, the result of reading the answer to an attempt to its end. Without one
+// it fails with httpconn.ErrEndUnproven if the answer may have been cut there. The upstream has
+// no work with the request meanwhile, so that its place is given back first.
+func (x *exchange) proveEnd(a *attempt, err error) error {
+	if err != nil || !a.response.Unframed() {
+		return err
+	}
+	if a.via() != "" { // a relay frames what it passes on
+		return fmt.Errorf("%w: %w", httpconn.ErrEndUnproven, errRelayedUnframed)
+	}
+	if a.response.Status < http.StatusInternalServerError {
+		x.release(a, assign.ResultOK)
+	}
+	return x.g.proveEnd(a.ctx, a.Decision.Upstream, a.response, nil)
+}
+
+// proveEnd is exchange.proveEnd for the answer of an upstream over the own link.
+func (g *Gateway) proveEnd(ctx context.Context, u *fleet.Upstream, resp *httpconn.Response, err error) error {
+	if err != nil || !resp.Unframed() {
+		return err
+	}
+	if err := resp.ProveEnd(ctx); err != nil {
+		return err
+	}
+	if listed, ok := g.catalog.UsableByID(u.ID); ok && listed.StartedAtMS != u.StartedAtMS {
+		return fmt.Errorf("%w: %w", httpconn.ErrEndUnproven, errOtherIncarnation)
+	}
+	return nil
+}
--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -8,13 +8,16 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/httpconn"
 	"github.com/shoenig/test/must"
 )
 
 // dyingHandler answers without a length or chunks and closes all that the server has, as the
-// kernel does for a process that ends.
-func dyingHandler(server **httptest.Server) http.HandlerFunc {
+// kernel does for a process that ends. It takes the server from a channel.
+func dyingHandler(server <-chan *httptest.Server) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		c, _, err := w.(http.Hijacker).Hijack()
@@ -22,7 +25,7 @@
 			return
 		}
 		defer c.Close()
-		_ = (*server).Listener.Close()
+		_ = (<-server).Listener.Close()
 		_, _ = io.WriteString(c, streamHead+"\r\n"+cutEvents)
 	}
 }
@@ -30,9 +33,9 @@
 // A relay framed the answer of a process that had ended anew, so that its peer could not tell
 // that it was cut (issue 54).
 func TestAnswerOfAnEndedProcessIsBrokenThroughARelay(t *testing.T) {
-	var server *httptest.Server
-	r, upstream := newTestRelay(t, func(w http.ResponseWriter, r *http.Request) { dyingHandler(&server)(w, r) })
-	server = upstream
+	server := make(chan *httptest.Server, 1)
+	r, upstream := newTestRelay(t, dyingHandler(server))
+	server <- upstream
 	resp, err := r.send(context.Background())
 	must.NoError(t, err)
 	body, err := io.ReadAll(resp.Body)
@@ -48,10 +51,11 @@
 	g := r.node.g
 	g.codec = ownCodec{}
 	for _, resumed := range []bool{false, true} {
-		var server *httptest.Server
-		server = httptest.NewServer(dyingHandler(&server))
-		o, _ := passOn(t, g, strings.TrimPrefix(server.URL, "http://"), "", resumed)
-		server.Close()
+		server := make(chan *httptest.Server, 1)
+		upstream := httptest.NewServer(dyingHandler(server))
+		server <- upstream
+		o, _ := passOn(t, g, strings.TrimPrefix(upstream.URL, "http://"), "", resumed)
+		upstream.Close()
 		must.Eq(t, outcomeUnknown, o, must.Sprintf("resumed %t: %v", resumed, o))
 	}
 }
@@ -88,3 +92,36 @@
 		must.Eq(t, outcomeDelivered, o, must.Sprint(status))
 	}
 }
+
+// While the end of an answer is proven its upstream has room for the next request: an upstream
+// with one slot would serve fewer otherwise.
+func TestProofOfAnEndHoldsNoPlace(t *testing.T) {
+	r, _ := newTestRelay(t, func(http.ResponseWriter, *http.Request) {})
+	g := r.node.g
+	g.codec = ownCodec{}
+	g.pool = httpconn.New(httpconn.Options{DialTimeout: time.Second, MaxIdlePerAddress: 1, Settle: time.Hour})
+	answers, done := make(chan rawAnswer), make(chan outcome)
+	address := newRawServer(t, answers)
+	go func() {
+		o, _ := passOn(t, g, address, "", false)
+		done <- o
+	}()
+	t.Cleanup(func() { must.Eq(t, outcomeUnknown, <-done) }) // after the context of the test
+	answers <- rawAnswer{text: streamHead + "\r\n" + cutEvents}
+	for g.dispatcher.requestsByUpstream()["u"] > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// What accepts connections at an upstream's address may be the next process there.
+func TestEndOfAnUpstreamThatStartedAgainIsNotProven(t *testing.T) {
+	r, _ := newTestRelay(t, func(http.ResponseWriter, *http.Request) {})
+	g, answers := r.node.g, make(chan rawAnswer, 1)
+	address := newRawServer(t, answers)
+	answers <- rawAnswer{text: streamHead + "\r\n" + cutEvents}
+	resp, err := g.pool.Do(t.Context(), &httpconn.Request{Address: address, Method: "GET", RequestURI: "/", Host: "h", Header: http.Header{}})
+	must.NoError(t, err)
+	defer resp.Finish(false)
+	must.NoError(t, g.proveEnd(t.Context(), &fleet.Upstream{ID: "u", StartedAtMS: 1}, resp, nil))
+	must.ErrorIs(t, g.proveEnd(t.Context(), &fleet.Upstream{ID: "u"}, resp, nil), httpconn.ErrEndUnproven)
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,6 +68,7 @@
 	response *httpconn.Response // nil until the head of the answer was read
 	silent   bool               // a silence was recorded as the upstream's failure
 	sound    bool               // the answer got beyond its beginning
+	released bool               // the placement was released
 	firstAt  time.Duration      // of the first event of a stream, 0 before
 	run      streamRun
 
@@ -339,6 +340,13 @@
 	if a.silent && result == assign.ResultFailed {
 		result = assign.ResultUnknown
 	}
+	if a.released { // by proveEnd, as sound
+		if result == assign.ResultFailed {
+			x.g.dispatcher.recordFailure(a.Placement)
+		}
+		return
+	}
+	a.released = true
 	x.g.dispatcher.done(a.Placement, result)
 }
 
@@ -459,6 +467,7 @@
 	resp := a.response
 	body, release, err := x.g.answerMemory.read(resp.Body, answerSource{service: x.service, length: resp.Length(), abort: a.cancel})
 	defer release()
+	err = x.proveEnd(a, err)
 	resp.Finish(err == nil)
 	if err != nil {
 		return x.endBrokenAttempt(a, err)
--- a/internal/gateway/cutanswer_test.go
+++ b/internal/gateway/cutanswer_test.go
@@ -98,7 +98,7 @@
 	g.dispatcher.done(served.Placement, assign.ResultOK) // so that the upstream does not count as failing
 	placed, ok := g.dispatcher.placeNow(x.job)
 	must.True(t, ok)
-	a := &attempt{QueueResult: placed, ctx: context.Background(), cancel: func() {}}
+	a := &attempt{QueueResult: placed, ctx: t.Context(), cancel: func() {}}
 	pool := g.pool
 	if peer != "" {
 		a.relays, pool = []string{peer}, g.links.pool
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -230,6 +230,11 @@
 	return recorded
 }
 
+// recordFailure records a failure of the upstream of a placement that was released.
+func (d *dispatcher) recordFailure(p *assign.Placement) {
+	d.update(func(now time.Duration, s *assign.Scheduler) { s.RecordSilence(now, p) })
+}
+
 // maySend reports whether the request of a placement may still be sent.
 func (d *dispatcher) maySend(p *assign.Placement) bool {
 	d.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,7 +138,7 @@
 		ExpectedInstances: g.expectedPeers() + 1, ColdBounds: s.Cold.bounds(), PriorityOnly: s.Queue.Order == orderPriority,
 		OwnEstimates: !s.Engines.FleetEstimates, SlotsOnly: !s.Engines.CountMemory,
 	}, g.now)
-	g.pool = httpconn.New(httpconn.Options{DialTimeout: dialTimeout, MaxIdlePerAddress: maxIdlePerUpstream, IsResponseTo: g.codec.MatchesRequest})
+	g.pool = httpconn.New(httpconn.Options{DialTimeout: dialTimeout, MaxIdlePerAddress: maxIdlePerUpstream, IsResponseTo: g.codec.MatchesRequest, Settle: endSettleTime})
 	g.links = newLinks(g)
 	g.evacuations = newEvacuations(g)
 	g.permits = newPermits(g)
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -226,7 +226,7 @@
 	l.answered(u, sent)
 	l.recordNotice(u, resp, began)
 	l.g.log.Debug("request relayed", "upstream", u.ID, "status", resp.Status, "head_ms", (l.g.now() - began).Milliseconds())
-	err = relay.CopyAnswer(w, resp)
+	err = l.g.proveEnd(r.Context(), u, resp, relay.CopyAnswer(w, resp))
 	resp.Finish(err == nil)
 	if err != nil {
 		return errAnswerBroken
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,7 +50,7 @@
 func (x *exchange) relayStream(a *attempt) outcome {
 	memory := &eventMemory{memory: x.g.answerMemory, from: answerSource{service: x.service, length: -1, abort: a.cancel}}
 	a.run.begin(a.Decision.Upstream.StartedAtMS, a.response.Framing())
-	err := memory.end(x.copyEvents(a, memory))
+	err := x.proveEnd(a, memory.end(x.copyEvents(a, memory)))
 	a.run.endedWith(err)
 	a.response.Finish(err == nil)
 	var disconnected *callerDisconnectedError
--- a/internal/gateway/streamrun.go
+++ b/internal/gateway/streamrun.go
@@ -76,6 +76,8 @@
 	switch {
 	case err == nil:
 		r.end = "end"
+	case errors.Is(err, httpconn.ErrEndUnproven):
+		r.end = "unproven"
 	case errors.Is(err, errHandedOver):
 		r.end = "handed_over"
 	case errors.Is(err, errPartialEvent), errors.Is(err, errEventMissing):
--- /dev/null
+++ b/internal/httpconn/alive_test.go
@@ -0,0 +1,129 @@
+package httpconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const unframedAnswer = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody"
+
+// proveEnd gets an answer and proves its end.
+func (u *rawServer) proveEnd(method string) error {
+	resp, err := u.pool.Do(context.Background(), &Request{Address: u.address, Method: method, RequestURI: "/", Host: "h", Header: http.Header{}})
+	must.NoError(u.t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	must.NoError(u.t, err)
+	err = resp.ProveEnd(context.Background())
+	resp.Finish(err == nil)
+	return err
+}
+
+// An end is proven without a connection of its own if there is another one, and the one that is
+// opened otherwise carries the next request. An answer that is framed or has no body needs none.
+func TestProofOfAnEndOpensFewConnections(t *testing.T) {
+	answers := map[string]string{
+		"GET": unframedAnswer, "HEAD": unframedAnswer[:len(unframedAnswer)-len("body")], "PUT": response("", "Connection: close\r\n", "body"),
+		"DELETE": "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n",
+	}
+	u := newRawServer(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, answers[r.Method])
+		return false
+	})
+	u.pool.opts.Settle = time.Millisecond
+	for conns := 2; conns <= 4; conns++ { // one for the proof, and one less for the next request
+		must.NoError(t, u.proveEnd("GET"))
+		must.Eq(t, conns, len(u.conns))
+	}
+	must.NoError(t, u.pool.Connect(context.Background(), u.address))
+	u.pool.opts.Settle = time.Hour
+	for _, method := range []string{"HEAD", "PUT", "DELETE"} {
+		must.NoError(t, u.proveEnd(method), must.Sprint(method))
+	}
+}
+
+// A connection that an upstream closes for another reason says nothing of its process.
+func TestProofOfAnEndOutlivesAWitness(t *testing.T) {
+	u := newRawServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, unframedAnswer)
+		return false
+	})
+	u.pool.opts.Settle = 20 * time.Millisecond
+	c, err := u.pool.connect(context.Background(), u.address)
+	must.NoError(t, err)
+	must.NoError(t, u.pool.Connect(context.Background(), u.address)) // carries the request
+	time.AfterFunc(10*time.Millisecond, func() { _ = c.Conn.(*net.TCPConn).CloseRead(); _ = c.Close() })
+	must.NoError(t, u.proveEnd("GET"))
+}
+
+// endSlowly accepts connections, answers the first request on any of them and then closes what it
+// has with pauses, as a process that ends beside others.
+func endSlowly(lis net.Listener, answer string) {
+	conns, asked := make(chan net.Conn, 10), make(chan net.Conn, 10)
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				close(conns)
+				return
+			}
+			conns <- c
+			go func() {
+				if n, _ := c.Read(make([]byte, 1<<10)); n > 0 {
+					asked <- c
+				}
+			}()
+		}
+	}()
+	c := <-asked
+	_, _ = io.WriteString(c, answer)
+	_ = c.Close()
+	time.Sleep(10 * time.Millisecond)
+	_ = lis.Close()
+	for c := range conns {
+		_ = c.Close()
+	}
+}
+
+// A process closes its connections one after the other: one that is still open right after the
+// end of an answer, or accepted then, does not prove the end.
+func TestEndOfAProcessThatClosesSlowlyIsNotProven(t *testing.T) {
+	for answer, witness := range map[string]bool{unframedAnswer: false, "HTTP/1.0 200 OK\r\n\r\nbody": true} {
+		u := newRawServer(t, nil)
+		_ = u.lis.Close()
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		u.address, u.pool.opts.Settle = lis.Addr().String(), 100*time.Millisecond
+		if witness {
+			must.NoError(t, u.pool.Connect(context.Background(), u.address))
+			must.NoError(t, u.pool.Connect(context.Background(), u.address))
+		}
+		go endSlowly(lis, answer)
+		must.ErrorIs(t, u.proveEnd("GET"), ErrEndUnproven, must.Sprint(witness))
+	}
+}
+
+// To look at a connection that is read elsewhere must not take its reset from the reader, for
+// which the answer would end in order.
+func TestLookingAtAConnectionLeavesItsReset(t *testing.T) {
+	u := newRawServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, unframedAnswer)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	resp, err := u.pool.Do(context.Background(), &Request{Address: u.address, Method: "GET", RequestURI: "/", Host: "h", Header: http.Header{}})
+	must.NoError(t, err)
+	for resp.conn.established() {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = io.ReadAll(resp.Body)
+	must.ErrorIs(t, err, syscall.ECONNRESET)
+	resp.Finish(false)
+	must.MapEmpty(t, u.pool.open)
+}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -115,6 +115,9 @@
 	return r.raw.ContentLength
 }
 
+// framingClose is the framing of a body that ends with its connection.
+const framingClose = "close"
+
 // Framing returns what tells the end of the body: "length", "chunked", or "close" for the end of
 // the connection.
 func (r *Response) Framing() string {
@@ -124,11 +127,12 @@
 	case r.Length() >= 0:
 		return "length"
 	}
-	return "close"
+	return framingClose
 }
 
 type conn struct {
 	net.Conn
+	pool    *Pool
 	reader  *bufio.Reader // reads through Read
 	address string
 	opened  time.Duration // boot time
@@ -249,7 +253,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, address: address, opened: boottime.Now()}
+	c := &conn{Conn: raw, pool: p, address: address, opened: boottime.Now()}
+	p.track(c)
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -28,6 +28,9 @@
 	// headers of both. Responses left over from earlier exchanges are skipped. If
 	// IsResponseTo is nil, all responses belong.
 	IsResponseTo func(request, response http.Header) bool
+	// Settle is the time within which all connections of a process close when it ends.
+	// Response.ProveEnd waits for so long.
+	Settle time.Duration
 }
 
 // Pool sends requests and keeps idle connections for reuse. It is safe for
@@ -36,10 +39,15 @@
 	opts Options
 	mu   sync.Mutex
 	idle map[string][]*conn
+
+	openMu sync.Mutex // taken after mu
+	open   map[string]map[*conn]struct{}
 }
 
 // New returns a pool without connections.
-func New(opts Options) *Pool { return &Pool{opts: opts, idle: map[string][]*conn{}} }
+func New(opts Options) *Pool {
+	return &Pool{opts: opts, idle: map[string][]*conn{}, open: map[string]map[*conn]struct{}{}}
+}
 
 // maxStaleResponses is the maximum number of responses to earlier requests that
 // are skipped in one exchange.
@@ -322,13 +330,18 @@
 
 // Connect opens a connection to an address and keeps it for reuse for a moment.
 func (p *Pool) Connect(ctx context.Context, address string) error {
+	_, err := p.connect(ctx, address)
+	return err
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrNoConnection, err)
+		return nil, fmt.Errorf("%w: %w", ErrNoConnection, err)
 	}
 	c.expires = boottime.Now() + defaultIdleTimeout
 	p.put(c)
-	return nil
+	return c, nil
 }
 
 // CloseIdle closes the idle connections to an address.
