--- a/internal/eventstream/order.go
+++ b/internal/eventstream/order.go
@@ -16,8 +16,8 @@
 	FaultSkipped  Fault = "skipped"  // events were left out
 	FaultShort    Fault = "short"    // the end came before the last event that the caller has
 	FaultMissing  Fault = "missing"  // the end came without an event that an upstream had begun
-	// FaultUnproved is no fault of the upstream: that nothing is left must be said by two.
-	FaultUnproved Fault = "unproved"
+	// FaultUnconfirmed is no fault of the upstream: that nothing is left must be said by two.
+	FaultUnconfirmed Fault = "unconfirmed"
 	// FaultUnordered is none either: nothing tells which events the caller has.
 	FaultUnordered Fault = "unordered"
 	FaultHeld      Fault = "held" // too much came before anything told whether the caller has it
@@ -37,7 +37,7 @@
 
 // OfUpstream reports whether the upstream is at fault.
 func (e *OrderError) OfUpstream() bool {
-	return e.Fault != FaultUnproved && e.Fault != FaultUnordered
+	return e.Fault != FaultUnconfirmed && e.Fault != FaultUnordered
 }
 
 // Passed is what becomes of an event.
@@ -293,9 +293,10 @@
 		return p, o.fault(FaultMissing, nil)
 	case a.repeating && !a.any && (o.emptyAt == "" || o.emptyAt == a.upstream):
 		o.emptyAt = a.upstream
-		return p, o.fault(FaultUnproved, nil)
+		return p, o.fault(FaultUnconfirmed, nil)
 	}
 	o.steps.whole = o.attempts == 1
+	o.emptyAt = a.upstream // for an end that something else leaves in doubt
 	return p, nil
 }
 
--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -136,7 +136,7 @@
 		ends[whole]++
 		must.True(t, !whole || len(c.has) == len(events), must.Sprint(c.has))
 	})
-	for _, n := range []int{ends[true], ends[false], faults[FaultBack], faults[FaultSkipped], faults[FaultShort], faults[FaultUnproved]} {
+	for _, n := range []int{ends[true], ends[false], faults[FaultBack], faults[FaultSkipped], faults[FaultShort], faults[FaultUnconfirmed]} {
 		must.Positive(t, n, must.Sprint(ends, faults))
 	}
 }
--- a/internal/gateway/streamrun.go
+++ b/internal/gateway/streamrun.go
@@ -67,6 +67,8 @@
 		r.foundFault(fault.Fault, fault.Before, fault.ID)
 	case fault != nil:
 		r.end = string(fault.Fault)
+	case errors.Is(err, httpconn.ErrEndUnproven):
+		r.end = "unproven"
 	case errors.Is(err, errHandedOver):
 		r.end = "handed_over"
 	case errors.Is(err, errPartialEvent):
