gateway: a stream goes on at the service of its route that began it

Cause: a take-up drew its service anew, and the record of the stream was asked for under the drawn service only, so that of the other one counted as unknown.

Change: the ID of the request that began the stream picks the service, by weighted rendezvous hashing, so a take-up goes to the same one at each instance without a record or a call. Records are looked for under each service that the route has or had within the horizon and go first. Services that share a route count together as to whether there are several versions. No message between instances has changed: a service each is asked, one after the other, so builds may be mixed.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -135,23 +134,31 @@
 			return fleet.Refusal{Reason: fleet.ReasonBadKey}
 		}
 	}
-	x.service = pickService(x.route)
+	x.service = pickService(x.route, x.serviceID())
 	return fleet.Refusal{}
 }
 
-// pickService picks one of a route's services at random, by weight.
-func pickService(r *fleet.Route) string {
-	total := 0
-	for _, t := range r.Targets {
-		total += t.Weight
-	}
-	n := rand.IntN(total)
-	for _, t := range r.Targets {
-		if n -= t.Weight; n < 0 {
-			return t.Service
-		}
+// takesUp reports whether the caller takes up a stream of which it has events already.
+func (x *exchange) takesUp() bool {
+	return x.route.Kind == fleet.KindStream && x.req.Resumes != "" && x.req.LastEventID != ""
+}
+
+// serviceID returns the ID that picks one of the route's services: that of the request at which
+// the stream began.
+func (x *exchange) serviceID() string {
+	if x.takesUp() {
+		return x.req.Resumes
 	}
-	return r.Targets[0].Service
+	return x.req.AttemptID
+}
+
+// moveTo lets the request go to another one of the route's services.
+func (x *exchange) moveTo(service string) {
+	svc := x.config.Services[service]
+	x.service, x.job.Service, x.job.NeedsEngine = service, service, svc != nil && svc.Engine != nil
+	x.suspect = x.g.crashes.NewRequest(promptKeys(service, x.req.Parts), x.head, x.body...)
+	x.g.demandMeter.count(service, x.req.Model, x.req.Adapter, x.req.Work())
+	x.g.retryBudget.countRequest(service)
 }
 
 // admit reads the body, creates the job and checks the organisation's limit.
--- /dev/null
+++ b/internal/gateway/splits_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
+	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
+	"github.com/shoenig/test/must"
+)
+
+// putRoute stores a configuration with one route of streams.
+func (f *testFleet) putRoute(version int64, targets ...fleet.Target) *fleet.Route {
+	r := &fleet.Route{Name: "stream", Host: "h", PathPrefix: "/", Kind: fleet.KindStream, Resumable: true, Timeout: 3 * time.Second, MaxAttempts: 2, Targets: targets}
+	old, err := f.store.Get(context.Background(), objectstore.KindConfig, "main")
+	must.NoError(f.t, err)
+	raw, err := json.Marshal(fleet.Config{Version: version, Routes: []*fleet.Route{r}})
+	must.NoError(f.t, err)
+	_, err = f.store.Put(context.Background(), objectstore.Object{Kind: objectstore.KindConfig, Name: "main", Version: old.Version, Value: raw})
+	must.NoError(f.t, err)
+	return r
+}
+
+func (f *testFleet) putUpstreamOf(service, id, version string) {
+	raw, err := json.Marshal(fleet.Upstream{ID: id, Service: service, Address: "10.0.0.1:80", Version: version, Slots: 4, StartedAtMS: 1})
+	must.NoError(f.t, err)
+	_, err = f.store.Put(context.Background(), objectstore.Object{Kind: objectstore.KindUpstream, Name: id, Value: raw})
+	must.NoError(f.t, err)
+}
+
+// A stream that began before its route was moved was unknown at every instance but one, so that
+// it went on at another version.
+func TestStreamOfAMovedRouteIsKnownAtEachInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, nodes := newVersionedFleet(t, 6, "v1")
+		f.putUpstreamOf("other", "u9", "v2")
+		f.putRoute(2, fleet.Target{Service: "app", Weight: 1})
+		time.Sleep(2 * time.Second)
+		nodes[0].g.streamVersions.began("", "first", "app", "v1")
+		time.Sleep(time.Second)
+		moved := f.putRoute(3, fleet.Target{Service: "other", Weight: 1})
+		time.Sleep(3 * time.Second)
+		for _, n := range nodes {
+			x := resumed(n, "first")
+			x.route, x.service, x.config = moved, "other", n.g.catalog.Config()
+			must.Eq(t, fleet.ReasonNone, x.resolveVersion(context.Background()).Reason)
+			must.NotNil(t, x.job.Version)
+			must.Eq(t, "v1", *x.job.Version)
+			must.Eq(t, "other", x.service) // the former one may not run it
+		}
+		time.Sleep(2 * nodes[0].g.streamVersions.horizon)
+		x := resumed(nodes[1], "nobody knows")
+		x.route, x.service = moved, "other"
+		must.Eq(t, fleet.ReasonNone, x.resolveVersion(context.Background()).Reason)
+		stopAll(nodes)
+	})
+}
+
+// IDs are spread by weight, and other weights move no more of them than they have to.
+func TestServiceOfAnIDFollowsTheWeights(t *testing.T) {
+	const n = 10000
+	at := func(app, other int, id string) string {
+		return pickService(&fleet.Route{Targets: []fleet.Target{{Service: "app", Weight: app}, {Service: "other", Weight: other}, {Service: "app", Weight: app}}}, id)
+	}
+	apps, moved := 0, 0
+	for i := range n {
+		id := fmt.Sprint(i)
+		before, after := at(1, 2, id), at(3, 2, id)
+		if before == "app" {
+			apps++
+		}
+		if before != after {
+			moved++
+			must.Eq(t, "app", after)
+		}
+	}
+	must.Between(t, n*45/100, apps, n*55/100)
+	must.Between(t, n*20/100, moved, n*30/100) // from half to three quarters
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -208,19 +209,23 @@
 const versionRetryAfter = 300 * time.Millisecond
 
 // resolveVersion lets a stream that its caller resumes go on only at the version at which it
-// began. An unknown stream may go on anywhere if the service had one version only for as long
-// as streams are resumed, also before this process began. An instance that is out of touch and
+// began, and at the service at which it began while the route has that. An unknown stream may go on
+// anywhere if the service, with those that share its route or did so lately, had one version only
+// for as long as streams are resumed, also before this process began. An instance that is out of touch and
 // reaches nobody who would know the stream cannot tell, as others may have begun it at a version
 // that is not in its list.
 func (x *exchange) resolveVersion(ctx context.Context) fleet.Refusal {
-	if x.route.Kind != fleet.KindStream || x.req.Resumes == "" || x.req.LastEventID == "" {
+	if !x.takesUp() {
 		return fleet.Refusal{}
 	}
-	version, from, ok := x.g.streamVersions.find(ctx, x.organisation(), x.req.Resumes, x.service)
+	began, from, ok := x.g.streamVersions.find(ctx, x.organisation(), x.req.Resumes, x.g.streamVersions.servicesFor(x.route, x.service))
 	x.rec.versionFrom = from
 	switch {
 	case ok:
-		x.job.Version = &version
+		x.job.Version = &began.version
+		if began.service != x.service && slices.Contains(servicesOf(x.route), began.service) {
+			x.moveTo(began.service)
+		}
 	case x.g.streamVersions.mayDiffer(x.service), from == versionUnreached && !x.g.streamVersions.listConfirmed():
 		return fleet.Refusal{Reason: fleet.ReasonVersionUnknown, RetryAfter: versionRetryAfter}
 	}
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -37,6 +37,7 @@
 	tracker *streamversion.Tracker
 	horizon time.Duration
 	listed  map[serviceVersion]bool
+	routes  routeServices
 	// stored is what the store has, by service, and storeRead whether it was read: before,
 	// what was listed in the time of earlier processes is not known.
 	stored    map[string][]string
@@ -83,13 +84,20 @@
 			listed[serviceVersion{u.Service, u.Version}] = true
 		}
 		v.listed = listed
+		if v.routes.apply(now, config) {
+			t.History().SetGroups(v.routes.groups())
+		}
 		v.observe(now)
 	})
 	v.wakeUp()
 }
 
-// observe records the versions that are listed. The caller holds the lock.
+// observe records the versions that are listed, and which services share routes. The caller
+// holds the lock.
 func (v *streamVersions) observe(now time.Duration) {
+	if v.routes.expire(now - v.horizon) {
+		v.tracker.History().SetGroups(v.routes.groups())
+	}
 	for l := range v.listed {
 		v.tracker.History().Observe(now, l.service, l.version)
 	}
@@ -116,8 +124,8 @@
 	}
 }
 
-// mayDiffer reports whether a stream of a service may have begun at another version than one
-// that is listed now. An instance that has neither read what the store has nor run for the
+// mayDiffer reports whether a stream of a service's routes may have begun at another version than
+// one that is listed now. An instance that has neither read what the store has nor run for the
 // time in which streams are resumed does not know, and says so.
 func (v *streamVersions) mayDiffer(service string) (differ bool) {
 	v.withLock(func(now time.Duration, t *streamversion.Tracker) {
@@ -138,47 +146,67 @@
 	versionUnreached = "unreached"
 )
 
-// lookUp returns the version at which a stream began if this instance knows it, and from where.
-func (v *streamVersions) lookUp(key streamversion.Key, service string) (version, from string, ok bool) {
+// servicesFor returns the services at which a stream of a route may have begun, the likeliest first.
+func (v *streamVersions) servicesFor(r *fleet.Route, likeliest string) []string {
+	out := []string{likeliest}
+	for _, service := range servicesOf(r) {
+		if service != likeliest {
+			out = append(out, service)
+		}
+	}
+	v.withLock(func(time.Duration, *streamversion.Tracker) { out = append(out, v.routes.formerOf(r)...) })
+	return out
+}
+
+// lookUp returns the service and version at which a stream began if this instance knows it, and
+// from where.
+func (v *streamVersions) lookUp(key streamversion.Key, services []string) (began serviceVersion, from string, ok bool) {
 	v.withLock(func(now time.Duration, t *streamversion.Tracker) {
-		if version, ok = t.Version(now, key, service); ok {
-			from = versionFromSelf
-		} else if version, ok = t.RestoredVersion(now, key, service); ok {
-			from = versionFromStore
+		for _, service := range services {
+			began.service = service
+			if began.version, ok = t.Version(now, key, service); ok {
+				from = versionFromSelf
+				return
+			}
+			if began.version, ok = t.RestoredVersion(now, key, service); ok {
+				from = versionFromStore
+				return
+			}
 		}
 	})
-	return version, from, ok
+	return began, from, ok
 }
 
-// find returns the version at which a stream began and who knew it: this instance, the store
-// or another instance. ok is false if nobody did, or if those that may know were not reached.
-func (v *streamVersions) find(ctx context.Context, organisation, request, service string) (version, from string, ok bool) {
+// find returns the service and version at which a stream began, one of the given services, and
+// who knew it: this instance, the store or another instance. ok is false if nobody did, or if
+// those that may know were not reached.
+func (v *streamVersions) find(ctx context.Context, organisation, request string, services []string) (began serviceVersion, from string, ok bool) {
 	key := streamversion.KeyOf(organisation, request)
-	if version, from, ok = v.lookUp(key, service); ok {
-		return version, from, true
+	if began, from, ok = v.lookUp(key, services); ok {
+		return began, from, true
 	}
 	var names []string
 	members := v.members()
 	v.withLock(func(_ time.Duration, t *streamversion.Tracker) { names = t.Asked(key, members) })
 	asked := v.infosOf(names)
 	for range askRounds {
-		if version, from, asked = v.ask(ctx, asked, &meshpb.StreamQuery{Key: key[:], Service: service}); from != "" {
+		if began, from, asked = v.ask(ctx, asked, key, services); from != "" {
 			v.withLock(func(now time.Duration, t *streamversion.Tracker) {
-				t.Receive(now, []streamversion.Record{{Key: key, Service: service, Version: version, Until: now + v.horizon}})
+				t.Receive(now, []streamversion.Record{{Key: key, Service: began.service, Version: began.version, Until: now + v.horizon}})
 			})
-			return version, from, true
+			return began, from, true
 		}
 		if len(asked) == 0 {
 			break
 		}
 	}
-	if version, from, ok = v.lookUp(key, service); ok { // the store was read in the meantime
-		return version, from, true
+	if began, from, ok = v.lookUp(key, services); ok { // the store was read in the meantime
+		return began, from, true
 	}
 	if len(asked) > 0 {
-		return "", versionUnreached, false
+		return serviceVersion{}, versionUnreached, false
 	}
-	return "", versionUnknown, false
+	return serviceVersion{}, versionUnknown, false
 }
 
 // listConfirmedFor is how long after it last heard from the store or from a peer an instance
@@ -192,12 +220,14 @@
 	return v.g.now()-heard <= listConfirmedFor
 }
 
-// ask asks instances at the same time. It returns the first answer that knows the stream, or
-// the instances that have not answered.
-func (v *streamVersions) ask(ctx context.Context, asked []*meshpb.MemberInfo, query *meshpb.StreamQuery) (version, from string, silent []*meshpb.MemberInfo) {
+// ask asks instances at the same time. It returns the first answer that knows the stream and
+// who gave it, or the instances that have not answered.
+func (v *streamVersions) ask(ctx context.Context, asked []*meshpb.MemberInfo, key streamversion.Key, services []string) (began serviceVersion, from string, silent []*meshpb.MemberInfo) {
 	type answer struct {
 		peer  *meshpb.MemberInfo
-		reply *meshpb.StreamReply // nil if there was none
+		began serviceVersion
+		known bool
+		err   error
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -205,28 +235,40 @@
 	for _, p := range asked {
 		go func() {
 			a := answer{peer: p}
-			err := v.g.peers.Call(ctx, p.PeerAddress, func(ctx context.Context, conn drpc.Conn) error {
-				reply, err := meshpb.NewDRPCMeshClient(conn).FindStream(ctx, query)
-				if err == nil {
-					a.reply = reply
-				}
-				return err
-			})
-			if err != nil && ctx.Err() == nil {
-				v.g.log.Debug("failed to ask for the version of a stream", "peer", p.Name, "error", err)
+			if a.began, a.known, a.err = v.askOne(ctx, p, key, services); a.err != nil && ctx.Err() == nil {
+				v.g.log.Debug("failed to ask for the version of a stream", "peer", p.Name, "error", a.err)
 			}
 			answers <- a
 		}()
 	}
 	for range asked {
 		switch a := <-answers; {
-		case a.reply == nil:
+		case a.known:
+			return a.began, a.peer.Name, nil
+		case a.err != nil:
 			silent = append(silent, a.peer)
-		case a.reply.Known:
-			return a.reply.Version, a.peer.Name, nil
 		}
 	}
-	return "", "", silent
+	return serviceVersion{}, "", silent
+}
+
+// askOne asks an instance whether a stream began at one of the services, one after the other:
+// instances of all builds answer for one service.
+func (v *streamVersions) askOne(ctx context.Context, p *meshpb.MemberInfo, key streamversion.Key, services []string) (began serviceVersion, known bool, err error) {
+	err = v.g.peers.Call(ctx, p.PeerAddress, func(ctx context.Context, conn drpc.Conn) error {
+		for _, service := range services {
+			reply, err := meshpb.NewDRPCMeshClient(conn).FindStream(ctx, &meshpb.StreamQuery{Key: key[:], Service: service})
+			if err != nil {
+				return err
+			}
+			if reply.Known {
+				began, known = serviceVersion{service, reply.Version}, true
+				return nil
+			}
+		}
+		return nil
+	})
+	return began, known, err
 }
 
 func (v *streamVersions) members() []streamversion.Member {
--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -21,6 +21,7 @@
 type History struct {
 	horizon  time.Duration
 	services map[string][]Span
+	groups   map[string][]string // services at which streams of the same routes may have begun, by each of them
 }
 
 // NewHistory returns an empty history.
@@ -68,9 +69,29 @@
 	return out
 }
 
-// Several reports whether more than one version of a service was listed within the horizon.
+// SetGroups sets which services share routes, or did so within the horizon: a stream that is
+// resumed at one of them may have begun at another.
+func (h *History) SetGroups(groups [][]string) {
+	h.groups = map[string][]string{}
+	for _, group := range groups {
+		for _, service := range group {
+			for _, other := range group {
+				if other != service && !slices.Contains(h.groups[service], other) {
+					h.groups[service] = append(h.groups[service], other)
+				}
+			}
+		}
+	}
+}
+
+// Several reports whether more than one version of a service, or of those that share a route
+// with it, was listed within the horizon.
 func (h *History) Several(now time.Duration, service string) bool {
-	return len(h.within(now, service)) > 1
+	spans := h.within(now, service)
+	for _, other := range h.groups[service] {
+		spans = append(spans, h.within(now, other)...)
+	}
+	return slices.ContainsFunc(spans, func(s Span) bool { return s.Version != spans[0].Version })
 }
 
 // Versions returns the versions of each service that were listed within the horizon, sorted.
@@ -85,13 +106,13 @@
 	return out
 }
 
-// Spans returns what to tell other instances: the versions of the services that had several
-// within the horizon.
+// Spans returns what to tell other instances: the versions of the services of which Several
+// holds.
 func (h *History) Spans(now time.Duration) []Span {
 	var out []Span
 	for service := range h.services {
-		if spans := h.within(now, service); len(spans) > 1 {
-			out = append(out, spans...)
+		if h.Several(now, service) {
+			out = append(out, h.within(now, service)...)
 		}
 	}
 	slices.SortFunc(out, func(a, b Span) int {
