gateway: a stream of a process that was not listed yet goes on nowhere else

Callers saw: an upstream starts again under its ID with another version. Until the list says so, the new process runs what is meant for the former one; a stream that it began went on at the former version, and one of the former version went on there (ORDER).

Cause: the request names the ID alone, and the version of a stream is that of the list at dispatch, never compared again.

Change: when the list brings another start and version under an ID, streams that began there in the 5 s before are doubtful: a record that no version matches and that no other record replaces, told like any record. It binds the answer that is still going on, too. When the head of a resumed answer arrives, the list is compared with that at dispatch; an answer of another process and version counts as that of another upstream. No calls and no bytes are added while upstreams keep their version.

Measured, failed before: TestStreamOfAProcessNotYetListedDoesNotGoOn (went on at u1 of v1), TestStreamDoesNotGoOnAtAProcessOfAnotherVersion (200 with events of v2), TestBrokenStreamOfAProcessNotYetListedIsCut (complete with the rest of v1).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -167,6 +167,7 @@
 		x.g.adapterRequests.requestIfMissing(x.service, x.job.Model, x.job.Adapter)
 	}
 	if x.rec.stream.headSent {
+		x.checkVersion()
 		x.job.InProgress = true
 		x.job.FirstEventDeadline = min(x.rec.stream.lastEventAt+x.patience, x.job.Deadline)
 	}
@@ -330,6 +331,9 @@
 		x.g.crashes.Alive(incarnationOf(a.Decision.Upstream))
 	}
 	x.g.recordNotice(a, kind)
+	if kind == fleet.AnswerOwn && x.replaced(a) {
+		return fleet.AnswerMismatched
+	}
 	return kind
 }
 
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -80,6 +80,7 @@
 	if x.ran+1 >= x.route.MaxAttempts || x.unsent >= maxUnreachable || x.suspect.Suspected() || !x.takeRetry() {
 		return false
 	}
+	x.checkVersion()
 	x.job.Retryable = false // a suspect upstream is not probed with this request
 	placed, ok := x.g.dispatcher.placeNow(x.job)
 	if !ok {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -201,6 +201,7 @@
 	x.job.Version = &version
 	if x.req.LastEventID == "" && x.req.AttemptID != "" && x.route.Repeatable() {
 		x.g.streamVersions.began(x.organisation(), x.req.AttemptID, x.service, version)
+		x.g.streamVersions.begunAt(a.Decision.Upstream, x.organisation(), x.req.AttemptID)
 	}
 }
 
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -38,6 +38,7 @@
 	horizon time.Duration
 	listed  map[serviceVersion]bool
 	routes  routeServices
+	begun   []begunStream // within doubtFor, by time
 	// stored is what the store has, by service, and storeRead whether it was read: before,
 	// what was listed in the time of earlier processes is not known.
 	stored    map[string][]string
@@ -80,7 +81,9 @@
 		}
 		v.horizon = longest + callerReturnTime
 		t.History().SetHorizon(v.horizon)
-		for _, u := range v.g.catalog.Usable() {
+		upstreams := v.g.catalog.Usable()
+		v.doubt(now, upstreams)
+		for _, u := range upstreams {
 			listed[serviceVersion{u.Service, u.Version}] = true
 		}
 		v.listed = listed
--- a/internal/streamversion/book.go
+++ b/internal/streamversion/book.go
@@ -37,6 +37,10 @@
 	Until   time.Duration // when the stream can no longer be resumed
 }
 
+// Doubtful is the version of a stream of which it is not known which one of two began it. No
+// upstream has it, so the stream goes on nowhere.
+const Doubtful = "\x00"
+
 // maxRecords bounds the records of a Book.
 const maxRecords = 1 << 15
 
@@ -49,13 +53,17 @@
 // NewBook returns an empty book.
 func NewBook() *Book { return &Book{byKey: map[Key]Record{}} }
 
-// Put adds a record, or replaces the one with its key. Beyond maxRecords, the record that was
+// Put adds a record, or replaces the one with its key unless that is doubtful. Beyond maxRecords, the record that was
 // put first is dropped.
 func (b *Book) Put(now time.Duration, r Record) {
 	if now >= r.Until {
 		return
 	}
-	if _, known := b.byKey[r.Key]; !known {
+	before, known := b.byKey[r.Key]
+	if known && before.Version == Doubtful {
+		return
+	}
+	if !known {
 		b.order = append(b.order, r.Key)
 	}
 	b.byKey[r.Key] = r
