gateway: instances that are cut off together do not confirm each other's list

Callers saw: two instances that were cut off from the others and the store took up a stream that had begun at a version which they did not know, at the version that they listed (ORDER). So did a single one that was cut off for longer than 5 s.

Cause: a state of any peer within 2 s confirmed the list. And that was asked only if a keeper was silent: an instance that no longer counts the others as present asks only those that it reaches, all of which answer, so that the stream counted as unknown to all.

Change: a list is confirmed by the store, by a peer that says that it reaches the store, or by hearing of more than half of the known instances; those that are absent stay known for 20 s and a watch's time, and until the store is reached. It is asked of every stream that is not found. No message has changed: what states say already is used.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -212,9 +212,9 @@
 // resolveVersion lets a stream that its caller resumes go on only at the version at which it
 // began, and at the service at which it began while the route has that. An unknown stream may go on
 // anywhere if the service, with those that share its route or did so lately, had one version only
-// for as long as streams are resumed, also before this process began. An instance that is out of touch and
-// reaches nobody who would know the stream cannot tell, as others may have begun it at a version
-// that is not in its list.
+// for as long as streams are resumed, also before this process began. An instance that is out of touch
+// cannot tell, as others may have begun it at a version that is not in its list. That those whom it
+// asks do not know the stream proves nothing then: after a while it asks only those that it reaches.
 func (x *exchange) resolveVersion(ctx context.Context) fleet.Refusal {
 	if !x.takesUp() {
 		return fleet.Refusal{}
@@ -227,7 +227,7 @@
 		if began.service != x.service && slices.Contains(servicesOf(x.route), began.service) {
 			x.moveTo(began.service)
 		}
-	case x.g.streamVersions.mayDiffer(x.service), from == versionUnreached && !x.g.streamVersions.listConfirmed():
+	case x.g.streamVersions.mayDiffer(x.service), !x.g.streamVersions.listConfirmed():
 		return fleet.Refusal{Reason: fleet.ReasonVersionUnknown, RetryAfter: versionRetryAfter}
 	}
 	return fleet.Refusal{}
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -38,7 +38,8 @@
 	horizon time.Duration
 	listed  map[serviceVersion]bool
 	routes  routeServices
-	begun   []begunStream // within doubtFor, by time
+	begun   []begunStream            // within doubtFor, by time
+	fleet   map[string]time.Duration // when each instance was last present
 	// stored is what the store has, by service, and storeRead whether it was read: before,
 	// what was listed in the time of earlier processes is not known.
 	stored    map[string][]string
@@ -55,7 +56,7 @@
 	horizon := defaultTimeout + callerReturnTime
 	return &streamVersions{
 		g: g, wake: make(chan struct{}, 1), horizon: horizon, stored: map[string][]string{}, segments: streamversion.NewSegments(),
-		tracker: streamversion.NewTracker(streamversion.Member{Name: g.self.Name, Zone: g.self.Zone}, horizon),
+		fleet: map[string]time.Duration{}, tracker: streamversion.NewTracker(streamversion.Member{Name: g.self.Name, Zone: g.self.Zone}, horizon),
 	}
 }
 
@@ -212,17 +213,6 @@
 	return serviceVersion{}, versionUnknown, false
 }
 
-// listConfirmedFor is how long after it last heard from the store or from a peer an instance
-// takes its list of upstreams for that of all.
-const listConfirmedFor = 2 * time.Second
-
-// listConfirmed reports whether another version of a service could not have been listed for
-// some time without this instance knowing. It may be cut off, or have been frozen until now.
-func (v *streamVersions) listConfirmed() bool {
-	heard := max(v.g.catalog.LastAnswered(), time.Duration(v.g.lastStateAt.Load()))
-	return v.g.now()-heard <= listConfirmedFor
-}
-
 // ask asks instances at the same time. It returns the first answer that knows the stream and
 // who gave it, or the instances that have not answered.
 func (v *streamVersions) ask(ctx context.Context, asked []*meshpb.MemberInfo, key streamversion.Key, services []string) (began serviceVersion, from string, silent []*meshpb.MemberInfo) {
@@ -300,6 +290,7 @@
 		}
 		var due []streamversion.Batch
 		members := v.members()
+		v.noteFleet(members)
 		v.withLock(func(now time.Duration, t *streamversion.Tracker) {
 			v.observe(now)
 			due = t.Due(now, members)
--- a/internal/mesh/exchanger.go
+++ b/internal/mesh/exchanger.go
@@ -89,6 +89,20 @@
 	return e.members.presentCount(e.opts.Now())
 }
 
+// HeardCount returns the number of instances, including this one and those that are leaving, from
+// which any instance has received a message within a time.
+func (e *Exchanger) HeardCount(within time.Duration) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now, n := e.opts.Now(), 1
+	for _, p := range e.members.peers {
+		if now-max(p.stateAt, p.seenAt) <= within {
+			n++
+		}
+	}
+	return n
+}
+
 // Names returns the names of the known instances, including this one and those that are
 // silent or leaving.
 func (e *Exchanger) Names() []string {
