eventstream: a service whose numbers nobody can confirm does not lose all its streams

Callers would have seen: with one upstream (or one attempt for each request) that numbers events in steps of 10, each stream breaks at its second event, at each try. Cause: a step beyond 1 needs a second upstream that agrees, also where there is none. Change: while nothing is known, three streams in a row that broke at a gap on which no other upstream had a say make the service irregular; a gap that another one fills does not count. Measured: TestNumbersThatNobodyCanConfirmAreAccepted failed before, passes; TestGapsThatAnotherUpstreamFillsTeachNothing passes.

--- a/internal/eventstream/numbering.go
+++ b/internal/eventstream/numbering.go
@@ -23,6 +23,7 @@
 
 	gaps   []gap // after the last number
 	agreed bool  // two upstreams have left out the same numbers: there are none
+	denied bool  // another upstream had what one left out
 
 	equal   int    // steps of the stream, all the same
 	only    uint64 // the step
@@ -56,6 +57,7 @@
 		e.broken = true
 		return false
 	}
+	e.denied = e.denied || len(e.gaps) > 0 && !e.agreed
 	e.gaps = e.gaps[:0]
 	e.unequal = e.unequal || e.equal > 0 && step != e.only
 	e.only = step
@@ -90,9 +92,14 @@
 		upstream string
 		step     uint64
 	}
-	gapAt string // upstream whose stream broke while nothing was known
+	gapAt    string // upstream whose stream broke while nothing was known
+	unjudged int    // streams in a row, while nothing was known, that broke at a gap on which no other upstream had a say
 }
 
+// maxUnjudged is the number of streams that may break at a gap which no other upstream confirms or
+// denies before the service counts as irregular: it may have one upstream only.
+const maxUnjudged = 3
+
 // Steps returns what is known.
 func (n *Numbering) Steps() Steps { return n.steps }
 
@@ -104,7 +111,11 @@
 		n.steps = Steps{Irregular: true}
 	case n.steps.Irregular:
 	case e.whole && e.equal >= minSteps && !e.unequal:
+		n.unjudged = 0
 		n.learnWhole(e.by, e.only)
+	case e.broken && e.resumable && n.steps.Step == 0 && !e.denied:
+		n.unjudged++
+		n.steps.Irregular = n.unjudged >= maxUnjudged
 	case e.broken && !e.resumable && n.steps.Step == 0:
 		n.steps.Irregular = n.gapAt != "" && n.gapAt != e.by
 		n.gapAt = e.by
--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -213,6 +213,31 @@
 	must.NoError(t, c.attempt("u0", runOf("9", "17"), true))
 }
 
+// A service with one upstream, or one attempt for each request, must not lose all its streams because
+// nobody can confirm its numbers.
+func TestNumbersThatNobodyCanConfirmAreAccepted(t *testing.T) {
+	var n Numbering
+	for range maxUnjudged {
+		must.Eq(t, Steps{}, n.Steps())
+		learnt(&n, true, "u0", "10", "20", "30")
+	}
+	must.Eq(t, Steps{Irregular: true}, n.Steps())
+	c := &caller{order: NewOrder("20", true, n.Steps(), 1<<10)}
+	must.NoError(t, c.attempt("u0", runOf("30", "45"), true))
+}
+
+// Gaps that another upstream fills must not make a service irregular.
+func TestGapsThatAnotherUpstreamFillsTeachNothing(t *testing.T) {
+	var n Numbering
+	for range maxUnjudged + 1 {
+		c := &caller{order: NewOrder("", true, n.Steps(), 1<<10)}
+		must.Error(t, c.attempt("u0", runOf("1", "2", "9"), true))
+		must.NoError(t, c.attempt("u1", runOf("3", "4"), true))
+		n.Learn(c.order)
+	}
+	must.Eq(t, Steps{}, n.Steps())
+}
+
 // What may be a repetition must not pile up without a bound.
 func TestHeldEventsAreBounded(t *testing.T) {
 	o := NewOrder("3", true, Steps{}, 40)
