--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -29,9 +29,10 @@
 
 // Spec describes the process that Start starts.
 type Spec struct {
-	Binary   string   // command name, such as eelgrass-entry
+	Binary   string   // command name, such as eelgrass-entry; empty for the test binary itself
 	Settings string   // content of the settings file, passed as --config; empty for none
 	Args     []string // additional arguments
+	Env      []string // additional variables of the environment, as NAME=VALUE
 	ReadyURL string   // URL that returns 200 once the process is ready; empty to skip the check
 }
 
@@ -59,7 +60,8 @@
 	log, err := os.Create(p.logPath)
 	p.requireNoError(err)
 	defer log.Close()
-	p.cmd = exec.Command(Binary(t, spec.Binary), args...)
+	p.cmd = exec.Command(p.binary(spec), args...)
+	p.cmd.Env = append(os.Environ(), spec.Env...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	// Kill the process when the test process exits, even if no cleanup runs.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -71,6 +73,16 @@
 	return p
 }
 
+// binary returns the path of the binary to start.
+func (p *Process) binary(spec Spec) string {
+	if spec.Binary != "" {
+		return Binary(p.t, spec.Binary)
+	}
+	path, err := os.Executable()
+	p.requireNoError(err)
+	return path
+}
+
 // start starts the process from a locked OS thread and keeps that thread until
 // the process exits: Pdeathsig is sent when the starting thread ends, not when
 // the parent process ends.
