eventstream: a service whose upstreams agree on a step other than 1 keeps its check for gaps

Cause: an agreement made the service irregular for good, and without a second upstream nothing was learnt. Change: an agreement on the first step of a stream is the service's step; three streams in a row with the same gap on which nobody had a say teach it likewise.

--- a/internal/eventstream/numbering.go
+++ b/internal/eventstream/numbering.go
@@ -21,9 +21,12 @@
 	irregular bool
 	step      uint64 // 0 for unknown
 
-	gaps   []gap // after the last number
-	agreed bool  // two upstreams have left out the same numbers: there are none
-	denied bool  // another upstream had what one left out
+	unknown   bool   // step is a guess
+	gaps      []gap  // after the last number
+	gapStep   uint64 // of the last gap
+	agreed    bool   // two upstreams have left out the same numbers: there are none
+	confirmed uint64 // first step of the stream, on which they agreed while it was unknown, 0 for none
+	denied    bool   // another upstream had what one left out
 
 	equal   int    // steps of the stream, all the same
 	only    uint64 // the step
@@ -41,7 +44,7 @@
 }
 
 func newExpectation(s Steps, resumable bool) expectation {
-	e := expectation{resumable: resumable, irregular: s.Irregular, step: s.Step}
+	e := expectation{resumable: resumable, irregular: s.Irregular, step: s.Step, unknown: s.Step == 0}
 	if resumable && e.step == 0 {
 		e.step = defaultStep
 	}
@@ -53,7 +56,7 @@
 func (e *expectation) follows(upstream string, last, this *number) bool {
 	e.by = upstream
 	step := this.above(last, &e.scratch)
-	if !e.irregular && e.step != 0 && step > e.step && !e.agrees(upstream, this) {
+	if !e.irregular && e.step != 0 && step > e.step && !e.agrees(upstream, this, step) {
 		e.broken = true
 		return false
 	}
@@ -62,6 +65,9 @@
 	e.unequal = e.unequal || e.equal > 0 && step != e.only
 	e.only = step
 	e.equal++
+	if step < e.confirmed { // steps vary
+		e.confirmed = 0
+	}
 	switch {
 	case e.step == 0, step < e.step && e.resumable:
 		e.step = step
@@ -71,14 +77,19 @@
 	return true
 }
 
-// agrees reports whether another upstream has sent the same number after the last one.
-func (e *expectation) agrees(upstream string, this *number) bool {
+// agrees reports whether another upstream has sent the same number after the last one. From then
+// on only increase is required of the stream.
+func (e *expectation) agrees(upstream string, this *number, step uint64) bool {
 	for i := range e.gaps {
 		if e.gaps[i].upstream != upstream && e.gaps[i].number.Cmp(&this.value) == 0 {
 			e.irregular, e.agreed = true, true
+			if e.unknown && e.equal == 0 {
+				e.confirmed = step
+			}
 			return true
 		}
 	}
+	e.gapStep = step
 	e.gaps = append(e.gaps, gap{upstream: upstream})
 	e.gaps[len(e.gaps)-1].number.Set(&this.value)
 	return false
@@ -92,12 +103,17 @@
 		upstream string
 		step     uint64
 	}
+	sure     bool   // two upstreams have shown the step
 	gapAt    string // upstream whose stream broke while nothing was known
-	unjudged int    // streams in a row, while nothing was known, that broke at a gap on which no other upstream had a say
+	unjudged struct {
+		streams int    // in a row that broke at a gap on which no other upstream had a say
+		step    uint64 // of the last one's gap
+		varies  bool
+	}
 }
 
 // maxUnjudged is the number of streams that may break at a gap which no other upstream confirms or
-// denies before the service counts as irregular: it may have one upstream only.
+// denies before its step is believed: the service may have one upstream only.
 const maxUnjudged = 3
 
 // Steps returns what is known.
@@ -107,15 +123,16 @@
 func (n *Numbering) Learn(o *Order) {
 	e := &o.steps
 	switch {
+	case e.confirmed != 0:
+		n.steps, n.sure = Steps{Step: e.confirmed}, true
 	case e.agreed:
 		n.steps = Steps{Irregular: true}
 	case n.steps.Irregular:
 	case e.whole && e.equal >= minSteps && !e.unequal:
-		n.unjudged = 0
+		n.unjudged.streams = 0
 		n.learnWhole(e.by, e.only)
-	case e.broken && e.resumable && n.steps.Step == 0 && !e.denied:
-		n.unjudged++
-		n.steps.Irregular = n.unjudged >= maxUnjudged
+	case e.broken && e.resumable && !n.sure && !e.denied:
+		n.learnUnjudged(e.gapStep)
 	case e.broken && !e.resumable && n.steps.Step == 0:
 		n.steps.Irregular = n.gapAt != "" && n.gapAt != e.by
 		n.gapAt = e.by
@@ -125,7 +142,24 @@
 // learnWhole learns from a whole stream of an upstream that had the same step throughout.
 func (n *Numbering) learnWhole(upstream string, step uint64) {
 	if n.whole.upstream != "" && n.whole.upstream != upstream && n.whole.step == step {
-		n.steps = Steps{Step: step, Irregular: n.steps.Step != 0 && n.steps.Step != step}
+		n.steps, n.sure = Steps{Step: step, Irregular: n.sure && n.steps.Step != step}, true
 	}
 	n.whole.upstream, n.whole.step = upstream, step
 }
+
+// learnUnjudged learns from a stream that broke at a gap on which no other upstream had a say.
+// Where all have the same one, it is the service's step.
+func (n *Numbering) learnUnjudged(step uint64) {
+	u := &n.unjudged
+	u.varies = u.streams > 0 && (u.varies || step != u.step)
+	u.step = step
+	if u.streams++; u.streams < maxUnjudged {
+		return
+	}
+	u.streams = 0
+	if n.steps.Step != 0 || u.varies {
+		n.steps = Steps{Irregular: true}
+		return
+	}
+	n.steps.Step = step
+}
--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -221,9 +221,30 @@
 		must.Eq(t, Steps{}, n.Steps())
 		learnt(&n, true, "u0", "10", "20", "30")
 	}
-	must.Eq(t, Steps{Irregular: true}, n.Steps())
+	must.Eq(t, Steps{Step: 10}, n.Steps())
 	c := &caller{order: NewOrder("20", true, n.Steps(), 1<<10)}
-	must.NoError(t, c.attempt("u0", runOf("30", "45"), true))
+	must.NoError(t, c.attempt("u0", runOf("30", "40"), true))
+	for _, gap := range []string{"45", "46", "47"} {
+		must.Eq(t, Steps{Step: 10}, n.Steps())
+		learnt(&n, true, "u0", "10", "20", gap)
+	}
+	must.Eq(t, Steps{Irregular: true}, n.Steps())
+}
+
+// Events that are left out must be noticed also where two upstreams have shown another step than 1.
+func TestGapOfAConfirmedStepIsNoticed(t *testing.T) {
+	var n Numbering
+	c := &caller{order: NewOrder("", true, n.Steps(), 1<<10)}
+	must.Error(t, c.attempt("u0", runOf("10", "20"), true))
+	must.NoError(t, c.attempt("u1", runOf("20", "30"), true))
+	n.Learn(c.order)
+	must.Eq(t, Steps{Step: 10}, n.Steps())
+	c = &caller{order: NewOrder("", true, n.Steps(), 1<<10)}
+	must.Error(t, c.attempt("u0", runOf("10", "20", "40"), true))
+	must.NoError(t, c.attempt("u1", runOf("30", "40"), true))
+	must.Eq(t, []string{"10", "20", "30", "40"}, c.has)
+	n.Learn(c.order)
+	must.Eq(t, Steps{Step: 10}, n.Steps())
 }
 
 // Gaps that another upstream fills must not make a service irregular.
