gateway: a stream of a process that was listed before its first event goes on nowhere else

Cause: a request sent to an upstream as listed may be run by the next process under its ID. begunAt recorded the stream at the first event, and doubts were looked for only when the list changed; a list that changed between the sending and the first event came before the record, which then named the former version for good. The window is the time to the first event.

Change: begunAt compares with the list at once, under the same lock as applyCatalog.

--- a/internal/gateway/doubts.go
+++ b/internal/gateway/doubts.go
@@ -28,6 +28,9 @@
 		v.begun = v.recent(now)
 		r := streamversion.Record{Key: streamversion.KeyOf(organisation, request), Service: u.Service, Version: u.Version, Until: now + v.horizon}
 		v.begun = append(v.begun, begunStream{upstream: u.ID, startedAtMS: u.StartedAtMS, at: now, record: r})
+		if listed, ok := v.g.catalog.UsableByID(u.ID); ok { // may say so before the first event comes
+			v.doubtOne(now, &v.begun[len(v.begun)-1], &listed)
+		}
 	})
 }
 
@@ -49,15 +52,22 @@
 	}
 	v.begun = v.recent(now)
 	for i := range v.begun {
-		b := &v.begun[i]
-		if u := byID[b.upstream]; u != nil && startedAgain(u, b.startedAtMS, b.record.Version) && b.record.Version != streamversion.Doubtful {
-			b.record.Version = streamversion.Doubtful
-			v.tracker.Began(now, b.record)
-			v.g.metrics.Count("doubtful_streams")
+		if u := byID[v.begun[i].upstream]; u != nil {
+			v.doubtOne(now, &v.begun[i], u)
 		}
 	}
 }
 
+// doubtOne does the same for one stream, whose upstream is listed as u. The caller holds the lock.
+func (v *streamVersions) doubtOne(now time.Duration, b *begunStream, u *fleet.Upstream) {
+	if !startedAgain(u, b.startedAtMS, b.record.Version) || b.record.Version == streamversion.Doubtful {
+		return
+	}
+	b.record.Version = streamversion.Doubtful
+	v.tracker.Began(now, b.record)
+	v.g.metrics.Count("doubtful_streams")
+}
+
 // startedAgain reports whether an entry is that of another process and version than the one
 // that was listed before.
 func startedAgain(u *fleet.Upstream, startedAtMS int64, version string) bool {
