gateway: a stream that is moved to its service expects the steps of that service

Cause: the state of a stream was made with the steps of the picked service before resolveVersion moved the request to the one that began the stream. A gap of a service with smaller steps passed, a sound stream of one with larger steps broke at its first event, and its service learnt from a stream that had been judged by another's steps.

Change: moveTo makes the state anew; nothing has been sent by then.

Measured: TestStreamThatIsMovedExpectsTheStepsOfItsService failed before (6 after 4 passed where steps of 1 were known) and passes with the change, as do the tests of moved routes, of services of IDs and of versions.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -159,6 +159,7 @@
 	x.suspect = x.g.crashes.NewRequest(promptKeys(service, x.req.Parts), x.head, x.body...)
 	x.g.demandMeter.count(service, x.req.Model, x.req.Adapter, x.req.Work())
 	x.g.retryBudget.countRequest(service)
+	x.rec.stream = x.newStreamState() // expects the steps of the service
 }
 
 // admit reads the body, creates the job and checks the organisation's limit.
--- a/internal/gateway/splits_test.go
+++ b/internal/gateway/splits_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/eventstream"
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
 	"github.com/eelgrassbay/eelgrassbay/internal/objectstore"
 	"github.com/shoenig/test/must"
@@ -60,6 +61,42 @@
 	})
 }
 
+// The order of a stream that went to the service at which it began expected the steps of the one
+// that was picked before.
+func TestStreamThatIsMovedExpectsTheStepsOfItsService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := newVersionedFleet(t, 1, "v1")
+		g := nodes[0].g
+		for service, step := range map[string]int{"app": 10, "other": 1} {
+			for _, upstream := range []string{"a", "b"} { // a step is learnt from two
+				o := eventstream.NewOrder("", false, eventstream.Steps{}, 1<<10)
+				o.Begin(upstream)
+				for i := 1; i <= 3; i++ {
+					id := fmt.Sprint(i * step)
+					_, err := o.Next(eventstream.Event{Raw: []byte("data: x\n\n"), ID: []byte(id)})
+					must.NoError(t, err)
+				}
+				_, err := o.End()
+				must.NoError(t, err)
+				g.numberings.learn(service, o)
+			}
+		}
+		must.Eq(t, 10, g.numberings.steps("app").Step)
+		must.Eq(t, 1, g.numberings.steps("other").Step)
+		g.streamVersions.began("", "first", "other", "v1")
+		x := resumed(nodes[0], "first")
+		x.route.Targets = []fleet.Target{{Service: "app", Weight: 1}, {Service: "other", Weight: 1}}
+		x.service, x.config = "app", g.catalog.Config()
+		x.rec.stream = x.newStreamState()
+		must.Eq(t, fleet.ReasonNone, x.resolveVersion(context.Background()).Reason)
+		must.Eq(t, "other", x.service)
+		x.rec.stream.order.Begin("a")
+		_, err := x.rec.stream.order.Next(eventstream.Event{Raw: []byte("data: 6\n\n"), ID: []byte("6")}) // 5 is left out
+		stopAll(nodes)
+		must.Error(t, err)
+	})
+}
+
 // IDs are spread by weight, and other weights move no more of them than they have to.
 func TestServiceOfAnIDFollowsTheWeights(t *testing.T) {
 	const n = 10000
