eventstream, gateway: a step that nothing has shown ejects no upstream

Cause: streams that may be resumed expect steps of 1 where nothing is known. A sound upstream that numbers in other steps failed each such attempt and was ejected; at the only upstream of a service all other requests went with the streams, which break anyway (docs/design/event-order.md, Limits).

Change: OrderError.Assumed, for a gap where neither the service nor the stream has shown a step. The request goes on elsewhere as before and the fault is counted, but it is no failure of the upstream.

TestOrderOfStreams and the package's tests pass.

--- a/internal/eventstream/numbering.go
+++ b/internal/eventstream/numbering.go
@@ -20,6 +20,7 @@
 	resumable bool
 	irregular bool
 	step      uint64 // 0 for unknown
+	byDefault bool   // the service has not shown the step
 
 	gaps   []gap // after the last number
 	agreed bool  // two upstreams have left out the same numbers: there are none
@@ -42,7 +43,7 @@
 func newExpectation(s Steps, resumable bool) expectation {
 	e := expectation{resumable: resumable, irregular: s.Irregular, step: s.Step}
 	if resumable && e.step == 0 {
-		e.step = defaultStep
+		e.step, e.byDefault = defaultStep, true
 	}
 	return e
 }
@@ -69,6 +70,9 @@
 	return true
 }
 
+// assumed reports whether neither the service nor the stream has shown the expected step.
+func (e *expectation) assumed() bool { return e.byDefault && e.equal == 0 }
+
 // agrees reports whether another upstream has sent the same number after the last one.
 func (e *expectation) agrees(upstream string, this *number) bool {
 	for i := range e.gaps {
--- a/internal/eventstream/order.go
+++ b/internal/eventstream/order.go
@@ -28,6 +28,8 @@
 	Fault Fault
 	// Before and ID are the IDs of the events between which the fault is, empty for none.
 	Before, ID string
+	// Assumed means that the events were expected in a step that nothing has shown.
+	Assumed bool
 }
 
 // Error implements error.
@@ -37,7 +39,7 @@
 
 // OfUpstream reports whether the upstream is at fault.
 func (e *OrderError) OfUpstream() bool {
-	return e.Fault != FaultUnconfirmed && e.Fault != FaultUnordered
+	return e.Fault != FaultUnconfirmed && e.Fault != FaultUnordered && !e.Assumed
 }
 
 // Passed is what becomes of an event.
@@ -222,7 +224,7 @@
 		case a.repeating && a.number.known && !a.reached:
 			return Passed{}, o.fault(FaultSkipped, id) // a run without the caller's last event is another one
 		case !o.steps.follows(a.upstream, &o.last, &o.this):
-			return Passed{}, o.fault(FaultSkipped, id)
+			return Passed{}, &OrderError{Fault: FaultSkipped, Before: string(o.lastID), ID: string(id), Assumed: o.steps.assumed()}
 		}
 	}
 	return o.pass(id, raw), nil
--- a/internal/gateway/streamrun.go
+++ b/internal/gateway/streamrun.go
@@ -67,6 +67,9 @@
 		r.foundFault(fault.Fault, fault.Before, fault.ID)
 	case fault != nil:
 		r.end = string(fault.Fault)
+		if fault.Assumed {
+			r.foundFault(fault.Fault, fault.Before, fault.ID)
+		}
 	case errors.Is(err, httpconn.ErrEndUnproven):
 		r.end = "unproven"
 	case errors.Is(err, errHandedOver):
