eventstream: a caller's Last-Event-Id does not teach that numbers are irregular

Cause: a number that a caller names and no stream has (-100, or one between two of a service's) is followed by a gap at each sound upstream. Two of them agree on it, which was learnt as irregular numbers: one request switched the check for gaps off for a service at its instance, for as long as the process runs.

Change: agreement teaches only after a number that an upstream brought. The stream itself goes on as before.

Measured: TestCallerTeachesNothing failed before ({Step:1} became irregular); the package's tests and TestOrderOfStreams pass with the change.

--- a/internal/eventstream/numbering.go
+++ b/internal/eventstream/numbering.go
@@ -23,7 +23,7 @@
 	byDefault bool   // the service has not shown the step
 
 	gaps   []gap // after the last number
-	agreed bool  // two upstreams have left out the same numbers: there are none
+	agreed bool  // two upstreams have left out the same numbers after one of theirs: there are none
 
 	equal   int    // steps of the stream, all the same
 	only    uint64 // the step
@@ -49,11 +49,12 @@
 }
 
 // follows reports whether an event with a number may follow the last one. A larger step than
-// the expected one may if another upstream takes it, too.
-func (e *expectation) follows(upstream string, last, this *number) bool {
+// the expected one may if another upstream takes it, too. brought is whether an upstream brought
+// the last number.
+func (e *expectation) follows(upstream string, last, this *number, brought bool) bool {
 	e.by = upstream
 	step := this.above(last, &e.scratch)
-	if !e.irregular && e.step != 0 && step > e.step && !e.agrees(upstream, this) {
+	if !e.irregular && e.step != 0 && step > e.step && !e.agrees(upstream, this, brought) {
 		e.broken = true
 		return false
 	}
@@ -73,11 +74,12 @@
 // assumed reports whether neither the service nor the stream has shown the expected step.
 func (e *expectation) assumed() bool { return e.byDefault && e.equal == 0 }
 
-// agrees reports whether another upstream has sent the same number after the last one.
-func (e *expectation) agrees(upstream string, this *number) bool {
+// agrees reports whether another upstream has sent the same number after the last one. That
+// teaches nothing of the service if the caller named that one, and no upstream brought it.
+func (e *expectation) agrees(upstream string, this *number, brought bool) bool {
 	for i := range e.gaps {
 		if e.gaps[i].upstream != upstream && e.gaps[i].number.Cmp(&this.value) == 0 {
-			e.irregular, e.agreed = true, true
+			e.irregular, e.agreed = true, brought
 			return true
 		}
 	}
--- a/internal/eventstream/order.go
+++ b/internal/eventstream/order.go
@@ -61,6 +61,7 @@
 
 	lastID  []byte // of the last event with one that the caller has, also from a request before
 	last    number // highest one that the caller has
+	brought bool   // an upstream brought it, not the caller's Last-Event-Id
 	tail    int    // events without an ID that were passed on after lastID
 	events  int    // passed on, without comments
 	marked  bool   // something was passed on, so that no byte order mark may follow
@@ -223,7 +224,7 @@
 			return Passed{}, nil
 		case a.repeating && a.number.known && !a.reached:
 			return Passed{}, o.fault(FaultSkipped, id) // a run without the caller's last event is another one
-		case !o.steps.follows(a.upstream, &o.last, &o.this):
+		case !o.steps.follows(a.upstream, &o.last, &o.this, o.brought):
 			return Passed{}, &OrderError{Fault: FaultSkipped, Before: string(o.lastID), ID: string(id), Assumed: o.steps.assumed()}
 		}
 	}
@@ -261,6 +262,7 @@
 	o.lastID = append(o.lastID[:0], id...)
 	if o.this.known {
 		o.last.set(&o.this)
+		o.brought = true
 	}
 	return p
 }
--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -213,6 +213,18 @@
 	must.NoError(t, c.attempt("u0", runOf("9", "17"), true))
 }
 
+// A caller that names a number which is none of the stream's must not decide how the events of a
+// service are numbered, as two sound upstreams agree on what follows it.
+func TestCallerTeachesNothing(t *testing.T) {
+	n := Numbering{steps: Steps{Step: 1}}
+	c := &caller{order: NewOrder("-100", true, n.Steps(), 1<<10)}
+	must.Error(t, c.attempt("u0", runOf("1", "2", "3"), true))
+	must.NoError(t, c.attempt("u1", runOf("1", "2", "3"), true))
+	must.Eq(t, []string{"1", "2", "3"}, c.has)
+	n.Learn(c.order)
+	must.Eq(t, Steps{Step: 1}, n.Steps())
+}
+
 // What may be a repetition must not pile up without a bound.
 func TestHeldEventsAreBounded(t *testing.T) {
 	o := NewOrder("3", true, Steps{}, 40)
