eventstream: a number that only the caller has named ejects no upstream

Cause: what does not go on after the caller's Last-Event-Id counted as a failure of the upstream. A caller that names a number beyond the stream's, or one that no stream has, so ejected sound upstreams for all others.

Change: a gap or an early end after a number that no upstream of this request has brought is OrderError.Assumed: the request goes on elsewhere as before, and it is no failure of the upstream.

TestCallerBlamesNoUpstream failed before; the package's tests, TestOrderOfStreams and TestUpstreamsThatNumberInOtherStepsAreNotEjected pass.

--- a/internal/eventstream/order.go
+++ b/internal/eventstream/order.go
@@ -28,7 +28,8 @@
 	Fault Fault
 	// Before and ID are the IDs of the events between which the fault is, empty for none.
 	Before, ID string
-	// Assumed means that the events were expected in a step that nothing has shown.
+	// Assumed means that the events were expected in a step that nothing has shown, or after a
+	// number that the caller named and no upstream brought.
 	Assumed bool
 }
 
@@ -225,7 +226,9 @@
 		case a.repeating && a.number.known && !a.reached:
 			return Passed{}, o.fault(FaultSkipped, id) // a run without the caller's last event is another one
 		case !o.steps.follows(a.upstream, &o.last, &o.this, o.brought):
-			return Passed{}, &OrderError{Fault: FaultSkipped, Before: string(o.lastID), ID: string(id), Assumed: o.steps.assumed()}
+			err := o.fault(FaultSkipped, id)
+			err.Assumed = err.Assumed || o.steps.assumed()
+			return Passed{}, err
 		}
 	}
 	return o.pass(id, raw), nil
@@ -305,8 +308,9 @@
 }
 
 // fault returns an error at the event with this ID.
-func (o *Order) fault(f Fault, id []byte) error {
-	return &OrderError{Fault: f, Before: string(o.lastID), ID: string(id)}
+func (o *Order) fault(f Fault, id []byte) *OrderError {
+	assumed := !o.brought && (f == FaultSkipped || f == FaultShort && o.tail == 0)
+	return &OrderError{Fault: f, Before: string(o.lastID), ID: string(id), Assumed: assumed}
 }
 
 // hasData reports whether an event has a data field. Without one it carries nothing.
--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -225,6 +225,32 @@
 	must.Eq(t, Steps{Step: 1}, n.Steps())
 }
 
+// Nothing that follows a number which only the caller has named is the fault of an upstream; what
+// follows one that an upstream brought is.
+func TestCallerBlamesNoUpstream(t *testing.T) {
+	for _, c := range []struct {
+		after  string
+		has    []testEvent
+		answer []testEvent
+		blamed bool
+	}{
+		{after: "-100", answer: runOf("1", "2")},
+		{after: "99", answer: runOf("1", "2")},
+		{after: "3", answer: runOf("2", "5")},
+		{after: "3", has: runOf("4", "5"), answer: runOf("7"), blamed: true},
+		{after: "3", has: runOf("4", "5"), answer: runOf("4"), blamed: true},
+		{after: "3", has: runOf("4", "5"), answer: runOf("4", "6"), blamed: true},
+	} {
+		who := &caller{order: NewOrder(c.after, true, Steps{Step: 1}, 1<<10)}
+		if c.has != nil {
+			must.ErrorIs(t, who.attempt("u0", c.has, false), errBrokenOff)
+		}
+		var fault *OrderError
+		must.True(t, errors.As(who.attempt("u1", c.answer, true), &fault), must.Sprint(c))
+		must.Eq(t, c.blamed, fault.OfUpstream(), must.Sprint(c))
+	}
+}
+
 // What may be a repetition must not pile up without a bound.
 func TestHeldEventsAreBounded(t *testing.T) {
 	o := NewOrder("3", true, Steps{}, 40)
