--- a/internal/eventstream/numbering.go
+++ b/internal/eventstream/numbering.go
@@ -20,11 +20,11 @@
 	resumable bool
 	irregular bool
 	step      uint64 // 0 for unknown
+	byDefault bool   // the service has not shown the step
 
-	unknown   bool   // step is a guess
 	gaps      []gap  // after the last number
 	gapStep   uint64 // of the last gap
-	agreed    bool   // two upstreams have left out the same numbers: there are none
+	agreed    bool   // two upstreams have left out the same numbers after one of theirs: there are none
 	confirmed uint64 // first step of the stream, on which they agreed while it was unknown, 0 for none
 	denied    bool   // another upstream had what one left out
 
@@ -44,20 +44,21 @@
 }
 
 func newExpectation(s Steps, resumable bool) expectation {
-	e := expectation{resumable: resumable, irregular: s.Irregular, step: s.Step, unknown: s.Step == 0}
+	e := expectation{resumable: resumable, irregular: s.Irregular, step: s.Step}
 	if resumable && e.step == 0 {
-		e.step = defaultStep
+		e.step, e.byDefault = defaultStep, true
 	}
 	return e
 }
 
 // follows reports whether an event with a number may follow the last one. A larger step than
-// the expected one may if another upstream takes it, too.
-func (e *expectation) follows(upstream string, last, this *number) bool {
+// the expected one may if another upstream takes it, too. brought is whether an upstream brought
+// the last number.
+func (e *expectation) follows(upstream string, last, this *number, brought bool) bool {
 	e.by = upstream
 	step := this.above(last, &e.scratch)
-	if !e.irregular && e.step != 0 && step > e.step && !e.agrees(upstream, this, step) {
-		e.broken = true
+	if !e.irregular && e.step != 0 && step > e.step && !e.agrees(upstream, this, step, brought) {
+		e.broken = e.broken || brought
 		return false
 	}
 	e.denied = e.denied || len(e.gaps) > 0 && !e.agreed
@@ -77,13 +78,17 @@
 	return true
 }
 
+// assumed reports whether neither the service nor the stream has shown the expected step.
+func (e *expectation) assumed() bool { return e.byDefault && e.equal == 0 }
+
 // agrees reports whether another upstream has sent the same number after the last one. From then
-// on only increase is required of the stream.
-func (e *expectation) agrees(upstream string, this *number, step uint64) bool {
+// on only increase is required of the stream. It teaches nothing of the service if the caller
+// named the last number, and no upstream brought it.
+func (e *expectation) agrees(upstream string, this *number, step uint64, brought bool) bool {
 	for i := range e.gaps {
 		if e.gaps[i].upstream != upstream && e.gaps[i].number.Cmp(&this.value) == 0 {
-			e.irregular, e.agreed = true, true
-			if e.unknown && e.equal == 0 {
+			e.irregular, e.agreed = true, brought
+			if brought && e.assumed() {
 				e.confirmed = step
 			}
 			return true
--- a/internal/eventstream/order.go
+++ b/internal/eventstream/order.go
@@ -28,6 +28,9 @@
 	Fault Fault
 	// Before and ID are the IDs of the events between which the fault is, empty for none.
 	Before, ID string
+	// Assumed means that the events were expected in a step that nothing has shown, or after a
+	// number that the caller named and no upstream brought.
+	Assumed bool
 }
 
 // Error implements error.
@@ -37,7 +40,7 @@
 
 // OfUpstream reports whether the upstream is at fault.
 func (e *OrderError) OfUpstream() bool {
-	return e.Fault != FaultUnconfirmed && e.Fault != FaultUnordered
+	return e.Fault != FaultUnconfirmed && e.Fault != FaultUnordered && !e.Assumed
 }
 
 // Passed is what becomes of an event.
@@ -59,6 +62,7 @@
 
 	lastID  []byte // of the last event with one that the caller has, also from a request before
 	last    number // highest one that the caller has
+	brought bool   // an upstream brought it, not the caller's Last-Event-Id
 	tail    int    // events without an ID that were passed on after lastID
 	events  int    // passed on, without comments
 	marked  bool   // something was passed on, so that no byte order mark may follow
@@ -221,8 +225,10 @@
 			return Passed{}, nil
 		case a.repeating && a.number.known && !a.reached:
 			return Passed{}, o.fault(FaultSkipped, id) // a run without the caller's last event is another one
-		case !o.steps.follows(a.upstream, &o.last, &o.this):
-			return Passed{}, o.fault(FaultSkipped, id)
+		case !o.steps.follows(a.upstream, &o.last, &o.this, o.brought):
+			err := o.fault(FaultSkipped, id)
+			err.Assumed = err.Assumed || o.steps.assumed()
+			return Passed{}, err
 		}
 	}
 	return o.pass(id, raw), nil
@@ -259,6 +265,7 @@
 	o.lastID = append(o.lastID[:0], id...)
 	if o.this.known {
 		o.last.set(&o.this)
+		o.brought = true
 	}
 	return p
 }
@@ -301,8 +308,9 @@
 }
 
 // fault returns an error at the event with this ID.
-func (o *Order) fault(f Fault, id []byte) error {
-	return &OrderError{Fault: f, Before: string(o.lastID), ID: string(id)}
+func (o *Order) fault(f Fault, id []byte) *OrderError {
+	assumed := !o.brought && (f == FaultSkipped || f == FaultShort && o.tail == 0)
+	return &OrderError{Fault: f, Before: string(o.lastID), ID: string(id), Assumed: assumed}
 }
 
 // hasData reports whether an event has a data field. Without one it carries nothing.
--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -259,6 +259,44 @@
 	must.Eq(t, Steps{}, n.Steps())
 }
 
+// A caller that names a number which is none of the stream's must not decide how the events of a
+// service are numbered, as two sound upstreams agree on what follows it.
+func TestCallerTeachesNothing(t *testing.T) {
+	n := Numbering{steps: Steps{Step: 1}}
+	c := &caller{order: NewOrder("-100", true, n.Steps(), 1<<10)}
+	must.Error(t, c.attempt("u0", runOf("1", "2", "3"), true))
+	must.NoError(t, c.attempt("u1", runOf("1", "2", "3"), true))
+	must.Eq(t, []string{"1", "2", "3"}, c.has)
+	n.Learn(c.order)
+	must.Eq(t, Steps{Step: 1}, n.Steps())
+}
+
+// Nothing that follows a number which only the caller has named is the fault of an upstream; what
+// follows one that an upstream brought is.
+func TestCallerBlamesNoUpstream(t *testing.T) {
+	for _, c := range []struct {
+		after  string
+		has    []testEvent
+		answer []testEvent
+		blamed bool
+	}{
+		{after: "-100", answer: runOf("1", "2")},
+		{after: "99", answer: runOf("1", "2")},
+		{after: "3", answer: runOf("2", "5")},
+		{after: "3", has: runOf("4", "5"), answer: runOf("7"), blamed: true},
+		{after: "3", has: runOf("4", "5"), answer: runOf("4"), blamed: true},
+		{after: "3", has: runOf("4", "5"), answer: runOf("4", "6"), blamed: true},
+	} {
+		who := &caller{order: NewOrder(c.after, true, Steps{Step: 1}, 1<<10)}
+		if c.has != nil {
+			must.ErrorIs(t, who.attempt("u0", c.has, false), errBrokenOff)
+		}
+		var fault *OrderError
+		must.True(t, errors.As(who.attempt("u1", c.answer, true), &fault), must.Sprint(c))
+		must.Eq(t, c.blamed, fault.OfUpstream(), must.Sprint(c))
+	}
+}
+
 // What may be a repetition must not pile up without a bound.
 func TestHeldEventsAreBounded(t *testing.T) {
 	o := NewOrder("3", true, Steps{}, 40)
