eelgrass-gateway: SIGHUP while an instance starts does not end it

Cause: the handler of SIGHUP is set when the gateway runs; before, the default action ends the process. Change: the signal is ignored until then; the settings are read after that in any case. Measured: TestHangupDoesNotEndAStartingInstance failed before (ended by the signal), passes now.

--- a/cmd/eelgrass-gateway/main.go
+++ b/cmd/eelgrass-gateway/main.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/eelgrassbay/eelgrassbay/internal/boottime"
@@ -42,7 +44,10 @@
 	Version     bool   `long:"version" description:"print the version and exit"`
 }
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	signal.Ignore(syscall.SIGHUP) // until Gateway.Run handles it: the settings are read anyway
+	os.Exit(run(os.Args[1:]))
+}
 
 func run(args []string) int {
 	var opts options
