gateway, eventstream: what only one upstream can say is believed

Callers would have seen: where the only upstream of a service (or a route with one attempt) has nothing left after their last event, 502 at each try; streams that may not be resumed and whose numbers vary, at the only upstream, never whole. Both found by the review. Cause: another upstream was required to confirm, also where there is none.

--- a/internal/eventstream/numbering.go
+++ b/internal/eventstream/numbering.go
@@ -136,11 +136,12 @@
 	case e.whole && e.equal >= minSteps && !e.unequal:
 		n.unjudged.streams = 0
 		n.learnWhole(e.by, e.only)
-	case e.broken && e.resumable && !n.sure && !e.denied:
-		n.learnUnjudged(e.gapStep)
-	case e.broken && !e.resumable && n.steps.Step == 0:
-		n.steps.Irregular = n.gapAt != "" && n.gapAt != e.by
-		n.gapAt = e.by
+	case e.broken && !n.sure && !e.denied:
+		n.learnUnjudged(e.gapStep, !e.resumable) // such a stream broke at steps of its own
+		if !e.resumable {
+			n.steps.Irregular = n.steps.Irregular || n.gapAt != "" && n.gapAt != e.by
+			n.gapAt = e.by
+		}
 	}
 }
 
@@ -154,9 +155,9 @@
 
 // learnUnjudged learns from a stream that broke at a gap on which no other upstream had a say.
 // Where all have the same one, it is the service's step.
-func (n *Numbering) learnUnjudged(step uint64) {
+func (n *Numbering) learnUnjudged(step uint64, varies bool) {
 	u := &n.unjudged
-	u.varies = u.streams > 0 && (u.varies || step != u.step)
+	u.varies = varies || u.streams > 0 && (u.varies || step != u.step)
 	u.step = step
 	if u.streams++; u.streams < maxUnjudged {
 		return
--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -231,6 +231,16 @@
 	must.Eq(t, Steps{Irregular: true}, n.Steps())
 }
 
+// The same for streams that may not be resumed, whose numbers vary at the only upstream.
+func TestNumbersThatVaryAtTheOnlyUpstreamAreAccepted(t *testing.T) {
+	var n Numbering
+	for range maxUnjudged {
+		must.Eq(t, Steps{}, n.Steps())
+		learnt(&n, false, "u0", "3", "7", "19")
+	}
+	must.Eq(t, Steps{Irregular: true}, n.Steps())
+}
+
 // Events that are left out must be noticed also where two upstreams have shown another step than 1.
 func TestGapOfAConfirmedStepIsNoticed(t *testing.T) {
 	var n Numbering
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -147,12 +147,25 @@
 // the whole stream.
 func (x *exchange) judgeEnd(a *attempt) error {
 	held, err := x.rec.stream.order.End()
+	var fault *eventstream.OrderError
+	if errors.As(err, &fault) && fault.Fault == eventstream.FaultUnconfirmed && !x.mayBeConfirmed(a) {
+		err = nil
+	}
 	if held.Events == 0 {
 		return err
 	}
 	return cmp.Or(x.writeEvents(a, held, nil), err)
 }
 
+// mayBeConfirmed reports whether another upstream can be asked whether a stream has ended, for this
+// request or when its caller takes the stream up. Where there is none, the word of one has to do.
+func (x *exchange) mayBeConfirmed(a *attempt) bool {
+	u := a.Decision.Upstream
+	return x.route.MaxAttempts > 1 && slices.ContainsFunc(x.g.catalog.Usable(), func(other fleet.Upstream) bool {
+		return other.ID != u.ID && other.Service == u.Service && other.Version == u.Version
+	})
+}
+
 // writeEvents writes to the caller what is passed on at the event with this ID.
 func (x *exchange) writeEvents(a *attempt, p eventstream.Passed, id []byte) error {
 	a.run.passed(p, id)
