--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -157,9 +157,12 @@
 	return cmp.Or(x.writeEvents(a, held, nil), err)
 }
 
-// mayBeConfirmed reports whether another upstream can be asked whether a stream has ended, for this
-// request or when its caller takes the stream up. Where there is none, the word of one has to do.
+// mayBeConfirmed reports whether another upstream can be asked whether a stream has ended, now or
+// when the caller takes up what was cut here. Where there is none, the word of one has to do.
 func (x *exchange) mayBeConfirmed(a *attempt) bool {
+	if x.rec.stream.headSent {
+		return true
+	}
 	u := a.Decision.Upstream
 	return x.route.MaxAttempts > 1 && slices.ContainsFunc(x.g.catalog.Usable(), func(other fleet.Upstream) bool {
 		return other.ID != u.ID && other.Service == u.Service && other.Version == u.Version
