--- a/internal/streamversion/book.go
+++ b/internal/streamversion/book.go
@@ -53,8 +53,8 @@
 // NewBook returns an empty book.
 func NewBook() *Book { return &Book{byKey: map[Key]Record{}} }
 
-// Put adds a record, or replaces the one with its key unless that is doubtful. Beyond maxRecords, the record that was
-// put first is dropped.
+// Put adds a record, or replaces the one with its key unless that is doubtful. Beyond maxRecords, the
+// record that was put first is dropped.
 func (b *Book) Put(now time.Duration, r Record) {
 	if now >= r.Until {
 		return
