--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -31,7 +31,7 @@
 }
 
 // A relay framed the answer of a process that had ended anew, so that its peer could not tell
-// that it was cut (issue 54).
+// that it was cut.
 func TestAnswerOfAnEndedProcessIsBrokenThroughARelay(t *testing.T) {
 	server := make(chan *httptest.Server, 1)
 	r, upstream := newTestRelay(t, dyingHandler(server))
@@ -44,8 +44,7 @@
 	resp.Finish(false)
 }
 
-// The answer of a process that had ended was taken for whole, also as the rest of a stream
-// (issue 54).
+// The answer of a process that had ended was taken for whole, also as the rest of a stream.
 func TestAnswerOfAnEndedProcessIsNotDelivered(t *testing.T) {
 	r, _ := newTestRelay(t, func(http.ResponseWriter, *http.Request) {})
 	g := r.node.g
