eventstream, httpconn, gateway: names of steps, one judge of framing, no state for plain requests

Cause: a last reading of the change: Finish decided the framing of a body beside Response.Framing; each plain request took the lock of the numberings and made a stream's order; a count was called equal and its comment was wrong. Change: Finish asks Unframed; other routes get an empty state; steps and lastStep. Behaviour stays.

--- a/internal/eventstream/numbering.go
+++ b/internal/eventstream/numbering.go
@@ -28,13 +28,13 @@
 	confirmed uint64 // first step of the stream, on which they agreed while it was unknown, 0 for none
 	denied    bool   // another upstream had what one left out
 
-	equal   int    // steps of the stream, all the same
-	only    uint64 // the step
-	unequal bool
-	whole   bool // the stream was brought whole by one attempt
-	by      string
-	broken  bool // a number was beyond the expected one
-	scratch big.Int
+	steps    int    // between the events of the stream that were passed on
+	lastStep uint64 // the last of them
+	unequal  bool   // they differ
+	whole    bool   // the stream was brought whole by one attempt
+	by       string // upstream of the last event
+	broken   bool   // a number was beyond the expected one
+	scratch  big.Int
 }
 
 // gap is a number that an upstream sent after the last one, beyond the expected number.
@@ -64,9 +64,9 @@
 	}
 	e.denied = e.denied || len(e.gaps) > 0 && !e.agreed
 	e.gaps = e.gaps[:0]
-	e.unequal = e.unequal || e.equal > 0 && step != e.only
-	e.only = step
-	e.equal++
+	e.unequal = e.unequal || e.steps > 0 && step != e.lastStep
+	e.lastStep = step
+	e.steps++
 	if step < e.confirmed { // steps vary
 		e.confirmed = 0
 	}
@@ -80,7 +80,7 @@
 }
 
 // assumed reports whether neither the service nor the stream has shown the expected step.
-func (e *expectation) assumed() bool { return e.byDefault && e.equal == 0 }
+func (e *expectation) assumed() bool { return e.byDefault && e.steps == 0 }
 
 // agrees reports whether another upstream has sent the same number after the last one, and one of
 // them both numbers: rests that begin too late may be a fault of a version, which several have. From
@@ -136,9 +136,9 @@
 	case e.agreed:
 		n.steps = Steps{Irregular: true}
 	case n.steps.Irregular:
-	case e.whole && e.equal >= minSteps && !e.unequal:
+	case e.whole && e.steps >= minSteps && !e.unequal:
 		n.unjudged.streams = 0
-		n.learnWhole(e.by, e.only)
+		n.learnWhole(e.by, e.lastStep)
 	case e.broken && !n.sure && !e.denied:
 		n.learnUnjudged(e.gapStep, !e.resumable) // such a stream broke at steps of its own
 		if !e.resumable {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,6 +37,9 @@
 
 // newStreamState returns the state of a request of which the caller has received nothing.
 func (x *exchange) newStreamState() *streamState {
+	if x.route.Kind != fleet.KindStream {
+		return &streamState{}
+	}
 	order := eventstream.NewOrder(x.req.LastEventID, x.route.Repeatable(), x.g.numberings.steps(x.service), maxEventBytes)
 	return &streamState{order: *order}
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -415,7 +415,7 @@
 	r.conn.watch = Watch{}
 	open := r.stopCtxWatch()
 	// A late copy of the response to a HEAD states the length of a body that it does not have.
-	framed := (r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0) && r.raw.Request.Method != http.MethodHead
+	framed := !r.Unframed() && r.raw.Request.Method != http.MethodHead
 	idle := idleTimeout(r.Header)
 	if !open || !complete || !framed || r.raw.Close || idle <= 0 || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
