--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/bin/bash
+# Builds the stand-ins of the cases of the second review, from the root of the repository.
+set -e
+cd "$(dirname "$0")/.."
+go build -o target/standin2 ./review/standin2
