--- a/review/standin2/bed.go
+++ b/review/standin2/bed.go
@@ -114,14 +114,24 @@
 	})
 }
 
-// freeAddress returns a loopback address whose port is free.
+// handedOut has the addresses that freeAddress has returned.
+var handedOut = map[string]bool{}
+
+// freeAddress returns a loopback address whose port is free. It is not the one from which
+// connections are opened, so that none of these takes the port.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for {
+		l, err := net.Listen("tcp", "127.0.1.1:0")
+		if err != nil {
+			return "", err
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		if !handedOut[address] {
+			handedOut[address] = true
+			return address, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
 }
 
 // startInstances starts n entry instances, with the settings that the platform makes of the
