--- /dev/null
+++ b/review/testbed/record.go
@@ -0,0 +1,67 @@
+package testbed
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// Exit statuses of a script.
+const (
+	ExitHeld   = 0
+	ExitBroken = 1
+	ExitNotRun = 2
+)
+
+// Record is the record of a run.
+type Record struct {
+	mu    sync.Mutex
+	began time.Time
+	out   *os.File
+}
+
+// NewRecord creates the file of a record.
+func NewRecord(file string) (*Record, error) {
+	out, err := os.Create(file)
+	return &Record{began: time.Now(), out: out}, err
+}
+
+// Printf writes a line with the milliseconds since the beginning of the run.
+func (r *Record) Printf(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(r.out, "%6d %s\n", time.Since(r.began).Milliseconds(), fmt.Sprintf(format, args...)) // a record that cannot be written fails the run at Close
+}
+
+// Close ends the record.
+func (r *Record) Close() error { return r.out.Close() }
+
+// Main runs a script: run gets its record, a temporary folder and whether the disruption is to
+// happen, and returns the exit status. The first argument names the file of the record.
+func Main(run func(record *Record, dir string, trouble bool) int) int {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: COMMAND RECORD")
+		return ExitNotRun
+	}
+	record, err := NewRecord(os.Args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitNotRun
+	}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitNotRun
+	}
+	defer os.RemoveAll(dir)
+	trouble := os.Getenv("TROUBLE") != "0"
+	record.Printf("disruption: %v", trouble)
+	status := run(record, dir, trouble)
+	record.Printf("exit status %d", status)
+	if err := record.Close(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitNotRun
+	}
+	return status
+}
