--- a/review/testbed/record.go
+++ b/review/testbed/record.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -55,6 +57,13 @@
 		return ExitNotRun
 	}
 	defer os.RemoveAll(dir)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		_ = os.RemoveAll(dir) // the processes end with this one
+		os.Exit(ExitNotRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.Printf("disruption: %v", trouble)
 	status := run(record, dir, trouble)
