review/testbed: a script is tried again if an instance does not start

Inferred: another process took one of its ports, which were free when they were chosen.

Change: the wait for an instance ends with its process and after 8 s, and a script that could not run is tried up to three times with other ports.

--- a/review/8/main.go
+++ b/review/8/main.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	readyLimit = 20 * time.Second
+	readyLimit = 8 * time.Second
 	answerTime = 16 * time.Second
 	// grace is grace_s. A SIGTERM counts as planned work until a second after it.
 	grace  = 8 * time.Second
--- a/review/testbed/instance.go
+++ b/review/testbed/instance.go
@@ -151,10 +151,16 @@
 	<-i.done
 }
 
-// WaitReady waits until the instance says that it is ready, and reports whether it did in time.
+// WaitReady waits until the instance says that it is ready, and reports whether it did in time and
+// before its process ended.
 func (i *Instance) WaitReady(limit time.Duration) bool {
 	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-i.done:
+			return false
+		default:
+		}
 		resp, err := client.Get("http://" + i.ready + "/api/ready")
 		if err != nil {
 			continue
--- a/review/testbed/record.go
+++ b/review/testbed/record.go
@@ -39,6 +39,10 @@
 // Close ends the record.
 func (r *Record) Close() error { return r.out.Close() }
 
+// maxTries is how often a script is run that could not run, as another process may take a free port
+// before an instance does.
+const maxTries = 3
+
 // Main runs a script: run gets its record, a temporary folder and whether the disruption is to
 // happen, and returns the exit status. The first argument names the file of the record.
 func Main(run func(record *Record, dir string, trouble bool) int) int {
@@ -67,6 +71,13 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.Printf("disruption: %v", trouble)
 	status := run(record, dir, trouble)
+	for range maxTries - 1 {
+		if status != ExitNotRun {
+			break
+		}
+		record.Printf("another try, with other ports")
+		status = run(record, dir, trouble)
+	}
 	record.Printf("exit status %d", status)
 	if err := record.Close(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
