eventstream, gateway: a larger step than expected cuts no stream where nobody can be asked

Cause: a process that has learnt nothing expects a step of 1, or the first step of the stream, and a service's step once learnt was never revised. A larger one ended the answer although no other upstream could confirm it or bring the rest.

Evidence: the lines of the cut requests end with `skipped` after the first or second event, at the only upstream of the model, which goes on sending. Knowledge that lasts over restarts (store, peers) would still leave the first streams of a service.

Change: such a step is a question. It ends the attempt only if another upstream has a place for the request, taken before the first answer is closed, and the budget has a retry for the question and one for going on, also at the first upstream, if the other one rejects it. Otherwise the event passes, logged as `unasked`. Three such streams in a row end a step that was learnt.

--- a/internal/eventstream/numbering.go
+++ b/internal/eventstream/numbering.go
@@ -1,6 +1,9 @@
 package eventstream
 
-import "math/big"
+import (
+	"math/big"
+	"slices"
+)
 
 // Steps is what is known of the numbers in the streams of a service. The zero value is nothing.
 type Steps struct {
@@ -27,6 +30,7 @@
 	agreed    bool   // two upstreams have left out the same numbers after one of theirs: there are none
 	confirmed uint64 // first step of the stream, on which they agreed while it was unknown, 0 for none
 	denied    bool   // another upstream had what one left out
+	unasked   bool   // a gap after an event that an upstream had brought was passed on without another one's word
 
 	steps    int    // between the events of the stream that were passed on
 	lastStep uint64 // the last of them
@@ -53,14 +57,20 @@
 }
 
 // follows reports whether an event with a number may follow the last one. A larger step than
-// the expected one may if another upstream takes it, too. brought is whether an upstream brought
-// the last number, within whether this one sent it in the same answer.
+// the expected one may if another upstream takes it, too, or if none can ever be asked. brought is
+// whether an upstream brought the last number, within whether this one sent it in the same answer.
 func (e *expectation) follows(upstream string, last, this *number, brought, within bool) bool {
 	e.by = upstream
 	step := this.above(last, &e.scratch)
-	if !e.irregular && e.step != 0 && step > e.step && !e.agrees(gap{upstream: upstream, within: within}, this, step, brought) {
-		e.broken = e.broken || brought
-		return false
+	if !e.irregular && e.step != 0 && step > e.step {
+		switch {
+		case !e.resumable:
+			e.gapStep = step
+			e.passUnasked(brought)
+		case !e.agrees(gap{upstream: upstream, within: within}, this, step, brought):
+			e.broken = e.broken || brought
+			return false
+		}
 	}
 	e.denied = e.denied || len(e.gaps) > 0 && !e.agreed
 	e.gaps = e.gaps[:0]
@@ -82,6 +92,20 @@
 // assumed reports whether neither the service nor the stream has shown the expected step.
 func (e *expectation) assumed() bool { return e.byDefault && e.steps == 0 }
 
+// passUnasked lets numbers increase by any step from now on, as no other upstream can be asked. It
+// teaches nothing of the service if the caller named the last number, and no upstream brought it.
+func (e *expectation) passUnasked(brought bool) {
+	e.irregular, e.unasked = true, e.unasked || brought
+	e.gaps = e.gaps[:0]
+}
+
+// seenBefore reports whether an earlier attempt had nothing between the last number and the rejected
+// one, either: it went on with the same number or a higher one.
+func (e *expectation) seenBefore(this *number) bool {
+	earlier := e.gaps[:max(0, len(e.gaps)-1)]
+	return slices.ContainsFunc(earlier, func(g gap) bool { return g.number.Cmp(&this.value) >= 0 })
+}
+
 // agrees reports whether another upstream has sent the same number after the last one, and one of
 // them both numbers: rests that begin too late may be a fault of a version, which several have. From
 // then on only increase is required of the stream. It teaches nothing of the service if the caller
@@ -112,16 +136,16 @@
 		step     uint64
 	}
 	sure     bool   // two upstreams have shown the step
-	gapAt    string // upstream whose stream broke while nothing was known
+	gapAt    string // upstream whose stream had uneven steps while nothing was known
 	unjudged struct {
-		streams int    // in a row that broke at a gap on which no other upstream had a say
+		streams int    // in a row that broke at, or passed, a gap on which no other upstream had a say
 		step    uint64 // of the last one's gap
 		varies  bool
 	}
 }
 
-// maxUnjudged is the number of streams that may break at a gap which no other upstream confirms or
-// denies before its step is believed: the service may have one upstream only.
+// maxUnjudged is the number of streams with a gap which no other upstream confirms or denies before
+// its step is believed: the service may have one upstream only.
 const maxUnjudged = 3
 
 // Steps returns what is known.
@@ -137,11 +161,15 @@
 		n.steps = Steps{Irregular: true}
 	case n.steps.Irregular:
 	case e.whole && e.steps >= minSteps && !e.unequal:
-		n.unjudged.streams = 0
 		n.learnWhole(e.by, e.lastStep)
-	case e.broken && !n.sure && !e.denied:
-		n.learnUnjudged(e.gapStep, !e.resumable) // such a stream broke at steps of its own
-		if !e.resumable {
+		if e.unasked && n.steps.Step != e.lastStep {
+			n.learnUnjudged(e.gapStep, false)
+		} else {
+			n.unjudged.streams = 0
+		}
+	case (e.broken && !n.sure || e.unasked) && !e.denied:
+		n.learnUnjudged(e.gapStep, !e.resumable) // the steps of such a stream differ
+		if !e.resumable && !n.sure {
 			n.steps.Irregular = n.steps.Irregular || n.gapAt != "" && n.gapAt != e.by
 			n.gapAt = e.by
 		}
@@ -156,7 +184,7 @@
 	n.whole.upstream, n.whole.step = upstream, step
 }
 
-// learnUnjudged learns from a stream that broke at a gap on which no other upstream had a say.
+// learnUnjudged learns from a stream with a gap on which no other upstream had a say.
 // Where all have the same one, it is the service's step.
 func (n *Numbering) learnUnjudged(step uint64, varies bool) {
 	u := &n.unjudged
--- a/internal/eventstream/order.go
+++ b/internal/eventstream/order.go
@@ -21,6 +21,9 @@
 	// FaultUnordered is none either: nothing tells which events the caller has.
 	FaultUnordered Fault = "unordered"
 	FaultHeld      Fault = "held" // too much came before anything told whether the caller has it
+	// FaultUnasked is none either: an event beyond the expected number was passed on, since no other
+	// upstream could be asked whether one lies between.
+	FaultUnasked Fault = "unasked"
 )
 
 // OrderError means that an attempt must not go on, or that its end is not the stream's.
@@ -31,6 +34,9 @@
 	// Assumed means that the events were expected in a step that nothing has shown, or after a
 	// number that the caller named and no upstream brought.
 	Assumed bool
+	// Undecided means that only the expected step speaks against the event, which Accept passes on.
+	// Another upstream can tell whether an event was left out.
+	Undecided bool
 }
 
 // Error implements error.
@@ -148,10 +154,24 @@
 	same := o.attempt.plain && hash == o.attempt.hash
 	o.this.parse(e.ID)
 	p, err := o.named(e.ID, raw, same)
+	if err != nil { // Accept may follow
+		return p, err
+	}
 	o.attempt.hash, o.attempt.plain = hash, true
 	if o.this.known {
 		o.attempt.number.set(&o.this)
 	}
+	return p, nil
+}
+
+// Accept passes on an event that Next has rejected as undecided, where no other upstream can be asked.
+// From then on only increase is required of the stream, which is all that numbers promise.
+func (o *Order) Accept(e Event) (Passed, error) {
+	o.steps.passUnasked(o.brought)
+	p, err := o.Next(e)
+	if err == nil {
+		p.Fault = FaultUnasked
+	}
 	return p, err
 }
 
@@ -228,6 +248,8 @@
 		case !o.steps.follows(a.upstream, &o.last, &o.this, o.brought, !a.repeating || a.reached):
 			err := o.fault(FaultSkipped, id)
 			err.Assumed = err.Assumed || o.steps.assumed()
+			// After an attempt that broke off, a rest that begins too late is the likelier reason.
+			err.Undecided = o.attempts == 1 || o.steps.seenBefore(&o.this)
 			return Passed{}, err
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -88,6 +88,7 @@
 	defer x.leaveShutdown()
 	x.rec.stream = x.newStreamState()
 	defer x.learnNumbering()
+	defer x.dropReserves()
 	if refusal := x.resolveVersion(ctx); refusal.Reason != fleet.ReasonNone {
 		x.refuse(refusal)
 		return
@@ -116,7 +117,7 @@
 			x.endWithoutAnswer()
 			return
 		}
-		if x.next == nil && !x.mayRetry(o) {
+		if x.next == nil && x.placed == nil && !x.mayRetry(o) {
 			x.fail(o)
 			return
 		}
@@ -166,6 +167,10 @@
 // acquire waits for an upstream for the job and, if no upstream holds the job's
 // adapter, requests the adapter. A request that would outlast the instance is refused.
 func (x *exchange) acquire(ctx context.Context) (assign.QueueResult, bool) {
+	if placed := x.placed; placed != nil {
+		x.placed = nil
+		return *placed, true
+	}
 	if x.job.Adapter != "" {
 		x.g.adapterRequests.requestIfMissing(x.service, x.job.Model, x.job.Adapter)
 	}
@@ -220,13 +225,13 @@
 		return deniedUnreachable
 	case o == outcomeNotSent && x.arrivals() == 0:
 		return ""
-	case ran && x.retryReserved:
-		x.retryReserved = false
-		return ""
 	case ran && (!x.route.Repeatable() || !x.rec.stream.order.MayResume()):
 		return deniedNotRepeatable
 	case ran && x.ran >= x.route.MaxAttempts:
 		return deniedAttempts
+	case x.reserved != nil:
+		x.retry, x.reserved = *x.reserved, nil
+		return ""
 	case o == outcomeNotRun && !x.rec.stream.headSent && x.rejected >= max(x.route.MaxAttempts, minRejections):
 		return deniedRejections
 	case !x.takeRetry():
@@ -526,6 +531,5 @@
 	if !x.route.Repeatable() || x.ran+1 >= x.route.MaxAttempts || x.g.now() >= x.job.Objective || x.suspect.Suspected() {
 		return false
 	}
-	x.retryReserved = x.takeRetry()
-	return x.retryReserved
+	return x.takeReserve()
 }
--- /dev/null
+++ b/internal/gateway/question.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"slices"
+
+	"github.com/eelgrassbay/eelgrassbay/internal/assign"
+)
+
+// askElsewhere places the request at another upstream, which can tell what follows the last event
+// of its stream, and reports whether it did; x.placed is then the placement. A stream that nobody
+// else can bring now goes on where it is. A second retry is reserved, so that the stream can go on, also
+// at its first upstream, if the other one rejects it.
+func (x *exchange) askElsewhere(a *attempt) bool {
+	if x.ran+1 >= x.route.MaxAttempts || x.suspect.Suspected() || !x.rec.stream.order.MayResume() || !x.endsInTime() || !x.takeReserve() {
+		return false
+	}
+	if !x.takeRetry() {
+		x.dropReserves()
+		return false
+	}
+	x.checkVersion()
+	x.job.Retryable = false // a suspect upstream is not probed with this request
+	placed, ok := x.g.dispatcher.placeNow(x.job)
+	if !ok {
+		x.returnRetry()
+		x.dropReserves()
+		return false
+	}
+	x.job.TriedUpstreams = slices.DeleteFunc(x.job.TriedUpstreams, func(id string) bool { return id == a.Decision.Upstream.ID })
+	x.placed = &placed
+	return true
+}
+
+// takeReserve reserves a retry for a later attempt and reports whether the budget had one.
+func (x *exchange) takeReserve() bool {
+	reserved, ok := x.g.retryBudget.takeRetry(x.service)
+	if ok {
+		x.reserved = &reserved
+	}
+	return ok
+}
+
+// dropReserves returns the placement and the retry that were reserved and not used.
+func (x *exchange) dropReserves() {
+	if x.reserved != nil {
+		x.g.retryBudget.returnRetry(x.service, *x.reserved)
+		x.reserved = nil
+	}
+	if x.placed != nil {
+		x.g.dispatcher.done(x.placed.Placement, assign.ResultUnknown)
+		x.g.dispatcher.recordNotSent(x.placed.Placement)
+		x.returnRetry()
+		x.placed = nil
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -136,7 +136,7 @@
 			break
 		}
 		var passed eventstream.Passed
-		if passed, err = x.rec.stream.order.Next(event); err == nil {
+		if passed, err = x.nextEvent(a, event); err == nil {
 			err = x.writeEvents(a, passed, event.ID)
 		}
 	}
@@ -146,6 +146,18 @@
 	return cmp.Or(x.flushEvents(a), err)
 }
 
+// nextEvent returns what becomes of the next event of an attempt. One that may follow others which
+// were left out ends the attempt only if another upstream can be asked.
+func (x *exchange) nextEvent(a *attempt, event eventstream.Event) (eventstream.Passed, error) {
+	order := &x.rec.stream.order
+	passed, err := order.Next(event)
+	var fault *eventstream.OrderError
+	if errors.As(err, &fault) && fault.Undecided && !x.askElsewhere(a) {
+		return order.Accept(event)
+	}
+	return passed, err
+}
+
 // judgeEnd decides on the end of an answer that came in order. It returns nil if the caller has
 // the whole stream.
 func (x *exchange) judgeEnd(a *attempt) error {
