httpconn: a reset that the write of a long request was told of ends no answer in order

Cause: the kernel reports a reset once. The goroutine that sends a long request takes it, and the one that reads the answer sees an end, which ProveEnd believes as the address is served.

Change: at an end, the state of the connection and the result of the write decide. On a half open connection the peer's close came last. On one that is closed on both sides, EPIPE means that the reset followed the peer's close; any other error of the write breaks the answer, also that of a cut link.

--- a/internal/httpconn/alive.go
+++ b/internal/httpconn/alive.go
@@ -95,21 +95,24 @@
 // state reports whether the peer has not closed the connection. It fails once this side has. Unlike
 // a read it takes no error from the kernel, so that it may be called while another goroutine reads.
 func (c *conn) state() (open bool, err error) {
+	info, err := c.info()
+	return err == nil && info.State == unix.BPF_TCP_ESTABLISHED, err
+}
+
+// info returns the kernel's state of the connection.
+func (c *conn) info() (*unix.TCPInfo, error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false, errors.ErrUnsupported
+		return nil, errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false, err
+		return nil, err
 	}
+	var info *unix.TCPInfo
 	var infoErr error
-	err = raw.Control(func(fd uintptr) {
-		var info *unix.TCPInfo
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		open = infoErr == nil && info.State == unix.BPF_TCP_ESTABLISHED
-	})
-	return open, errors.Join(err, infoErr)
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return info, errors.Join(err, infoErr)
 }
 
 // track counts a connection as open until it is closed.
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -141,6 +141,7 @@
 	watch   Watch
 	told    time.Time // last call of watch.OnSilence in the current silence, zero for none
 	readErr error     // ends all further reading
+	sending *sending  // of a long body, nil for none
 	// inHead is whether a head is being read, of which headLeft more bytes may come.
 	// headLines is the number of lines that have come.
 	inHead              bool
@@ -240,12 +241,43 @@
 		c.headLeft -= n
 		c.headLines += bytes.Count(p[:n], []byte("\n"))
 	}
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.readErr = err
 	}
 	return n, err
 }
 
+// maxWriteEnd is how long a write may take to end after its connection has.
+const maxWriteEnd = time.Second
+
+// endError returns why a connection has ended at which the kernel reports an end: io.EOF if the peer
+// closed it in order. The kernel reports a failure of the connection only once. If a write gets it, a read
+// sees an end like any other, but the connection is closed on both sides. So it is after a reset that
+// followed the peer's close, of which EPIPE tells the write.
+func (c *conn) endError() error {
+	if c.sending == nil {
+		return io.EOF
+	}
+	if info, err := c.info(); err == nil && info.State == unix.BPF_TCP_CLOSE {
+		limit := time.NewTimer(maxWriteEnd)
+		defer limit.Stop()
+		select {
+		case <-c.sending.done:
+		case <-limit.C:
+			return io.ErrUnexpectedEOF
+		}
+	}
+	switch err := c.sending.result(); {
+	case err == nil, errors.Is(err, errSending), errors.Is(err, syscall.EPIPE):
+		return io.EOF
+	default:
+		return err
+	}
+}
+
 // dial opens a connection to an address (IP:port).
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	d := net.Dialer{Timeout: p.opts.DialTimeout, KeepAlive: -1, Control: setUserTimeout}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -70,8 +70,7 @@
 	pool         *Pool
 	conn         *conn
 	request      *Request
-	written      <-chan writeResult // see readHead
-	reused       bool               // see Response.Reused
+	reused       bool // see Response.Reused
 	stopCtxWatch func() bool
 }
 
@@ -94,7 +93,7 @@
 		}
 	}
 	c.used = true
-	if e.written, err = c.start(r); err != nil {
+	if err = c.start(r); err != nil {
 		e.Close()
 		return nil, err
 	}
@@ -107,7 +106,7 @@
 // Response reads the status and header of the response. It fails with
 // ErrExchangeFailed.
 func (e *Exchange) Response() (*Response, error) {
-	resp, err := e.pool.readHead(e.conn, e.request, e.written)
+	resp, err := e.pool.readHead(e.conn, e.request)
 	if err != nil {
 		e.Close()
 		return nil, err
@@ -122,43 +121,42 @@
 	_ = e.conn.Close()
 }
 
-// writeResult is the outcome of sending a request in the background. A long body
-// is sent while the response is read, because an upstream may respond before it
-// has read the whole body.
-type writeResult struct {
-	sent bool
-	err  error
+// sending is a request that is sent in the background. A long body is sent while the
+// response is read, because an upstream may respond before it has read the whole body.
+type sending struct {
+	done chan struct{}
+	err  error // set before done is closed
 }
 
 // maxInlineBodyBytes is the size of the largest body that is sent completely
 // before the response is read.
 const maxInlineBodyBytes = 16 << 10
 
-// start sends the request. The channel receives the result of a background send;
-// it is nil if the request has been sent.
-func (c *conn) start(r *Request) (<-chan writeResult, error) {
+// start sends the request, in the background if it is long.
+func (c *conn) start(r *Request) error {
+	c.sending = nil
 	if r.bodyBytes() <= maxInlineBodyBytes {
 		sent, err := c.send(r)
 		if err != nil && !sent {
-			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+			return fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 		if err != nil {
-			return nil, brokenError(err)
+			return brokenError(err)
 		}
-		return nil, nil
+		return nil
 	}
-	written := make(chan writeResult, 1)
+	s := &sending{done: make(chan struct{})}
+	c.sending = s
 	go func() {
-		sent, err := c.send(r)
-		written <- writeResult{sent, err}
+		defer close(s.done)
+		_, s.err = c.send(r)
 	}()
-	return written, nil
+	return nil
 }
 
 // readHead reads the status and header of the response and skips responses to
-// earlier requests. written receives the result of a background send; it is nil if
-// the request has already been sent.
-func (p *Pool) readHead(c *conn, r *Request, written <-chan writeResult) (*Response, error) {
+// earlier requests.
+func (p *Pool) readHead(c *conn, r *Request) (*Response, error) {
 	skipped := 0
 	for {
 		raw, err := c.readResponse(r.Method)
@@ -172,7 +170,7 @@
 			}
 			continue
 		}
-		if skipped > 0 || !sentWithoutError(written) {
+		if skipped > 0 || c.sending != nil && c.sending.result() != nil {
 			raw.Close = true // do not reuse the connection: further stale data may arrive on it
 		}
 		return &Response{Status: raw.StatusCode, Header: raw.Header, Body: raw.Body, conn: c, raw: raw, pool: p}, nil
@@ -196,17 +194,16 @@
 	return err == nil && n <= maxStaleBytes
 }
 
-// sentWithoutError reports whether the request has been sent completely. It does
-// not wait.
-func sentWithoutError(written <-chan writeResult) bool {
-	if written == nil {
-		return true
-	}
+// errSending means that a request is still being sent.
+var errSending = errors.New("request not sent yet")
+
+// result returns the error of sending, or errSending.
+func (s *sending) result() error {
 	select {
-	case res := <-written:
-		return res.err == nil
+	case <-s.done:
+		return s.err
 	default:
-		return false
+		return errSending
 	}
 }
 
