httpconn: an answer whose head is none in HTTP/1.1 reaches no caller

Callers got answers of upstreams in trouble although their status was 000 or the name of a field held a blank: without that line, or with a body that was not the upstream's (MIXED).

Cause: http.ReadResponse is lenient. It takes any number for a status, of which those below 200 counted as informational, so that the body was read as the next head; and it ignores fields whose names are none, so that their length or coding does not count. Two names with blanks were known (hidesFraming), and a detour for HTTP/1.0.

Change: the bytes of each head are checked in one place: version, status from 100 to 599, names, values and continued lines; this replaces hidesFraming and the detour.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/httpconn"
 	"github.com/eelgrassbay/eelgrassbay/internal/traffic"
 )
 
@@ -47,7 +48,7 @@
 		DialContext: bytes.Dial(), MaxIdleConnsPerHost: maxIdleControlConns, IdleConnTimeout: time.Minute,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
-	return &Client{http: &http.Client{Transport: transport, Timeout: controlTimeout}, bytes: bytes, callIDPrefix: rand.Text() + "-"}
+	return &Client{http: &http.Client{Transport: httpconn.Checked(transport), Timeout: controlTimeout}, bytes: bytes, callIDPrefix: rand.Text() + "-"}
 }
 
 // Report reads the report of the engine at address (IP:port). It fails with
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -143,8 +143,9 @@
 	readErr error     // ends all further reading
 	sending *sending  // of a long body, nil for none
 	// inHead is whether a head is being read, of which headLeft more bytes may come.
-	// headLines is the number of lines that have come.
+	// headLines is the number of lines that have come, and head has the bytes since its beginning.
 	inHead              bool
+	head                []byte
 	headLeft, headLines int
 }
 
@@ -238,6 +239,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	if c.inHead {
+		c.head = append(c.head, p[:n]...)
 		c.headLeft -= n
 		c.headLines += bytes.Count(p[:n], []byte("\n"))
 	}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -1,16 +1,12 @@
 package httpconn
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/textproto"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -215,9 +211,9 @@
 // errSwitched at a 101, and with ErrHeadTooLarge if the head does not end within its bounds.
 func (c *conn) readResponse(method string) (*http.Response, error) {
 	c.inHead, c.headLeft, c.headLines = true, maxHeadBytes, 0
-	defer func() { c.inHead = false }()
+	defer func() { c.inHead, c.head = false, nil }()
 	for range maxInformational + 1 {
-		resp, err := c.readFramed(&http.Request{Method: method})
+		resp, err := c.readOne(&http.Request{Method: method})
 		if errors.Is(c.readErr, ErrHeadTooLarge) { // err may tell of the line that was cut instead
 			return nil, c.readErr
 		}
@@ -234,56 +230,18 @@
 	return nil, ErrHeadTooLarge
 }
 
-// currentVersion begins the responses whose framing http.ReadResponse checks itself.
-const currentVersion = "HTTP/1.1 "
-
-// errFaultyFraming means that the end of a response cannot be told from its head.
-var errFaultyFraming = errors.New("faulty framing of a response")
-
-// readFramed reads one response, also an informational one. http.ReadResponse ignores the
-// transfer coding of a response of HTTP/1.0, whose chunks would pass for its body, whole wherever
-// the connection ends. Such a response is faulty (RFC 9112, section 6.1).
-func (c *conn) readFramed(r *http.Request) (*http.Response, error) {
-	if version, _ := c.reader.Peek(len(currentVersion)); string(version) == currentVersion {
-		resp, err := http.ReadResponse(c.reader, r)
-		if err == nil && hidesFraming(resp.Header) {
-			return nil, errFaultyFraming
-		}
-		return resp, err
-	}
-	in := textproto.NewReader(c.reader)
-	status, err := in.ReadLine()
-	if err != nil {
-		return nil, err
+// readOne reads one response, also an informational one, and checks its head.
+func (c *conn) readOne(r *http.Request) (*http.Response, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.head = append(c.head[:0], buffered...)
+	resp, err := http.ReadResponse(c.reader, r)
+	if err == nil {
+		err = checkHead(c.head[:len(c.head)-c.reader.Buffered()])
 	}
-	header, err := in.ReadMIMEHeader()
 	if err != nil {
 		return nil, err
 	}
-	if len(header["Transfer-Encoding"]) > 0 || hidesFraming(http.Header(header)) {
-		return nil, errFaultyFraming
-	}
-	head := bytes.NewBufferString(status + "\r\n")
-	if err := http.Header(header).Write(head); err != nil {
-		return nil, err
-	}
-	head.WriteString("\r\n")
-	resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(head, c.reader)), r)
-	if err == nil {
-		resp.Close = true // further responses may be in the reader that was made for this one
-	}
-	return resp, err
-}
-
-// hidesFraming reports whether a field that frames the body has blanks after its name. Then
-// http.ReadResponse takes it for another field, and the body for one without a length.
-func hidesFraming(h http.Header) bool {
-	for name := range h {
-		if bare := strings.TrimRight(name, " "); len(bare) < len(name) && (strings.EqualFold(bare, "Content-Length") || strings.EqualFold(bare, "Transfer-Encoding")) {
-			return true
-		}
-	}
-	return false
+	return resp, nil
 }
 
 // maxQuotedBytes bounds the text of an error that quotes what an upstream sent.
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/eelgrassbay/eelgrassbay/internal/httpconn"
 	"github.com/eelgrassbay/eelgrassbay/internal/traffic"
 )
 
@@ -79,12 +80,12 @@
 		c.watchTimeout = defaultWatchTimeout
 	}
 	if c.http == nil {
-		c.http = &http.Client{Transport: &http.Transport{
+		c.http = &http.Client{Transport: httpconn.Checked(&http.Transport{
 			DialContext:            opts.Bytes.Dial(),
 			MaxIdleConnsPerHost:    idleConnsPerHost,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			IdleConnTimeout:        time.Minute,
-		}}
+		})}
 	}
 	return c
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"github.com/eelgrassbay/eelgrassbay/internal/httpconn"
 	"github.com/eelgrassbay/eelgrassbay/internal/quarantine"
 	"io"
 	"net"
@@ -87,7 +88,7 @@
 	if a.NewConnection {
 		transport = c.unpooled
 	}
-	resp, err := transport.RoundTrip(req)
+	resp, err := httpconn.Checked(transport).RoundTrip(req)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrNoAnswer, a.Address, err)
 	}
