upstreamlist, gateway: the end of an answer is not proven by the next process at the address

Cause: a connection to the address was taken for proof that the process is there, and the start that the list names was compared for the same ID alone. The list had named the next process for 1.7 s.

Change: View.Replaced. A later process at the address, under any ID, leaves the end unproven; an entry that a former process left behind names an earlier start.

--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -17,7 +17,7 @@
 const endSettleTime = 40 * time.Millisecond
 
 var (
-	errOtherIncarnation = errors.New("gateway: upstream has started again")
+	errOtherIncarnation = errors.New("gateway: another process serves the upstream's address")
 	errRelayedUnframed  = errors.New("gateway: relayed answer without a length or chunks")
 )
 
@@ -45,7 +45,7 @@
 	if err := resp.ProveEnd(ctx); err != nil {
 		return err
 	}
-	if listed, ok := g.catalog.UsableByID(u.ID); ok && listed.StartedAtMS != u.StartedAtMS {
+	if g.catalog.Replaced(u) {
 		return fmt.Errorf("%w: %w", httpconn.ErrEndUnproven, errOtherIncarnation)
 	}
 	return nil
--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -112,15 +113,32 @@
 	}
 }
 
-// What accepts connections at an upstream's address may be the next process there.
+// What accepts connections at an upstream's address may be the next process there, under its ID or
+// another one (review/6); an entry of a process that was there before proves nothing.
 func TestEndOfAnUpstreamThatStartedAgainIsNotProven(t *testing.T) {
-	r, _ := newTestRelay(t, func(http.ResponseWriter, *http.Request) {})
-	g, answers := r.node.g, make(chan rawAnswer, 1)
+	answers := make(chan rawAnswer, 1)
 	address := newRawServer(t, answers)
+	r, _ := newTestRelay(t, func(http.ResponseWriter, *http.Request) {})
+	g := r.node.g
+	r.put(fleet.Upstream{ID: "v", Service: "other", Address: address, StartedAtMS: 5})
+	for _, listed := g.catalog.UsableByID("v"); !listed; _, listed = g.catalog.UsableByID("v") {
+		time.Sleep(time.Millisecond)
+	}
 	answers <- rawAnswer{text: streamHead + "\r\n" + cutEvents}
 	resp, err := g.pool.Do(t.Context(), &httpconn.Request{Address: address, Method: "GET", RequestURI: "/", Host: "h", Header: http.Header{}})
 	must.NoError(t, err)
 	defer resp.Finish(false)
-	must.NoError(t, g.proveEnd(t.Context(), &fleet.Upstream{ID: "u", StartedAtMS: 1}, resp, nil))
-	must.ErrorIs(t, g.proveEnd(t.Context(), &fleet.Upstream{ID: "u"}, resp, nil), httpconn.ErrEndUnproven)
+	for _, c := range []struct {
+		upstream fleet.Upstream
+		proven   bool
+	}{
+		{fleet.Upstream{ID: "u", StartedAtMS: 1}, true},
+		{fleet.Upstream{ID: "u"}, false},
+		{fleet.Upstream{ID: "w", Address: address, StartedAtMS: 4}, false},
+		{fleet.Upstream{ID: "w", Address: address, StartedAtMS: 6}, true},
+	} {
+		err := g.proveEnd(t.Context(), &c.upstream, resp, nil)
+		must.Eq(t, c.proven, err == nil, must.Sprint(c))
+		must.True(t, err == nil || errors.Is(err, httpconn.ErrEndUnproven))
+	}
 }
--- a/internal/gateway/relaying_test.go
+++ b/internal/gateway/relaying_test.go
@@ -40,6 +40,7 @@
 	node    *testNode
 	address string // at which it answers peers
 	pool    *httpconn.Pool
+	store   *objectstore.Memory
 }
 
 var relayedUpstream = reach.Upstream{ID: "u", StartedAtMS: 1}
@@ -49,10 +50,8 @@
 	t.Cleanup(upstream.Close)
 	f := newTestFleet(t)
 	r := &testRelay{t: t, pool: httpconn.New(httpconn.Options{DialTimeout: time.Second, MaxIdlePerAddress: 1})}
-	entry, err := json.Marshal(fleet.Upstream{ID: "u", Service: "app", Address: strings.TrimPrefix(upstream.URL, "http://"), Zone: "z", Slots: 4, StartedAtMS: 1})
-	must.NoError(t, err)
-	_, err = f.store.Put(context.Background(), objectstore.Object{Kind: objectstore.KindUpstream, Name: "u", Value: entry})
-	must.NoError(t, err)
+	r.store = f.store
+	r.put(fleet.Upstream{ID: "u", Service: "app", Address: strings.TrimPrefix(upstream.URL, "http://"), Zone: "z", Slots: 4, StartedAtMS: 1})
 	f.putConfig(1, 1)
 	r.node = f.start("n", "z", 1, 0, []string{"n:1"})
 	t.Cleanup(r.node.stop)
@@ -68,6 +67,14 @@
 	return r, upstream
 }
 
+// put writes the entry of an upstream to the store.
+func (r *testRelay) put(u fleet.Upstream) {
+	entry, err := json.Marshal(u)
+	must.NoError(r.t, err)
+	_, err = r.store.Put(context.Background(), objectstore.Object{Kind: objectstore.KindUpstream, Name: u.ID, Value: entry})
+	must.NoError(r.t, err)
+}
+
 // send sends a request through the relay.
 func (r *testRelay) send(ctx context.Context) (*httpconn.Response, error) {
 	resp, err := r.pool.Do(ctx, relay.Request(&httpconn.Request{
--- a/internal/storesync/controller.go
+++ b/internal/storesync/controller.go
@@ -147,6 +147,13 @@
 	return c.roster.UsableByID(id)
 }
 
+// Replaced reports whether a later process is listed at the address of an upstream.
+func (c *Controller) Replaced(u *fleet.Upstream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.roster.Replaced(u)
+}
+
 // Revisions returns the store's revisions of the configuration and the list of
 // upstreams, 0 for one that was not received, and whether the store is
 // reachable.
--- a/internal/upstreamlist/upstreamlist.go
+++ b/internal/upstreamlist/upstreamlist.go
@@ -403,6 +403,20 @@
 	return m.upstream, true
 }
 
+// Replaced reports whether the list names a later process at the address of an upstream, under its ID or
+// another one. An entry that names no start may be the later one.
+func (s *View) Replaced(u *fleet.Upstream) bool {
+	if m := s.members[u.ID]; m != nil && m.upstream.StartedAtMS != u.StartedAtMS {
+		return true
+	}
+	for id, m := range s.members {
+		if id != u.ID && m.upstream.Address == u.Address && (m.upstream.StartedAtMS == 0 || m.upstream.StartedAtMS > u.StartedAtMS) {
+			return true
+		}
+	}
+	return false
+}
+
 // Listed returns every listed entry, including draining ones, sorted by ID. Peers
 // receive this list.
 func (s *View) Listed() []fleet.Upstream {
