residency: an engine that started again keeps room for loads that its former incarnation did not answer

Cause: expected sequence and fence tell orders apart within one incarnation; the next one counts from 0. The planner forgot what it had sent to the former one.

A later incarnation keeps room for those that may still be carried out: the expected sequence is not past, and the model or adapter is not there. Nothing is unloaded for them. An answer to one order says nothing of an earlier one like it.

--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -102,7 +102,7 @@
 	var best *Engine
 	for _, e := range engines {
 		m := fleet.FindModel(e.Models, n.key.Model)
-		if m == nil || m.HasAdapter(n.key.Adapter) || e.Unloading == n.key.Model || !e.canTakeOrder(now) || e.freeMB()-memoryMarginMB < n.sizeMB {
+		if m == nil || m.HasAdapter(n.key.Adapter) || e.Unloading == n.key.Model || !e.canTakeOrder(now) || e.freeMB()-e.lateMB(n.key.Model, n.key.Adapter)-memoryMarginMB < n.sizeMB {
 			continue
 		}
 		if best == nil || e.adapterCount() < best.adapterCount() || e.adapterCount() == best.adapterCount() && e.Requests < best.Requests {
@@ -112,7 +112,7 @@
 	switch {
 	case best == nil:
 		return Action{}, false
-	case best.adapterCount() < best.Spec.AdapterSlots:
+	case best.adapterCount()+best.lateAdapters() < best.Spec.AdapterSlots:
 		return p.issueOrder(now, best, fleet.OrderLoad, n.key.Model, n.key.Adapter, "adapter"), true
 	case n.replicas == 0 && n.requested:
 		return p.evictAdapter(now, best, n)
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -44,6 +44,7 @@
 	adapterLastOrdered map[string]time.Duration // model/adapter to the time of its last order
 	needsReport        bool                     // the outcome of an order is unknown: read a report first
 	callPending        bool
+	late               []sentLoad // that former incarnations were sent
 }
 
 func (e *Engine) canTakeOrder(now time.Duration) bool {
@@ -98,7 +99,14 @@
 // in MB.
 const memoryMarginMB = 1.0
 
-func (e *Engine) fits(m *fleet.Model) bool { return e.freeMB()-memoryMarginMB >= m.WeightsMB }
+func (e *Engine) fits(m *fleet.Model) bool {
+	return e.freeMB()-e.lateMB(m.Name, "")-memoryMarginMB >= m.WeightsMB
+}
+
+// waitsForLate reports whether the model would fit but for late loads.
+func (e *Engine) waitsForLate(m *fleet.Model) bool {
+	return !e.fits(m) && e.freeMB()-memoryMarginMB >= m.WeightsMB
+}
 
 // loadTime returns how long a load of the model takes on this engine, and
 // whether it reads from the weight store.
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -319,6 +319,9 @@
 	if e.fits(m.spec) {
 		return placement{e: e}, true
 	}
+	if e.waitsForLate(m.spec) { // nothing is unloaded for an order that may never come
+		return placement{}, false
+	}
 	var victim *modelState
 	for _, r := range e.Models {
 		v := states[r.Model]
--- a/internal/residency/planner.go
+++ b/internal/residency/planner.go
@@ -26,6 +26,7 @@
 	budgets         map[string]*loadBudget     // by service
 	adapterRequests map[ModelKey]time.Duration // time of the last request
 	expectations    expectations
+	sent            map[string][]sentLoad // without an outcome, by engine ID
 }
 
 // NewPlanner returns a planner for one leadership, from taking to losing the
@@ -34,7 +35,7 @@
 func NewPlanner(opts Options) *Planner {
 	return &Planner{
 		opts: opts, engines: map[string]*Engine{}, budgets: map[string]*loadBudget{},
-		adapterRequests: map[ModelKey]time.Duration{}, expectations: expectations{},
+		adapterRequests: map[ModelKey]time.Duration{}, expectations: expectations{}, sent: map[string][]sentLoad{},
 	}
 }
 
@@ -51,7 +52,7 @@
 		if e == nil || e.Upstream.StartedAtMS != u.StartedAtMS || e.Upstream.Address != u.Address {
 			e = &Engine{Models: cloneModels(u.Models), adapterLastOrdered: map[string]time.Duration{}}
 		}
-		e.Upstream, e.Spec = u, svc.Engine
+		e.Upstream, e.Spec, e.late = u, svc.Engine, p.lateLoads(now, &u)
 		next[u.ID] = e
 		if p.budgets[u.Service] == nil {
 			p.budgets[u.Service] = newLoadBudget(now, p.opts.LoadWindow, shortestLoad(svc.Engine), svc.Engine.LoadsPerS)
@@ -200,6 +201,9 @@
 
 // HandleOrderOutcome applies the outcome of an Action with an Order.
 func (p *Planner) HandleOrderOutcome(now time.Duration, id string, startedAtMS int64, o fleet.Order, outcome fleet.OrderOutcome) {
+	if outcome != fleet.OrderUnknown {
+		p.forgetSent(id, startedAtMS, o)
+	}
 	e := p.engines[id]
 	if e == nil || e.Upstream.StartedAtMS != startedAtMS {
 		return
@@ -251,6 +255,7 @@
 	e.recordCall(now)
 	fromStore := false
 	o := &fleet.Order{Kind: kind, Model: model, Adapter: adapter, Holder: p.opts.Holder, ExpectedSequence: e.Sequence}
+	p.recordSent(now, e, o)
 	switch {
 	case adapter != "":
 		e.adapterLastOrdered[model+"/"+adapter] = now
--- a/internal/residency/simulation_test.go
+++ b/internal/residency/simulation_test.go
@@ -210,30 +210,74 @@
 func TestMemoryIsNeverOvercommitted(t *testing.T) {
 	rapidtest.Check(t, func(rt *rapid.T) {
 		sim := newSimulation(rt, 4, 7)
-		planner, fencingToken := NewPlanner(Options{Holder: "n1", LoadWindow: 5 * time.Second}), uint64(1)
-		hot := "m0"
-		for step := range 300 {
+		sim.play(8, 80, 80)
+	})
+}
+
+// An engine that started again under its ID was ordered to load more than it holds, by a load that its
+// former incarnation had not answered and that arrived late (review/7). Later it loads what callers ask for.
+func TestLateLoadFindsRoomAfterARestart(t *testing.T) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		sim := newSimulation(rt, 1, 2)
+		sim.spec.MemoryMB = 115
+		planner, e, hot := NewPlanner(Options{Holder: "n1", LoadWindow: 5 * time.Second}), sim.engines[0], "m1"
+		for range 40 * time.Second / simulationTick {
 			sim.tick()
-			demand := map[ModelKey]Rates{}
-			if step%8 == 0 {
-				hot = fmt.Sprintf("m%d", rapid.IntRange(0, 6).Draw(rt, "hot"))
-			}
-			demand[ModelKey{Service: testService, Model: hot}] = Rates{Fast: 40_000, Slow: 10_000}
-			planner.SetDemand(demand)
+			planner.SetDemand(map[ModelKey]Rates{{Service: testService, Model: hot}: {Fast: 40_000, Slow: 10_000}})
 			planner.SetEngines(sim.now, sim.config, sim.upstreams())
-			for i := range 4 {
-				planner.RequestAdapter(sim.now, ModelKey{testService, hot, fmt.Sprintf("a%d", i+1)})
-			}
 			for _, a := range planner.Step(sim.now) {
-				sim.execute(planner, fencingToken, a, rapid.SampledFrom([]int{0, 0, 0, 0, 1, 25, 70}).Draw(rt, "lost"))
-			}
-			switch rapid.IntRange(0, 80).Draw(rt, "event") {
-			case 0:
-				fencingToken++
-				planner = NewPlanner(Options{Holder: "n2", LoadWindow: 5 * time.Second})
-			case 1:
-				sim.restart(sim.engines[rapid.IntRange(0, len(sim.engines)-1).Draw(rt, "engine")])
+				late := hot == "m1" && !a.Report && a.Order.Kind == fleet.OrderLoad
+				if !late {
+					sim.execute(planner, 1, a, 0)
+					continue
+				}
+				sim.execute(planner, 1, a, rapid.IntRange(60, 240).Draw(rt, "ticks late"))
+				sim.restart(e)
+				hot = "m0"
 			}
 		}
+		if hot != "m0" || !slices.ContainsFunc(e.models, func(m fleet.ResidentModel) bool { return m.Model == "m0" }) {
+			rt.Fatalf("holds %v, callers ask for %s", e.models, hot)
+		}
+	})
+}
+
+// The same with more engines and models, of which any order may be late.
+func TestLateLoadsFindRoomBesideFaults(t *testing.T) {
+	rapidtest.Check(t, func(rt *rapid.T) {
+		sim := newSimulation(rt, rapid.IntRange(1, 2).Draw(rt, "engines"), rapid.IntRange(2, 3).Draw(rt, "models"))
+		sim.spec.MemoryMB = 115
+		sim.play(50, 0, 40)
 	})
 }
+
+// play lets a planner follow a demand that moves after so many ticks, beside faults. The holder
+// changes, and an engine restarts, in one of so many ticks, 0 for never.
+func (sim *simulation) play(demandTicks, holderTicks, restartTicks int) {
+	rt, models := sim.t, len(sim.spec.ModelNames)
+	planner, fencingToken := NewPlanner(Options{Holder: "n1", LoadWindow: 5 * time.Second}), uint64(1)
+	hot := "m0"
+	for step := range 400 {
+		sim.tick()
+		demand := map[ModelKey]Rates{}
+		if step%demandTicks == 0 {
+			hot = fmt.Sprintf("m%d", rapid.IntRange(0, models-1).Draw(rt, "hot"))
+		}
+		demand[ModelKey{Service: testService, Model: hot}] = Rates{Fast: 40_000, Slow: 10_000}
+		planner.SetDemand(demand)
+		planner.SetEngines(sim.now, sim.config, sim.upstreams())
+		for i := range 4 {
+			planner.RequestAdapter(sim.now, ModelKey{testService, hot, fmt.Sprintf("a%d", i+1)})
+		}
+		for _, a := range planner.Step(sim.now) {
+			sim.execute(planner, fencingToken, a, rapid.SampledFrom([]int{0, 0, 0, 0, 1, 25, 70, 240}).Draw(rt, "lost"))
+		}
+		if holderTicks > 0 && rapid.IntRange(1, holderTicks).Draw(rt, "holder") == holderTicks {
+			fencingToken++
+			planner = NewPlanner(Options{Holder: "n2", LoadWindow: 5 * time.Second})
+		}
+		if rapid.IntRange(1, restartTicks).Draw(rt, "restart") == restartTicks {
+			sim.restart(sim.engines[rapid.IntRange(0, len(sim.engines)-1).Draw(rt, "engine")])
+		}
+	}
+}
