gateway: requests for models that there are not are rejected at once, and their names forgotten

Cause: such a request waited for its adapter. The name stayed for good in adapterRequester.sentAt, that of a model in the scheduler's placement rates, and both counted as demand, which goes to all peers.

Change: what neither the configuration nor an upstream has is rejected at once, 503 with a retry-after of 1 s, before the body is read. What callers of plain services name is no demand, asks for no adapter and has no rate of its own. Requests for adapters are forgotten after their interval.

--- a/internal/assign/wait.go
+++ b/internal/assign/wait.go
@@ -51,7 +51,10 @@
 // placementRate returns the placement rate of the job's service and model. It
 // adds one if there is none.
 func (s *Scheduler) placementRate(j *Job) *placementRate {
-	key := j.Service + "/" + j.Model
+	key := j.Service
+	if j.NeedsEngine { // otherwise callers may send any names
+		key += "/" + j.Model
+	}
 	r := s.placementRates[key]
 	if r == nil {
 		r = &placementRate{}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -83,6 +84,17 @@
 	ModelNames   []string // in the order of the configuration
 }
 
+// Has reports whether there is a model and, unless its name is empty, an adapter of it.
+func (e *Engine) Has(model, adapter string) bool {
+	m := e.Models[model]
+	if m == nil || adapter == "" {
+		return m != nil
+	}
+	number, ok := strings.CutPrefix(adapter, "a")
+	n, err := strconv.Atoi(number)
+	return ok && err == nil && n >= 1 && n <= m.Adapters && strconv.Itoa(n) == number
+}
+
 // Service is a set of interchangeable upstreams.
 type Service struct {
 	Name     string
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -171,7 +171,7 @@
 		x.placed = nil
 		return *placed, true
 	}
-	if x.job.Adapter != "" {
+	if x.job.Adapter != "" && x.job.NeedsEngine {
 		x.g.adapterRequests.requestIfMissing(x.service, x.job.Model, x.job.Adapter)
 	}
 	if x.rec.stream.headSent {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -136,9 +136,39 @@
 		}
 	}
 	x.service = pickService(x.route, x.serviceID())
+	if x.namesNoModel() {
+		return fleet.Refusal{Reason: fleet.ReasonModelAbsent, RetryAfter: unknownModelRetryAfter}
+	}
 	return fleet.Refusal{}
 }
 
+// unknownModelRetryAfter is the retry-after time of requests for a model or adapter that the
+// configuration does not have: a later one may.
+const unknownModelRetryAfter = time.Second
+
+// namesNoModel reports whether the request asks for a model or adapter that there is not. Nothing is
+// remembered by such a name, as callers can make up any number of them.
+func (x *exchange) namesNoModel() bool {
+	if x.req.Model == "" {
+		return false
+	}
+	for _, name := range servicesOf(x.route) {
+		svc := x.config.Services[name]
+		if svc == nil || svc.Engine == nil || svc.Engine.Has(x.req.Model, x.req.Adapter) || x.g.dispatcher.hasModel(name, x.req.Model, x.req.Adapter) {
+			return false
+		}
+	}
+	return true
+}
+
+// countDemand counts the work that the request asks of its model. Names that callers of a plain
+// service send are none of models.
+func (x *exchange) countDemand() {
+	if x.job.NeedsEngine {
+		x.g.demandMeter.count(x.service, x.req.Model, x.req.Adapter, x.req.Work())
+	}
+}
+
 // takesUp reports whether the caller takes up a stream of which it has events already.
 func (x *exchange) takesUp() bool {
 	return x.route.Kind == fleet.KindStream && x.req.Resumes != "" && x.req.LastEventID != ""
@@ -158,7 +188,7 @@
 	svc := x.config.Services[service]
 	x.service, x.job.Service, x.job.NeedsEngine = service, service, svc != nil && svc.Engine != nil
 	x.suspect = x.g.crashes.NewRequest(promptKeys(service, x.req.Parts), x.head, x.body...)
-	x.g.demandMeter.count(service, x.req.Model, x.req.Adapter, x.req.Work())
+	x.countDemand()
 	x.g.retryBudget.countRequest(service)
 	x.rec.stream = x.newStreamState() // expects the steps of the service
 }
@@ -180,7 +210,7 @@
 	if refusal, held := x.heldBack(); held {
 		return refusal
 	}
-	x.g.demandMeter.count(x.service, x.req.Model, x.req.Adapter, x.req.Work())
+	x.countDemand()
 	x.g.retryBudget.countRequest(x.service)
 	if x.org == nil {
 		return fleet.Refusal{}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -97,6 +98,7 @@
 	if at, ok := a.sentAt[key]; ok && now-at < adapterRequestInterval || a.inFlight >= maxAdapterRequests {
 		return
 	}
+	maps.DeleteFunc(a.sentAt, func(_ residency.ModelKey, at time.Duration) bool { return now-at >= adapterRequestInterval })
 	a.sentAt[key] = now
 	a.inFlight++
 	go func() {
