--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -17,8 +17,8 @@
 const endSettleTime = 40 * time.Millisecond
 
 var (
-	errOtherIncarnation = errors.New("gateway: another process serves the upstream's address")
-	errRelayedUnframed  = errors.New("gateway: relayed answer without a length or chunks")
+	errReplaced        = errors.New("gateway: another process serves the upstream's address")
+	errRelayedUnframed = errors.New("gateway: relayed answer without a length or chunks")
 )
 
 // proveEnd returns err, the result of reading the answer to an attempt to its end. Without one
@@ -46,7 +46,7 @@
 		return err
 	}
 	if g.catalog.Replaced(u) {
-		return fmt.Errorf("%w: %w", httpconn.ErrEndUnproven, errOtherIncarnation)
+		return fmt.Errorf("%w: %w", httpconn.ErrEndUnproven, errReplaced)
 	}
 	return nil
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -78,14 +78,14 @@
 	patience time.Duration // how long the caller waits for an event, or for the answer
 
 	mayHaveRun    bool                // some upstream may have started the request
-	reserved      *retry              // taken from the retry budget for the attempt after the next one that fails, nil for none
+	reserved      *retry              // from the retry budget, for an attempt that is not decided yet, nil for none
 	ran           int                 // ended attempts that may have run
 	rejected      int                 // ended attempts that the upstream received and did not run
 	unsent        int                 // ended attempts of which no byte was sent
 	rejectedBy    []string            // upstreams that rejected the request and are still excluded for it
 	retry         retry               // taken last from the retry budget
 	next          *attempt            // begun already, nil if there is none
-	placed        *assign.QueueResult // placement of the next attempt, nil if it has none yet
+	placed        *assign.QueueResult // of the next attempt, nil if it is to be placed first
 	rec           requestRecord
 	leaveShutdown func() bool // lets the request go on to the end of the instance
 
--- a/internal/gateway/question.go
+++ b/internal/gateway/question.go
@@ -7,9 +7,9 @@
 )
 
 // askElsewhere places the request at another upstream, which can tell what follows the last event
-// of its stream, and reports whether it did; x.placed is then the placement. A stream that nobody
-// else can bring now goes on where it is. A second retry is reserved, so that the stream can go on, also
-// at its first upstream, if the other one rejects it.
+// of its stream, and reports whether it did; x.placed is then the placement. The place is taken before the
+// answer at hand is closed, and a second retry is reserved: if the other upstream rejects the request, the
+// stream can go on, also at its first one.
 func (x *exchange) askElsewhere(a *attempt) bool {
 	if x.ran+1 >= x.route.MaxAttempts || x.suspect.Suspected() || !x.rec.stream.order.MayResume() || !x.endsInTime() || !x.takeReserve() {
 		return false
