httpconn: the check of heads counts one carriage return as the end of a line, not all

A value with a carriage return at its end is refused by http.ReadResponse already; the check took all of them for the end of the line and relied on that. The form "carriage return in a value" of TestAnswerCutAnywhereIsNotWhole passes before and after.

--- a/internal/httpconn/cut_test.go
+++ b/internal/httpconn/cut_test.go
@@ -89,6 +89,7 @@
 		{"blank before a name", "GET", "HTTP/1.1 200 OK\r\nA: b\r\n B: c\r\nContent-Length: 12\r\n\r\nhello, world", never},
 		{"control byte in a name", "GET", "HTTP/1.1 200 OK\r\nA\x01: b\r\nContent-Length: 12\r\n\r\nhello, world", never},
 		{"control byte in a value", "GET", "HTTP/1.1 200 OK\r\nA: b\x01\r\nContent-Length: 12\r\n\r\nhello, world", never},
+		{"carriage return in a value", "GET", "HTTP/1.1 200 OK\r\nA: b\r\r\nContent-Length: 12\r\n\r\nhello, world", never},
 		{"no name", "GET", "HTTP/1.1 200 OK\r\n: b\r\nContent-Length: 12\r\n\r\nhello, world", never},
 		{"status 000 with an answer as its body", "GET", "HTTP/1.1 000 \r\nContent-Length: 40\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", never},
 		{"status 099", "GET", "HTTP/1.1 099 A\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", never},
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -30,7 +30,7 @@
 	}
 	old := bytes.HasPrefix(first, []byte("HTTP/1.0"))
 	for line := range bytes.Lines(rest) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 {
+		if line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r")); len(line) > 0 {
 			if err := checkLine(line, old); err != nil {
 				return err
 			}
