--- a/internal/assign/scheduler.go
+++ b/internal/assign/scheduler.go
@@ -255,7 +255,7 @@
 // ServesElsewhere reports whether another upstream than the one with an ID could serve the job, now or later.
 func (s *Scheduler) ServesElsewhere(now time.Duration, j *Job, id string) bool {
 	return slices.ContainsFunc(s.services[j.Service], func(u *upstream) bool {
-		return u.entry.ID != id && (j.Version == nil || u.entry.Version == *j.Version) && s.allows(u, j) && u.serves(now, j.Model, j.Adapter)
+		return u.entry.ID != id && s.allows(u, j) && u.takes(now, j)
 	})
 }
 
--- a/internal/eventstream/numbering.go
+++ b/internal/eventstream/numbering.go
@@ -65,7 +65,8 @@
 	if !e.irregular && e.step != 0 && step > e.step {
 		switch {
 		case !e.resumable:
-			e.passUnasked(step, brought)
+			e.gapStep = step
+			e.passUnasked(brought)
 		case !e.agrees(gap{upstream: upstream, within: within}, this, step, brought):
 			e.broken = e.broken || brought
 			return false
@@ -91,12 +92,12 @@
 // assumed reports whether neither the service nor the stream has shown the expected step.
 func (e *expectation) assumed() bool { return e.byDefault && e.steps == 0 }
 
-// passUnasked lets the next event follow by the given step, as no other upstream can be asked. The step is
-// expected from then on, or any if those of the stream differ. It teaches nothing of the service if the
-// caller named the last number, and no upstream brought it.
-func (e *expectation) passUnasked(step uint64, brought bool) {
-	e.irregular = !e.resumable || e.unequal || e.steps > 0 && step != e.lastStep
-	e.step, e.gapStep, e.unasked = step, step, e.unasked || brought
+// passUnasked lets the last gap pass, as no other upstream can be asked. Its step is expected from then
+// on, or any if those of the stream differ. It teaches nothing of the service if the caller named the
+// number before it, and no upstream brought that.
+func (e *expectation) passUnasked(brought bool) {
+	e.irregular = !e.resumable || e.unequal || e.steps > 0 && e.gapStep != e.lastStep
+	e.step, e.unasked = e.gapStep, e.unasked || brought
 	e.gaps = e.gaps[:0]
 }
 
@@ -107,7 +108,7 @@
 	return slices.ContainsFunc(earlier, func(g gap) bool { return g.number.Cmp(&this.value) >= 0 })
 }
 
-// shown reports whether the service or the stream has shown the expected step.
+// shown reports whether the service has shown the expected step, or the stream in equal ones alone.
 func (e *expectation) shown() bool {
 	return !e.byDefault || e.steps >= minSteps && !e.unequal
 }
--- a/internal/eventstream/order.go
+++ b/internal/eventstream/order.go
@@ -21,8 +21,8 @@
 	// FaultUnordered is none either: nothing tells which events the caller has.
 	FaultUnordered Fault = "unordered"
 	FaultHeld      Fault = "held" // too much came before anything told whether the caller has it
-	// FaultUnasked is none either: an event beyond the expected number was passed on, since no other
-	// upstream could be asked whether one lies between.
+	// FaultUnasked is no fault of the upstream: an event beyond the expected number was passed on, since
+	// no other one could be asked whether one lies between.
 	FaultUnasked Fault = "unasked"
 )
 
@@ -167,11 +167,10 @@
 	return p, nil
 }
 
-// Accept passes on an event that Next has rejected as undecided, where no other upstream can be asked.
-// All that numbers promise is increase.
+// Accept passes on the event that Next has just rejected as undecided, where no other upstream can be
+// asked. All that numbers promise is increase.
 func (o *Order) Accept(e Event) (Passed, error) {
-	o.this.parse(e.ID)
-	o.steps.passUnasked(o.this.above(&o.last, &o.steps.scratch), o.brought)
+	o.steps.passUnasked(o.brought)
 	p, err := o.Next(e)
 	if err == nil {
 		p.Fault = FaultUnasked
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -67,7 +67,7 @@
 	Name           string
 	WeightsMB      float64
 	AdapterMB      float64
-	Adapters       int           // number of adapters, named a1 to aN
+	Adapters       int           // number of adapters, see AdapterName
 	StoreLoadTime  time.Duration // time to load from the weight store
 	DiskLoadTime   time.Duration // time to load from the upstream's disk
 	MemoryLoadTime time.Duration // time to load from the upstream's memory
@@ -90,11 +90,13 @@
 	if m == nil || adapter == "" {
 		return m != nil
 	}
-	number, ok := strings.CutPrefix(adapter, "a")
-	n, err := strconv.Atoi(number)
-	return ok && err == nil && n >= 1 && n <= m.Adapters && strconv.Itoa(n) == number
+	n, err := strconv.Atoi(adapter[1:])
+	return err == nil && n >= 1 && n <= m.Adapters && AdapterName(n) == adapter
 }
 
+// AdapterName returns the name of the n-th adapter of a model, from 1.
+func AdapterName(n int) string { return "a" + strconv.Itoa(n) }
+
 // Service is a set of interchangeable upstreams.
 type Service struct {
 	Name     string
--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -114,7 +114,7 @@
 }
 
 // What accepts connections at an upstream's address may be the next process there, under its ID or
-// another one (review/6); an entry of a process that was there before proves nothing.
+// another one; an entry of a process that was there before proves nothing.
 func TestEndOfAnUpstreamThatStartedAgainIsNotProven(t *testing.T) {
 	answers := make(chan rawAnswer, 1)
 	address := newRawServer(t, answers)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -164,8 +164,8 @@
 	x.rejectedBy = slices.DeleteFunc(x.rejectedBy, func(by string) bool { return by != id })
 }
 
-// acquire waits for an upstream for the job and, if no upstream holds the job's
-// adapter, requests the adapter. A request that would outlast the instance is refused.
+// acquire returns the placement that the job has already, or waits for one and, if no upstream holds the
+// job's adapter, requests the adapter. A request that would outlast the instance is refused.
 func (x *exchange) acquire(ctx context.Context) (assign.QueueResult, bool) {
 	if placed := x.placed; placed != nil {
 		x.placed = nil
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -77,14 +77,11 @@
 // open. It reports whether the other upstream has begun its answer; x.next is then
 // the attempt with which the request goes on.
 func (x *exchange) handOver(ctx context.Context) bool {
-	if x.ran+1 >= x.route.MaxAttempts || x.unsent >= maxUnreachable || x.suspect.Suspected() || !x.rec.stream.order.MayResume() || !x.takeRetry() {
+	if !x.mayGoElsewhere() || x.unsent >= maxUnreachable {
 		return false
 	}
-	x.checkVersion()
-	x.job.Retryable = false // a suspect upstream is not probed with this request
-	placed, ok := x.g.dispatcher.placeNow(x.job)
+	placed, ok := x.placeElsewhere()
 	if !ok {
-		x.returnRetry()
 		return false
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/gateway/question.go
+++ b/internal/gateway/question.go
@@ -11,24 +11,37 @@
 // answer at hand is closed, and a second retry is reserved: if the other upstream rejects the request, the
 // stream can go on, also at its first one.
 func (x *exchange) askElsewhere(a *attempt) bool {
-	if x.ran+1 >= x.route.MaxAttempts || x.suspect.Suspected() || !x.rec.stream.order.MayResume() || !x.endsInTime() || !x.takeReserve() {
+	if !x.mayGoElsewhere() || !x.endsInTime() || !x.takeReserve() {
 		return false
 	}
-	if !x.takeRetry() {
+	placed, ok := x.placeElsewhere()
+	if !ok {
 		x.dropReserves()
 		return false
 	}
+	x.job.TriedUpstreams = slices.DeleteFunc(x.job.TriedUpstreams, func(id string) bool { return id == a.Decision.Upstream.ID })
+	x.placed = &placed
+	return true
+}
+
+// mayGoElsewhere reports whether a request of which an attempt is open may go on at another upstream.
+func (x *exchange) mayGoElsewhere() bool {
+	return x.ran+1 < x.route.MaxAttempts && !x.suspect.Suspected() && x.rec.stream.order.MayResume()
+}
+
+// placeElsewhere takes a retry and places the request at an upstream that it has not tried, if one can take it
+// at once.
+func (x *exchange) placeElsewhere() (assign.QueueResult, bool) {
+	if !x.takeRetry() {
+		return assign.QueueResult{}, false
+	}
 	x.checkVersion()
 	x.job.Retryable = false // a suspect upstream is not probed with this request
 	placed, ok := x.g.dispatcher.placeNow(x.job)
 	if !ok {
 		x.returnRetry()
-		x.dropReserves()
-		return false
 	}
-	x.job.TriedUpstreams = slices.DeleteFunc(x.job.TriedUpstreams, func(id string) bool { return id == a.Decision.Upstream.ID })
-	x.placed = &placed
-	return true
+	return placed, ok
 }
 
 // takeReserve reserves a retry for a later attempt and reports whether the budget had one.
--- a/internal/gateway/unknownmodels_test.go
+++ b/internal/gateway/unknownmodels_test.go
@@ -13,7 +13,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// Requests for models that there are not waited for them, and the names stayed in memory for good (review/9).
+// Requests for models that there are not waited for them, and the names stayed in memory for good.
 func TestRequestsForUnknownModelsAreRejectedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, nodes := newVersionedFleet(t, 1, "v1")
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -255,10 +255,10 @@
 // maxWriteEnd is how long a write may take to end after its connection has.
 const maxWriteEnd = time.Second
 
-// endError returns why a connection has ended at which the kernel reports an end: io.EOF if the peer
-// closed it in order. The kernel reports a failure of the connection only once. If a write gets it, a read
-// sees an end like any other, but the connection is closed on both sides. So it is after a reset that
-// followed the peer's close, of which EPIPE tells the write.
+// endError returns why the connection has ended when a read sees its end: io.EOF if the peer closed it
+// in order. The kernel reports a failure only once. If a write gets it, the read sees an end like any other,
+// but the connection is closed on both sides. It is so, too, after a reset that followed the peer's close; then
+// the write gets EPIPE.
 func (c *conn) endError() error {
 	if c.sending == nil {
 		return io.EOF
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"regexp"
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
@@ -16,19 +15,19 @@
 // ErrExchangeFailed.
 var ErrFaultyHead = errors.New("httpconn: faulty head of a response")
 
-// statusLine is a status line of HTTP/1. Values outside 100 to 599 are no statuses (RFC 9110, section 15).
-var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] +[1-5][0-9][0-9]( |$)`)
-
-// checkHead checks a head, with the empty line at its end, that http.ReadResponse has accepted. That
-// takes any number for a status, ignores fields whose names are none, so that a length or
+// checkHead checks the bytes of a head that http.ReadResponse has accepted, with the empty line at its
+// end. That takes any number for a status, ignores fields whose names are none, so that a length or
 // a coding does not count, and ignores codings in HTTP/1.0, whose chunks would pass for the body.
-func checkHead(head []byte) error {
+func checkHead(resp *http.Response, head []byte) error {
+	if err := checkStatus(resp); err != nil {
+		return err
+	}
 	first, rest, _ := bytes.Cut(head, []byte("\n"))
 	first = bytes.TrimSuffix(first, []byte("\r"))
-	if !statusLine.Match(first) || !httpguts.ValidHeaderFieldValue(string(first)) {
+	if resp.ProtoMajor != 1 || !httpguts.ValidHeaderFieldValue(string(first)) {
 		return faultyHead("status line", first)
 	}
-	old := bytes.HasPrefix(first, []byte("HTTP/1.0"))
+	old := !resp.ProtoAtLeast(1, 1)
 	for line := range bytes.Lines(rest) {
 		if line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r")); len(line) > 0 {
 			if err := checkLine(line, old); err != nil {
@@ -90,8 +89,8 @@
 func (t checkedTransport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
 func checkParsed(resp *http.Response) error {
-	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
-		return faultyHead("status", []byte(resp.Status))
+	if err := checkStatus(resp); err != nil {
+		return err
 	}
 	for name := range resp.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
@@ -101,5 +100,12 @@
 	return nil
 }
 
-// maxStatus is the highest status of HTTP.
+// maxStatus is the highest status. Values outside 100 to 599 are none (RFC 9110, section 15).
 const maxStatus = 599
+
+func checkStatus(resp *http.Response) error {
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
+		return faultyHead("status", []byte(resp.Status))
+	}
+	return nil
+}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -236,7 +236,7 @@
 	c.head = append(c.head[:0], buffered...)
 	resp, err := http.ReadResponse(c.reader, r)
 	if err == nil {
-		err = checkHead(c.head[:len(c.head)-c.reader.Buffered()])
+		err = checkHead(resp, c.head[:len(c.head)-c.reader.Buffered()])
 	}
 	if err != nil {
 		return nil, err
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -76,7 +75,7 @@
 			continue
 		}
 		for i := 1; i <= m.Adapters; i++ {
-			adapter := fmt.Sprintf("a%d", i)
+			adapter := fleet.AdapterName(i)
 			key := ModelKey{service, name, adapter}
 			n := adapterNeed{key: key, sizeMB: m.AdapterMB, replicas: counts[adapter], rate: p.demand[key].Slow}
 			_, n.requested = p.adapterRequests[n.key]
@@ -102,7 +101,7 @@
 	var best *Engine
 	for _, e := range engines {
 		m := fleet.FindModel(e.Models, n.key.Model)
-		if m == nil || m.HasAdapter(n.key.Adapter) || e.Unloading == n.key.Model || !e.canTakeOrder(now) || e.freeMB()-e.lateMB(n.key.Model, n.key.Adapter)-memoryMarginMB < n.sizeMB {
+		if m == nil || m.HasAdapter(n.key.Adapter) || e.Unloading == n.key.Model || !e.canTakeOrder(now) || e.roomMB(n.key.Model, n.key.Adapter) < n.sizeMB {
 			continue
 		}
 		if best == nil || e.adapterCount() < best.adapterCount() || e.adapterCount() == best.adapterCount() && e.Requests < best.Requests {
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -99,14 +99,15 @@
 // in MB.
 const memoryMarginMB = 1.0
 
-func (e *Engine) fits(m *fleet.Model) bool {
-	return e.freeMB()-e.lateMB(m.Name, "")-memoryMarginMB >= m.WeightsMB
+// roomMB returns the memory that a load of the model or adapter may take. Late loads have theirs.
+func (e *Engine) roomMB(model, adapter string) float64 {
+	return e.freeMB() - e.lateMB(model, adapter) - memoryMarginMB
 }
 
-// waitsForLate reports whether the model would fit but for late loads.
-func (e *Engine) waitsForLate(m *fleet.Model) bool {
-	return !e.fits(m) && e.freeMB()-memoryMarginMB >= m.WeightsMB
-}
+func (e *Engine) fits(m *fleet.Model) bool { return e.roomMB(m.Name, "") >= m.WeightsMB }
+
+// waitsForLate reports whether a model that does not fit would, but for late loads.
+func (e *Engine) waitsForLate(m *fleet.Model) bool { return e.freeMB()-memoryMarginMB >= m.WeightsMB }
 
 // loadTime returns how long a load of the model takes on this engine, and
 // whether it reads from the weight store.
--- a/internal/residency/late.go
+++ b/internal/residency/late.go
@@ -7,8 +7,7 @@
 	"github.com/eelgrassbay/eelgrassbay/internal/fleet"
 )
 
-// maxOrderDelay is how long after it was sent an order without an answer may be carried out. The
-// users' page says seconds; up to 12 were seen.
+// maxOrderDelay is how long after it was sent an order without an answer may be carried out.
 const maxOrderDelay = 15 * time.Second
 
 // sentLoad is a load that was ordered and of which no answer says whether it is carried out.
@@ -44,11 +43,15 @@
 // lateLoads returns the loads that were sent to former incarnations of an engine and may still be
 // carried out, and forgets those that can't.
 func (p *Planner) lateLoads(now time.Duration, u *fleet.Upstream) (late []sentLoad) {
-	p.sent[u.ID] = slices.DeleteFunc(p.sent[u.ID], func(s sentLoad) bool { return now-s.at >= maxOrderDelay })
-	if len(p.sent[u.ID]) == 0 {
+	sent, ok := p.sent[u.ID]
+	if !ok {
+		return nil
+	}
+	sent = slices.DeleteFunc(sent, func(s sentLoad) bool { return now-s.at >= maxOrderDelay })
+	if p.sent[u.ID] = sent; len(sent) == 0 {
 		delete(p.sent, u.ID)
 	}
-	for _, s := range p.sent[u.ID] {
+	for _, s := range sent {
 		if s.startedAtMS != u.StartedAtMS {
 			late = append(late, s)
 		}
--- a/internal/residency/simulation_test.go
+++ b/internal/residency/simulation_test.go
@@ -215,7 +215,7 @@
 }
 
 // An engine that started again under its ID was ordered to load more than it holds, by a load that its
-// former incarnation had not answered and that arrived late (review/7). Later it loads what callers ask for.
+// former incarnation had not answered and that arrived late. Later it loads what callers ask for.
 func TestLateLoadFindsRoomAfterARestart(t *testing.T) {
 	rapidtest.Check(t, func(rt *rapid.T) {
 		sim := newSimulation(rt, 1, 2)
