--- a/review/standin3/tokens.go
+++ b/review/standin3/tokens.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	tokensPerSecond = 40
-	// learnFor is the time before the planned restart in which the instances serve as usual.
+	tokensPerSecond = 150
+	// learnFor is the time before the planned restarts in which the instances serve as usual.
 	learnFor = 12 * time.Second
-	// graceTime and plannedAfter bound planned work: a SIGTERM until 1 s after grace_s (RULES.md, LOST).
-	graceTime    = 8 * time.Second
-	plannedAfter = time.Second
+	// plannedFor is how long planned work lasts: from a SIGTERM until 1 s after grace_s (RULES.md, LOST).
+	plannedFor = 9 * time.Second
+	readyLimit = 10 * time.Second
 	// restartDelay is the time after which the platform starts a process again that has ended.
 	restartDelay = 300 * time.Millisecond
 	streamTokens = 290
@@ -63,8 +63,8 @@
 }
 
 // playTokens has sound model servers whose events hold up to eventTokens tokens, as many as were ready, and
-// whose IDs are the number of tokens so far. An instance is stopped and started again as planned. Judged are the
-// streams that its callers get around that.
+// whose IDs are the number of tokens so far. The instances are stopped and started again in turn. Judged are the
+// streams that callers get around that.
 func playTokens(b *bed) (int, error) {
 	servers, machines, err := b.startSmall(2, &server{work: 50 * time.Millisecond, tokens: streamTokens, most: eventTokens, pause: tokenPause})
 	if err != nil {
@@ -75,9 +75,7 @@
 			m.kill()
 		}
 	}()
-	began := time.Now()
-	stopAt := began.Add(learnFor)
-	end := stopAt.Add(graceTime + plannedAfter)
+	end := time.Now().Add(learnFor + time.Duration(len(machines))*plannedFor)
 	over := func() bool { return time.Now().After(end) }
 	r := &rotation{machines: machines, out: map[*machine]bool{}}
 	go r.run(over)
@@ -85,62 +83,69 @@
 	for _, m := range machines {
 		clients[m] = newClient(500)
 	}
-	var before, around tally
+	var before, after tally
 	var mu sync.Mutex
-	cut := 0
-	restarted := time.Time{}
+	cut, stoppedAt := 0, map[*machine]time.Time{}
 	var wait sync.WaitGroup
 	every(&wait, over, time.Second/tokensPerSecond, func(*client) {
 		m, sentAt := r.pick(), time.Now()
 		o := clients[m].do(m.frontend, request{method: "POST", path: "/wuba840/2f", key: fmt.Sprintf("key%d", rand.IntN(partsTenants)), body: "prompt", deadline: 15 * time.Second,
 			headers: map[string]string{"X-Model": "daka510000", "X-Token-Usage": fmt.Sprintf("1460,%d", streamTokens), "X-Prefix-Hash": shortList(1460)}})
-		if sentAt.Before(stopAt) {
-			before.add(o)
-			return
-		}
-		around.add(o)
 		mu.Lock()
 		defer mu.Unlock()
-		if o.status == 0 || o.whole || o.timedOut || m != machines[0] {
+		at, stopped := stoppedAt[m]
+		if !stopped || sentAt.Before(at) {
+			before.add(o)
 			return
 		}
-		if o.seconds > 0 && time.Now().After(end) {
+		after.add(o)
+		if o.status == 0 || o.whole || o.timedOut || time.Since(at) > plannedFor {
 			return
 		}
 		cut++
-		b.note("stream %s, sent %.2f s after the SIGTERM and %.2f s after the restart to %s, is cut after %.2f s, after event %s", o.id,
-			sentAt.Sub(stopAt).Seconds(), sentAt.Sub(restarted).Seconds(), m.name, o.seconds, lastEventID(o.body))
+		b.note("stream %s, sent to %s %.2f s after its SIGTERM, is cut after %.2f s, after event %s", o.id, m.name, sentAt.Sub(at).Seconds(), o.seconds, lastEventID(o.body))
 		for _, s := range servers {
 			for _, run := range s.runsOf(o.id) {
 				b.note("    %s ran it: %s", s.id, run)
 			}
 		}
 	})
-	time.Sleep(time.Until(stopAt))
-	b.note("before: streams %s", &before)
-	if m := machines[0]; b.trouble {
-		b.note("%s gets SIGTERM", m.name)
-		m.signal(syscall.SIGTERM)
-		<-m.exited
-		b.note("%s has ended", m.name)
-		time.Sleep(restartDelay)
-		if err := m.start(); err != nil {
-			return 0, err
-		}
+	time.Sleep(learnFor)
+	for _, m := range machines {
+		began := time.Now()
 		mu.Lock()
-		restarted = time.Now()
+		stoppedAt[m] = began
 		mu.Unlock()
-		if err := m.awaitReady(10 * time.Second); err != nil {
-			return 0, err
+		if b.trouble {
+			if err := b.restart(m); err != nil {
+				return 0, err
+			}
 		}
-		b.note("%s is ready again", m.name)
+		time.Sleep(time.Until(began.Add(plannedFor)))
 	}
 	wait.Wait()
-	b.note("streams begun before %s", &before)
-	b.note("streams begun around planned work %s", &around)
-	b.note("sound streams cut by %s around planned work: %d", machines[0].name, cut)
+	b.note("streams that began before planned work: %s", &before)
+	b.note("streams that began since: %s", &after)
+	b.note("sound streams that an instance cut within %v of its SIGTERM: %d", plannedFor, cut)
 	if cut > 0 {
 		return broken, nil
 	}
 	return held, nil
 }
+
+// restart stops an instance as planned and starts it again once it has ended.
+func (b *bed) restart(m *machine) error {
+	b.note("%s gets SIGTERM", m.name)
+	m.signal(syscall.SIGTERM)
+	<-m.exited
+	b.note("%s has ended", m.name)
+	time.Sleep(restartDelay)
+	if err := m.start(); err != nil {
+		return err
+	}
+	if err := m.awaitReady(readyLimit); err != nil {
+		return err
+	}
+	b.note("%s is ready again", m.name)
+	return nil
+}
